--- a/command/dispatch.go
+++ b/command/dispatch.go
@@ -20,6 +20,7 @@
 	presetlist "heatherhub.example/heatherhub/command/preset/list"
 	"heatherhub.example/heatherhub/command/preset/switchto"
 	presetview "heatherhub.example/heatherhub/command/preset/view"
+	"heatherhub.example/heatherhub/command/serve"
 	"heatherhub.example/heatherhub/command/standin"
 	"heatherhub.example/heatherhub/command/status"
 	workerlist "heatherhub.example/heatherhub/command/worker/list"
@@ -40,6 +41,7 @@
 	Apply    *apply.Options   `arg:"subcommand:apply" help:"put declarations in force"`
 	Check    *check.Options   `arg:"subcommand:check" help:"validate declarations without a network"`
 	Entry    *entry.Options   `arg:"subcommand:entry" help:"run one entry host"`
+	Serve    *serve.Options   `arg:"subcommand:serve" help:"run one host on the users' platform"`
 	Demo     *demo.Options    `arg:"subcommand:demo" help:"run a day of both sites in one process"`
 	Load     *load.Options    `arg:"subcommand:load" help:"send an open-loop load and check every answer"`
 	Standin  *standin.Options `arg:"subcommand:standin" help:"run a small stand-in for the platform"`
--- /dev/null
+++ b/command/serve/serve.go
@@ -0,0 +1,210 @@
+// Package serve is the command that runs one host on the platform.
+//
+// # Usage
+//
+//	HEATHERHUB_CONFIG=/etc/heatherhub/settings.conf heatherhub serve
+package serve
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/command/factory"
+	"heatherhub.example/heatherhub/connection/agent"
+	"heatherhub.example/heatherhub/connection/ledger"
+	"heatherhub.example/heatherhub/platform"
+	"heatherhub.example/heatherhub/process/logs"
+	"heatherhub.example/heatherhub/process/owner"
+	"heatherhub.example/heatherhub/process/steady"
+	"heatherhub.example/heatherhub/request/intake"
+	"heatherhub.example/heatherhub/version/queues"
+)
+
+// Options are the settings of the command.
+type Options struct {
+	Settings string `arg:"--settings,env:HEATHERHUB_CONFIG" placeholder:"FILE" help:"the platform's settings file"`
+	LogLevel string `arg:"--log-level,env:HEATHERHUB_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
+}
+
+// Times of a host.
+const (
+	// tableWatch bounds one watch of the configuration: a silent connection is
+	// noticed in time for a change to be in force.
+	tableWatch = time.Second
+	// staleAfter is how old the last word of the store may be before the
+	// configuration counts as outdated.
+	staleAfter = 1500 * time.Millisecond
+	// drainTime is how long requests are taken after the request to stop: the
+	// platform notices that the host is not ready within about two seconds.
+	drainTime = 2500 * time.Millisecond
+	// shutdownTime bounds the end of the last requests.
+	shutdownTime = 2 * time.Second
+)
+
+// Shares of a host's memory.
+const (
+	memoryShare = 0.7
+	// gcPercent trades memory for processor time; the heap is small.
+	gcPercent = 300
+)
+
+// Run runs the host until ctx ends and the planned stop is over.
+func (o *Options) Run(ctx context.Context, f *factory.Factory) error {
+	s, err := platform.ReadSettings(o.Settings)
+	if err != nil {
+		return err
+	}
+	log, err := logs.New(logs.Config{Out: f.IO.Out, Level: o.LogLevel, Host: s.Host, Domain: s.Domain})
+	if err != nil {
+		return err
+	}
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * 1e6))
+	h := newHost(s, log)
+	log.Info("host starts", zap.Int("pid", os.Getpid()), zap.Float64("cores", s.Cores), zap.Int64("memoryMb", s.MemoryMB))
+	err = h.run(ctx)
+	log.Info("host stops", zap.Error(err))
+	return err
+}
+
+// host is one host on the platform.
+type host struct {
+	settings platform.Settings
+	log      *zap.Logger
+	store    *platform.Store
+	clock    *steady.Clock
+	tables   queues.Current
+	owner    *owner.Host
+	shards   *intake.Shards
+	desk     *intake.Desk
+	// contactAt is the steady time of the last word on the configuration.
+	contactAt  atomic.Int64
+	isDraining atomic.Bool
+}
+
+func newHost(s platform.Settings, log *zap.Logger) *host {
+	h := &host{settings: s, log: log, store: platform.NewStore(s.Store), clock: steady.New()}
+	h.contactAt.Store(int64(-staleAfter))
+	limits := owner.Limits{SessionTTL: max(s.MinLease, owner.DefaultSessionTTL), WorkerLease: min(s.MaxHold, owner.DefaultWorkerLease)}
+	h.owner = owner.New(owner.Config{
+		Self: s.Host, Domain: s.Domain, Address: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)), Store: h.store,
+		Dial:         func(id heatherhub.WorkerID, address string) agent.Agent { return platform.NewAgent(id, address) },
+		WorkerPrefix: platform.WorkerPrefix, DecodeWorker: platform.DecodeWorker,
+		Tables: &h.tables, Clock: h.clock, Log: log, Limits: limits,
+	})
+	h.shards = intake.NewShards(intake.ShardsConfig{Store: h.store, View: h.owner.View, Log: log})
+	h.desk = intake.New(intake.Config{
+		Store: h.store, TableKey: platform.TableKey, Shards: h.shards, Local: h.owner.State, Clock: h.clock, Log: log,
+	})
+	return h
+}
+
+func (h *host) isStale() bool {
+	return h.clock.Now().Steady-time.Duration(h.contactAt.Load()) > staleAfter
+}
+
+func (h *host) run(ctx context.Context) error {
+	callers, err := net.Listen("tcp4", h.settings.Callers)
+	if err != nil {
+		return heatherhub.ErrInvalid.Wrap(err, "cannot listen on %s: choose an address of this host and a free port", h.settings.Callers)
+	}
+	readiness, err := net.Listen("tcp4", h.settings.Readiness)
+	if err != nil {
+		return heatherhub.ErrInvalid.Wrap(err, "cannot listen on %s: choose an address of this host and a free port", h.settings.Readiness)
+	}
+	front := &http.Server{
+		Handler:           &platform.Front{Desk: h.desk, Tables: &h.tables, Log: h.log, IsStale: h.isStale},
+		ReadHeaderTimeout: 5 * time.Second,
+	}
+	probes := &http.Server{Handler: h.probes(), ReadHeaderTimeout: 5 * time.Second}
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var g conc.WaitGroup
+	g.Go(func() { h.serve(front, callers) })
+	g.Go(func() { h.serve(probes, readiness) })
+	g.Go(func() { h.followTable(background) })
+	g.Go(func() { h.shards.Run(background) })
+	g.Go(func() { h.owner.Run(ctx) })
+	<-ctx.Done()
+	h.drain(front)
+	cancel()
+	_ = probes.Close()
+	g.Wait()
+	return nil
+}
+
+// drain takes requests until the platform sends no more, and ends the last ones.
+func (h *host) drain(front *http.Server) {
+	h.log.Info("host drains")
+	h.isDraining.Store(true)
+	front.SetKeepAlivesEnabled(false)
+	time.Sleep(drainTime)
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
+	defer cancel()
+	if err := front.Shutdown(ctx); err != nil {
+		h.log.Warn("requests were cut off", zap.Error(err))
+	}
+}
+
+func (h *host) serve(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); err != nil && err != http.ErrServerClosed {
+		h.log.Error("listener failed", zap.String("address", l.Addr().String()), zap.Error(err))
+	}
+}
+
+func (h *host) probes() http.Handler {
+	r := httprouter.New()
+	r.GET(platform.ReadinessPath, func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		if h.isDraining.Load() || h.tables.Load() == nil || h.isStale() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	return r
+}
+
+// followTable keeps the configuration up to date.
+func (h *host) followTable(ctx context.Context) {
+	f := ledger.Follower{
+		Store: h.store, Prefix: platform.OperatorPrefix, Wait: tableWatch, Log: h.log,
+		OnSnapshot: func(s ledger.Snapshot) {
+			for _, it := range s.Items {
+				h.takeTable(it)
+			}
+		},
+		OnChanges: func(events []ledger.Event) {
+			for _, e := range events {
+				if !e.Deleted {
+					h.takeTable(e.Item)
+				}
+			}
+		},
+		OnContact: func() { h.contactAt.Store(int64(h.clock.Now().Steady)) },
+	}
+	f.Run(ctx, nil)
+}
+
+func (h *host) takeTable(it ledger.Item) {
+	if it.Key != platform.TableKey {
+		return
+	}
+	table, err := platform.DecodeTable(it)
+	if err != nil {
+		h.log.Error("configuration refused", zap.Error(err))
+		return
+	}
+	isNew := h.tables.Offer(table)
+	h.log.Info("configuration read", zap.Uint64("version", uint64(table.Version)), zap.Bool("inForce", isNew), zap.Int("queues", len(table.Queues)))
+}
--- /dev/null
+++ b/process/dispatch/jobs.go
@@ -0,0 +1,293 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/connection/ledger"
+)
+
+// SetPolicies puts the policies of the queues in force. Jobs of a queue that is
+// gone keep the policy that they had.
+func (e *Engine) SetPolicies(policies map[heatherhub.QueueID]Policy) {
+	e.policies = policies
+	for _, j := range e.jobs {
+		if p, ok := policies[j.flow.Queue]; ok {
+			j.policy = p
+			for _, o := range j.occurrences {
+				e.setObjective(o)
+			}
+		}
+	}
+}
+
+// Inherited says where a job comes from.
+type Inherited bool
+
+// Origins of a job.
+const (
+	// IsNew jobs were accepted while this owner was in charge.
+	IsNew Inherited = false
+	// FromEarlierOwner jobs may have runs on workers that were not asked yet.
+	FromEarlierOwner Inherited = true
+)
+
+// AddJob adds a job unless it is there. Progress is its durable state.
+func (e *Engine) AddJob(now Moment, flow *heatherhub.Workflow, p Progress, rev ledger.Revision, origin Inherited) {
+	if e.jobs[flow.ID] != nil {
+		return
+	}
+	j := &job{
+		flow: flow, policy: e.policies[flow.Queue], state: heatherhub.WorkflowQueued,
+		isInherited: bool(origin), progress: p, revision: rev,
+	}
+	if j.policy.MaxAttempts == 0 {
+		j.policy.MaxAttempts = 1
+	}
+	age := max(now.Wall.Sub(flow.Accepted), 0)
+	j.arrived = now.Steady - age
+	e.jobs[flow.ID] = j
+	if p.State.IsFinal() {
+		j.state, j.endedAt = p.State, now.Steady
+		e.finished = append(e.finished, j)
+		return
+	}
+	if len(p.Done) > 0 {
+		j.state = heatherhub.WorkflowRunning
+	}
+	for k := range flow.Occurrences() {
+		o := e.newOccurrence(now, j, k)
+		j.occurrences = append(j.occurrences, o)
+	}
+	e.restoreFailures(j)
+	if flow.Schedule != nil {
+		e.scheduled = append(e.scheduled, j)
+	}
+	for _, o := range j.occurrences {
+		e.enqueueReady(now, o)
+	}
+	e.finishIfDone(now, j)
+}
+
+func (e *Engine) newOccurrence(now Moment, j *job, k int) *occurrence {
+	o := &occurrence{job: j, index: k}
+	flat := 0
+	for i := range j.flow.Steps {
+		s := &stepRun{occ: o, index: i, spec: &j.flow.Steps[i], need: j.flow.Steps[i].Reserved(), blockers: len(j.flow.Steps[i].After)}
+		if s.spec.MaxPerWorker > 0 {
+			s.perNode = make(map[*node]int)
+		}
+		for n := range s.spec.Tasks {
+			t := &task{step: s, index: n, isDone: j.progress.isDone(k, flat)}
+			flat++
+			s.tasks = append(s.tasks, t)
+			if !t.isDone {
+				s.undone++
+				s.push(t)
+			}
+		}
+		j.left += s.undone
+		o.steps = append(o.steps, s)
+	}
+	for _, s := range o.steps {
+		for _, a := range s.spec.After {
+			if o.steps[a].undone == 0 {
+				s.blockers--
+			}
+		}
+	}
+	e.estimateTails(o)
+	o.objective = j.arrived
+	if j.flow.Schedule != nil {
+		o.objective = now.Steady + j.flow.Due(k).Sub(now.Wall)
+	}
+	e.setObjective(o)
+	return o
+}
+
+// setObjective sets the times by which an occurrence earns its whole worth and
+// the last of it. A result up to three times late still earns a part.
+func (e *Engine) setObjective(o *occurrence) {
+	from := o.job.arrived
+	if o.job.flow.Schedule != nil {
+		from = o.job.arrived + o.job.flow.Due(o.index).Sub(o.job.flow.Accepted)
+	}
+	var chain time.Duration
+	for _, s := range o.steps {
+		chain = max(chain, s.tail)
+	}
+	span := time.Duration(float64(chain)*max(o.job.policy.Stretch, 1)) + o.job.policy.Target
+	o.objective, o.limit = from+span, from+3*span
+}
+
+func (e *Engine) restoreFailures(j *job) {
+	for _, f := range j.progress.Failed {
+		if f.Occurrence < 0 || f.Occurrence >= len(j.occurrences) {
+			continue
+		}
+		if t := j.occurrences[f.Occurrence].byFlat(f.Task); t != nil {
+			t.noteFailedRun(f.Run)
+		}
+	}
+}
+
+func (o *occurrence) byFlat(flat int) *task {
+	for _, s := range o.steps {
+		if flat < len(s.tasks) {
+			return s.tasks[flat]
+		}
+		flat -= len(s.tasks)
+	}
+	return nil
+}
+
+// noteFailedRun remembers a failed run. It reports false if it was known.
+func (t *task) noteFailedRun(run heatherhub.RunID) bool {
+	runs := &t.failedRuns
+	if t.step.spec.Gang {
+		runs = &t.step.failedRuns
+	}
+	if slices.Contains(*runs, run) {
+		return false
+	}
+	*runs = append(*runs, run)
+	return true
+}
+
+func (t *task) failures() int {
+	if t.step.spec.Gang {
+		return len(t.step.failedRuns)
+	}
+	return len(t.failedRuns)
+}
+
+func (s *stepRun) push(t *task) {
+	if !t.isPending && !t.isDone {
+		t.isPending = true
+		s.pending = append(s.pending, t)
+	}
+}
+
+// enqueueReady puts the steps of an occurrence in the waiting list whose turn has
+// come.
+func (e *Engine) enqueueReady(now Moment, o *occurrence) {
+	if o.job.isOver() {
+		return
+	}
+	if o.job.flow.Schedule != nil && now.Wall.Before(o.job.flow.Due(o.index)) {
+		return
+	}
+	for _, s := range o.steps {
+		if s.blockers == 0 && len(s.pending) > 0 && !s.isQueued {
+			s.isQueued = true
+			e.ready = append(e.ready, s)
+		}
+	}
+}
+
+// Cancel ends a job: nothing of it starts any more, and what runs is stopped.
+func (e *Engine) Cancel(now Moment, id heatherhub.JobID) {
+	if j := e.jobs[id]; j != nil && !j.isOver() {
+		e.end(now, j, heatherhub.WorkflowCancelled)
+	}
+}
+
+// end puts a job in a final state and stops what runs.
+func (e *Engine) end(now Moment, j *job, state heatherhub.WorkflowState) {
+	j.state, j.progress.State = state, state
+	j.endedAt = now.Steady
+	e.touch(j)
+	e.finished = append(e.finished, j)
+	if j.open == 0 {
+		return
+	}
+	for _, n := range e.order {
+		for _, a := range n.attempts {
+			if a.task.step.occ.job == j && a.stop == noStop {
+				a.stop = stopWanted
+			}
+		}
+	}
+}
+
+func (e *Engine) finishIfDone(now Moment, j *job) {
+	if j.left == 0 && !j.isOver() {
+		e.end(now, j, heatherhub.WorkflowCompleted)
+		j.occurrences = nil
+	}
+}
+
+// Expired returns finished jobs older than keep, to be deleted from the store,
+// and forgets them.
+func (e *Engine) Expired(now Moment, keep time.Duration, limit int) []heatherhub.JobID {
+	var out []heatherhub.JobID
+	kept := e.finished[:0]
+	for _, j := range e.finished {
+		if len(out) < limit && j.open == 0 && j.committed == j.changed && now.Steady-j.endedAt > keep {
+			out = append(out, j.flow.ID)
+			delete(e.jobs, j.flow.ID)
+			continue
+		}
+		kept = append(kept, j)
+	}
+	clear(e.finished[len(kept):])
+	e.finished = kept
+	return out
+}
+
+// Waiting counts, by queue, the jobs without a schedule of which no task has
+// started.
+func (e *Engine) Waiting() map[heatherhub.QueueID]int {
+	out := make(map[heatherhub.QueueID]int)
+	for _, j := range e.jobs {
+		if j.state == heatherhub.WorkflowQueued && j.flow.Schedule == nil {
+			out[j.flow.Queue]++
+		}
+	}
+	return out
+}
+
+// Load sums up the shard for those who choose a shard for a new job.
+type Load struct {
+	// Capacity and Reserved are of all workers in use.
+	Capacity, Reserved heatherhub.MilliCPU
+	// Filling is the demand of running filler tasks.
+	Filling heatherhub.MilliCPU
+	// Backlog is the demand of tasks that wait, in processor time.
+	Backlog time.Duration
+}
+
+// Load returns the present load.
+func (e *Engine) Load() Load {
+	var l Load
+	for _, n := range e.order {
+		if n.worker.Draining || n.isSilent {
+			continue
+		}
+		l.Capacity += n.worker.Capacity.CPU
+		l.Reserved += n.used.CPU
+		l.Filling += n.fillCPU
+	}
+	for _, s := range e.ready {
+		if !s.occ.job.isOver() {
+			l.Backlog += time.Duration(len(s.pending)) * e.expected(s) * time.Duration(s.spec.Need.CPU) / 1000
+		}
+	}
+	return l
+}
+
+// Unresolved says that runs of an earlier owner may go on at a worker.
+func (e *Engine) Unresolved(id heatherhub.WorkerID) {
+	e.unresolved[id] = struct{}{}
+}
+
+// Resolved says that nothing unknown runs at a worker any more.
+func (e *Engine) Resolved(id heatherhub.WorkerID) {
+	delete(e.unresolved, id)
+}
+
+// UnresolvedCount returns how many workers were not yet asked.
+func (e *Engine) UnresolvedCount() int {
+	return len(e.unresolved)
+}
--- /dev/null
+++ b/process/dispatch/order.go
@@ -0,0 +1,175 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"heatherhub.example/heatherhub"
+)
+
+// The order of waiting steps answers a load above the room. Work that still meets
+// its objective goes first, by priority and then by the latest time at which it
+// may start. Work that is late but still worth something follows, and work that
+// is worth nothing any more comes last, so that one lost job does not drag others
+// over their objective.
+
+// urgency says what a step's start now is worth.
+type urgency int
+
+const (
+	inTime urgency = iota
+	late
+	worthless
+)
+
+func urgencyOf(now time.Duration, s *stepRun) urgency {
+	switch o := s.occ; {
+	case s.spec.LongRunning || now+s.tail <= o.objective:
+		return inTime
+	case now+s.tail <= o.limit:
+		return late
+	default:
+		return worthless
+	}
+}
+
+type candidate struct {
+	step        *stepRun
+	urgency     urgency
+	latestStart time.Duration
+}
+
+// candidates returns the waiting steps in the order in which they may start.
+func (e *Engine) candidates(now Moment) []candidate {
+	kept := e.ready[:0]
+	out := make([]candidate, 0, len(e.ready))
+	for _, s := range e.ready {
+		if len(s.pending) == 0 || s.occ.job.isOver() {
+			s.isQueued = false
+			continue
+		}
+		kept = append(kept, s)
+		if s.occ.job.isInherited && len(e.unresolved) > 0 {
+			continue
+		}
+		out = append(out, candidate{step: s, urgency: urgencyOf(now.Steady, s), latestStart: s.occ.objective - s.tail})
+	}
+	clear(e.ready[len(kept):])
+	e.ready = kept
+	slices.SortStableFunc(out, func(a, b candidate) int {
+		return cmp.Or(
+			cmp.Compare(a.urgency, b.urgency),
+			cmp.Compare(a.step.occ.job.policy.Priority, b.step.occ.job.policy.Priority),
+			cmp.Compare(a.latestStart, b.latestStart),
+		)
+	})
+	return out
+}
+
+// startReady starts waiting tasks as long as they fit.
+func (e *Engine) startReady(now Moment) {
+	// full remembers needs that found no room, so that equal or larger ones are
+	// not tried again.
+	var full []shape
+	for _, c := range e.candidates(now) {
+		s := c.step
+		sh := shapeOf(s)
+		if slices.ContainsFunc(full, func(f shape) bool { return f.covers(sh) }) {
+			continue
+		}
+		isPlaced := false
+		if s.spec.Gang {
+			isPlaced = e.startGang(now, s)
+		} else {
+			isPlaced = e.startTasks(now, s)
+		}
+		if !isPlaced && sh.isPlain {
+			full = append(full, sh)
+		}
+	}
+}
+
+// shape is what decides whether a task of a step finds room.
+type shape struct {
+	need     heatherhub.Resources
+	isFiller bool
+	// isPlain says that no rack, label or spread narrows the choice.
+	isPlain bool
+}
+
+func shapeOf(s *stepRun) shape {
+	return shape{
+		need: s.spec.Need, isFiller: s.spec.Filler,
+		isPlain: s.spec.RequiredLabel == "" && s.spec.MaxPerWorker == 0 && !s.spec.Gang,
+	}
+}
+
+// covers reports whether no room for f means no room for o.
+func (f shape) covers(o shape) bool {
+	return f.isFiller == o.isFiller && f.need.Fits(o.need)
+}
+
+// startTasks starts the waiting tasks of a step. It reports false if one that may
+// start found no room.
+func (e *Engine) startTasks(now Moment, s *stepRun) bool {
+	for _, t := range slices.Clone(s.pending) {
+		if t.notBefore > now.Steady {
+			continue
+		}
+		n := e.choose(now, s, t)
+		if n == nil {
+			return false
+		}
+		e.nextRun++
+		e.start(now, t, n, e.nextRun)
+	}
+	return true
+}
+
+// startGang starts all tasks of a gang or none.
+func (e *Engine) startGang(now Moment, s *stepRun) bool {
+	if len(s.pending) < len(s.tasks) {
+		return true
+	}
+	for _, t := range s.tasks {
+		if t.notBefore > now.Steady {
+			return true
+		}
+	}
+	e.nextRun++
+	run := e.nextRun
+	placed := make([]*attempt, 0, len(s.tasks))
+	for _, t := range s.tasks {
+		n := e.choose(now, s, t)
+		if n == nil {
+			for _, a := range placed {
+				e.release(a)
+				s.push(a.task)
+			}
+			e.orders = e.orders[:len(e.orders)-len(placed)]
+			e.Stats.Starts -= len(placed)
+			return false
+		}
+		placed = append(placed, e.start(now, t, n, run))
+	}
+	return true
+}
+
+func (e *Engine) start(now Moment, t *task, n *node, run heatherhub.RunID) *attempt {
+	a := &attempt{
+		task: t, node: n, run: run, since: now.Steady, startedAt: now.Steady, progressAt: now.Steady,
+		checkpoint: t.checkpoint, pace: fullPace,
+	}
+	e.attach(a)
+	j := t.step.occ.job
+	if j.state == heatherhub.WorkflowQueued {
+		j.state = heatherhub.WorkflowRunning
+	}
+	e.Stats.Starts++
+	e.orders = append(e.orders, Order{
+		Worker: n.worker.ID, Kind: StartTask, Task: t.id(), Run: run,
+		Payload: j.flow.Payload, Checkpoint: t.checkpoint,
+	})
+	return a
+}
--- /dev/null
+++ b/process/dispatch/report.go
@@ -0,0 +1,307 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/connection/agent"
+)
+
+// WorkerUp adds a worker with the first report after this owner's token reached
+// it. Its runs are adopted.
+func (e *Engine) WorkerUp(now Moment, w agent.Worker, r *agent.Report) {
+	if e.nodes[w.ID] == nil {
+		e.addNode(&node{worker: w, attempts: make(map[attemptKey]*attempt)})
+	}
+	e.Report(now, now.Steady, w.ID, r)
+	delete(e.unresolved, w.ID)
+}
+
+// UpdateWorker takes in a new entry of a worker.
+func (e *Engine) UpdateWorker(w agent.Worker) {
+	if n := e.nodes[w.ID]; n != nil {
+		n.worker = w
+	}
+}
+
+// WorkerSilent says that a call to a worker had no answer: no new task goes there
+// until it answers again.
+func (e *Engine) WorkerSilent(id heatherhub.WorkerID) {
+	if n := e.nodes[id]; n != nil {
+		n.isSilent = true
+	}
+}
+
+// WorkerGone says that nothing runs on a worker any more: its lease is over for
+// certain, or another life of it answers.
+func (e *Engine) WorkerGone(now Moment, id heatherhub.WorkerID) {
+	delete(e.unresolved, id)
+	n := e.nodes[id]
+	if n == nil {
+		return
+	}
+	e.dropNode(n)
+	for _, a := range n.sorted() {
+		e.Stats.Lost++
+		e.release(a)
+		e.requeue(now, a)
+	}
+}
+
+func (n *node) sorted() []*attempt {
+	out := make([]*attempt, 0, len(n.attempts))
+	for _, a := range n.attempts {
+		out = append(out, a)
+	}
+	slices.SortFunc(out, func(a, b *attempt) int { return int(int64(a.run) - int64(b.run)) })
+	return out
+}
+
+// Report takes in a worker's report on a poll that was sent at sentAt.
+func (e *Engine) Report(now Moment, sentAt time.Duration, id heatherhub.WorkerID, r *agent.Report) {
+	n := e.nodes[id]
+	if n == nil {
+		return
+	}
+	n.isSilent = false
+	listed := make(map[attemptKey]struct{}, len(r.Running))
+	for i := range r.Running {
+		run := &r.Running[i]
+		key := attemptKey{run.Task, run.Run}
+		listed[key] = struct{}{}
+		e.noteRunning(now, n, key, run)
+	}
+	for i := range r.Ended {
+		if r.Ended[i].Number > n.seen {
+			e.noteEnded(now, n, &r.Ended[i])
+		}
+	}
+	n.advance()
+	e.settle(now, sentAt, n, listed)
+	e.pace(now, n)
+}
+
+func (e *Engine) noteRunning(now Moment, n *node, key attemptKey, r *agent.Running) {
+	a := n.attempts[key]
+	if a == nil {
+		e.adopt(now, n, r)
+		return
+	}
+	if a.state != running {
+		a.state, a.since = running, now.Steady
+	}
+	if r.Progress != a.progress || a.progressAt == 0 {
+		a.progress, a.progressAt = r.Progress, now.Steady
+	}
+	if r.Checkpoint != "" {
+		a.checkpoint = r.Checkpoint
+	}
+	a.measure, a.hasMeasure = r.Measure, r.HasMeasure
+}
+
+// adopt takes over a run that an earlier owner started. A run that should not be
+// there is stopped.
+func (e *Engine) adopt(now Moment, n *node, r *agent.Running) {
+	t := e.find(r.Task)
+	if t == nil {
+		e.orders = append(e.orders, Order{Worker: n.worker.ID, Kind: StopTask, Task: r.Task, Run: r.Run})
+		return
+	}
+	a := &attempt{
+		task: t, node: n, run: r.Run, state: running, since: now.Steady, startedAt: now.Steady,
+		progress: r.Progress, progressAt: now.Steady, checkpoint: r.Checkpoint, pace: fullPace,
+		measure: r.Measure, hasMeasure: r.HasMeasure,
+	}
+	e.nextRun = max(e.nextRun, r.Run)
+	j := t.step.occ.job
+	if t.isDone || j.isOver() || (len(t.attempts) > 0 && !t.step.spec.Speculative) {
+		a.stop = stopWanted
+	}
+	e.attach(a)
+	if j.state == heatherhub.WorkflowQueued {
+		j.state = heatherhub.WorkflowRunning
+	}
+}
+
+// find returns a task of a job that this shard has, or nil.
+func (e *Engine) find(id heatherhub.StepTask) *task {
+	j := e.jobs[id.Job]
+	if j == nil {
+		return nil
+	}
+	if j.isOver() && j.occurrences == nil {
+		// What still runs of a job that is over holds room until it is stopped.
+		for k := range j.flow.Occurrences() {
+			j.occurrences = append(j.occurrences, e.newOccurrence(Moment{}, j, k))
+		}
+	}
+	if id.Occurrence >= len(j.occurrences) {
+		return nil
+	}
+	o := j.occurrences[id.Occurrence]
+	if id.Step >= len(o.steps) || id.Index >= len(o.steps[id.Step].tasks) {
+		return nil
+	}
+	return o.steps[id.Step].tasks[id.Index]
+}
+
+// attach lets an attempt hold room on its node, and takes its task from the
+// waiting ones.
+func (e *Engine) attach(a *attempt) {
+	t := a.task
+	t.attempts = append(t.attempts, a)
+	t.step.occ.job.open++
+	if t.isPending {
+		t.isPending = false
+		t.step.pending = slices.DeleteFunc(t.step.pending, func(p *task) bool { return p == t })
+	}
+	a.node.add(a)
+}
+
+// release frees the room of an attempt that is over.
+func (e *Engine) release(a *attempt) {
+	a.node.remove(a)
+	t := a.task
+	t.attempts = slices.DeleteFunc(t.attempts, func(o *attempt) bool { return o == a })
+	t.step.occ.job.open--
+	if a.checkpoint != "" {
+		t.checkpoint = a.checkpoint
+	}
+}
+
+// noteEnded takes in one end that a worker lists.
+func (e *Engine) noteEnded(now Moment, n *node, end *agent.Ended) {
+	n.seen = end.Number
+	a := n.attempts[attemptKey{end.Task, end.Run}]
+	t := e.find(end.Task)
+	if a != nil {
+		t = a.task
+		if end.Checkpoint != "" {
+			a.checkpoint = end.Checkpoint
+		}
+		e.release(a)
+	}
+	ack := pendingAck{number: end.Number}
+	if t != nil {
+		ack.job = t.step.occ.job
+		e.applyEnd(now, n, t, a, end)
+		ack.change = ack.job.changed
+	} else if j := e.jobs[end.Task.Job]; j != nil {
+		ack.job, ack.change = j, j.changed
+	}
+	n.acks = append(n.acks, ack)
+}
+
+func (e *Engine) applyEnd(now Moment, n *node, t *task, a *attempt, end *agent.Ended) {
+	switch end.Kind {
+	case agent.EndDone:
+		e.Stats.Done++
+		e.learn(now, t, a)
+		n.health.succeeded()
+		e.taskDone(now, t)
+	case agent.EndFailed:
+		e.Stats.Failed++
+		e.taskFailed(now, n, t, end.Run)
+	case agent.EndExpired:
+		e.Stats.Expired++
+	default:
+		e.Stats.Stopped++
+	}
+	if a != nil {
+		e.requeue(now, a)
+	}
+}
+
+// taskDone records that a task is done. One member of a gang stands for all.
+func (e *Engine) taskDone(now Moment, t *task) {
+	if t.step.spec.LongRunning || t.isDone {
+		return
+	}
+	done := []*task{t}
+	if t.step.spec.Gang {
+		done = t.step.tasks
+	}
+	s, o, j := t.step, t.step.occ, t.step.occ.job
+	for _, d := range done {
+		if d.isDone {
+			continue
+		}
+		d.isDone = true
+		s.undone--
+		j.left--
+		j.progress.setDone(o.index, d.flat())
+		if d.isPending {
+			d.isPending = false
+			s.pending = slices.DeleteFunc(s.pending, func(p *task) bool { return p == d })
+		}
+		for _, other := range d.attempts {
+			if other.stop == noStop && !s.spec.Gang {
+				other.stop = stopWanted
+			}
+		}
+	}
+	e.touch(j)
+	if s.undone > 0 || j.isOver() {
+		return
+	}
+	for _, later := range o.steps[s.index+1:] {
+		if slices.Contains(later.spec.After, s.index) {
+			later.blockers--
+		}
+	}
+	e.enqueueReady(now, o)
+	e.finishIfDone(now, j)
+}
+
+// taskFailed counts a failure and ends the job that has used up its attempts.
+func (e *Engine) taskFailed(now Moment, n *node, t *task, run heatherhub.RunID) {
+	j := t.step.occ.job
+	n.health.failed(now.Steady, j.flow.ID)
+	t.avoid = n.worker.ID
+	if t.step.spec.LongRunning {
+		t.notBefore = now.Steady + e.cfg.RetryDelay
+		return
+	}
+	if t.isDone || !t.noteFailedRun(run) {
+		return
+	}
+	j.progress.Failed = append(j.progress.Failed, FailedRun{Occurrence: t.step.occ.index, Task: t.flat(), Run: run})
+	e.touch(j)
+	t.notBefore = now.Steady + e.cfg.RetryDelay
+	if t.failures() >= j.policy.MaxAttempts && !j.isOver() {
+		e.end(now, j, heatherhub.WorkflowFailed)
+	}
+}
+
+// requeue lets the task of an attempt that is over wait for its next one.
+func (e *Engine) requeue(now Moment, a *attempt) {
+	t := a.task
+	if t.isDone || t.step.occ.job.isOver() || len(t.attempts) > 0 {
+		return
+	}
+	t.step.push(t)
+	e.enqueueReady(now, t.step.occ)
+}
+
+// settle decides on attempts that a report does not list, if the poll was sent
+// after they were due to be listed.
+func (e *Engine) settle(now Moment, sentAt time.Duration, n *node, listed map[attemptKey]struct{}) {
+	for _, a := range n.sorted() {
+		if _, ok := listed[attemptKey{a.task.id(), a.run}]; ok {
+			continue
+		}
+		switch {
+		case a.stop == stopObeyed && sentAt > a.stopSince:
+			// The stop was obeyed and nothing runs: the start never came, or
+			// will be refused.
+			e.release(a)
+			e.requeue(now, a)
+		case a.state == doubtful && sentAt > a.since && a.stop == noStop:
+			a.stop = stopWanted
+		case a.state == running && sentAt > a.since && a.stop == noStop:
+			e.Stats.Lost++
+			a.stop = stopWanted
+		}
+	}
+}
--- /dev/null
+++ b/process/dispatch/tuning.go
@@ -0,0 +1,40 @@
+package dispatch
+
+import "time"
+
+// Tuning holds the delays and thresholds of the decisions. Zero values take the
+// defaults.
+type Tuning struct {
+	// Tick is how often time-based decisions are looked at.
+	Tick time.Duration
+	// RetryDelay keeps a failed task from failing again at once.
+	RetryDelay time.Duration
+	// StopRetry is the time between two stops of the same run.
+	StopRetry time.Duration
+	// RefusalRest keeps tasks away from a worker that refused one.
+	RefusalRest time.Duration
+	// QuarantineAfter is how many failures of different jobs in a row put a
+	// worker in quarantine, and Quarantine for how long.
+	QuarantineAfter int
+	Quarantine      time.Duration
+	// StallAfter is the least time without progress after which a run counts as
+	// standing still.
+	StallAfter time.Duration
+}
+
+func (t *Tuning) setDefaults() {
+	setDefault(&t.Tick, 200*time.Millisecond)
+	setDefault(&t.RetryDelay, 100*time.Millisecond)
+	setDefault(&t.StopRetry, 400*time.Millisecond)
+	setDefault(&t.RefusalRest, time.Second)
+	setDefault(&t.QuarantineAfter, 3)
+	setDefault(&t.Quarantine, 5*time.Second)
+	setDefault(&t.StallAfter, 2500*time.Millisecond)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/process/owner/commit.go
@@ -0,0 +1,141 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/connection/ledger"
+	"heatherhub.example/heatherhub/process/dispatch"
+	"heatherhub.example/heatherhub/process/record"
+)
+
+// changesPerCommit fits the platform's bound on a transaction: the owner's key,
+// and a precondition and a put for each job.
+const changesPerCommit = (ledger.MaxTxnEntries - 2) / 2
+
+// publishInterval is how often the shard's load is published; callers may be told
+// counts that are two seconds old.
+const publishInterval = time.Second
+
+// commitLoop makes progress durable.
+func (t *term) commitLoop() {
+	for {
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-t.wakeCommit:
+		}
+		for t.ctx.Err() == nil && t.commit(t.ctx) {
+			pause(t.ctx, commitGap)
+		}
+		t.writeFleet(t.ctx)
+	}
+}
+
+// commit writes one batch of changes. It reports whether there may be more.
+func (t *term) commit(ctx context.Context) bool {
+	t.commitMu.Lock()
+	defer t.commitMu.Unlock()
+	t.mu.Lock()
+	changes := t.engine.TakeChanges(changesPerCommit)
+	t.mu.Unlock()
+	if len(changes) == 0 {
+		return false
+	}
+	txn, err := t.txnOf(changes)
+	var rev ledger.Revision
+	if err == nil {
+		rev, err = t.host.cfg.Store.Commit(ctx, txn)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var conflict *ledger.ConflictError
+	switch {
+	case err == nil:
+		t.host.session.contact()
+		t.engine.Committed(t.now(), changes, rev)
+		close(t.committed)
+		t.committed = make(chan struct{})
+	case errors.As(err, &conflict):
+		t.conflict(conflict, changes)
+	default:
+		t.log.Warn("progress not written", zap.Int("jobs", len(changes)), zap.Error(err))
+		t.engine.Retry(changes, nil)
+		pause(ctx, takeOverTry)
+	}
+	return true
+}
+
+func (t *term) txnOf(changes []dispatch.Change) (ledger.Txn, error) {
+	txn := ledger.Txn{Require: []ledger.Require{t.requireOwner()}}
+	for _, c := range changes {
+		value, err := record.Encode(c.Progress)
+		if err != nil {
+			return txn, err
+		}
+		key := record.ProgressKey(c.Job)
+		txn.Require = append(txn.Require, ledger.Require{Key: key, Revision: c.Revision})
+		txn.Puts = append(txn.Puts, ledger.Put{Key: key, Value: value})
+	}
+	return txn, nil
+}
+
+func (t *term) requireOwner() ledger.Require {
+	return ledger.Require{Key: record.OwnerKey(t.shard), Revision: t.ownerRevision}
+}
+
+// conflict handles a failed precondition: another owner, or an earlier write of
+// this term whose answer was lost. The caller has the lock.
+func (t *term) conflict(c *ledger.ConflictError, changes []dispatch.Change) {
+	if c.Find(record.OwnerKey(t.shard)).Revision != t.ownerRevision {
+		t.end("another owner has the shard")
+		return
+	}
+	found := make(map[heatherhub.JobID]ledger.Revision, len(changes))
+	for _, ch := range changes {
+		found[ch.Job] = c.Find(record.ProgressKey(ch.Job)).Revision
+	}
+	t.engine.Retry(changes, found)
+}
+
+// publishLoop tells other hosts the load of the shard, and deletes old jobs.
+func (t *term) publishLoop() {
+	for t.ctx.Err() == nil {
+		pause(t.ctx, publishInterval)
+		value, expired, err := t.summary()
+		if err != nil {
+			t.log.Error("load not encoded", zap.Error(err))
+			continue
+		}
+		key := record.LoadKey(t.shard)
+		txn := ledger.Txn{Require: []ledger.Require{t.requireOwner()}, Puts: []ledger.Put{{Key: key, Value: value}}}
+		for _, id := range expired {
+			txn.Deletes = append(txn.Deletes, record.JobKey(id), record.CancelKey(id), record.ProgressKey(id))
+		}
+		_, err = t.host.cfg.Store.Commit(t.ctx, txn)
+		if err != nil {
+			t.log.Debug("load not published", zap.Error(err))
+			continue
+		}
+		t.host.session.contact()
+	}
+}
+
+// expiredPerCommit bounds the jobs that are deleted at once: three keys each.
+const expiredPerCommit = 8
+
+func (t *term) summary() ([]byte, []heatherhub.JobID, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l := t.engine.Load()
+	t.log.Info("load", zap.Int64("capacity", int64(l.Capacity)), zap.Int64("reserved", int64(l.Reserved)), zap.Int64("filling", int64(l.Filling)), zap.Duration("backlog", l.Backlog), zap.Any("stats", t.engine.Stats))
+	value, err := record.Encode(record.Load{
+		Capacity: l.Capacity, Reserved: l.Reserved, Filling: l.Filling, Backlog: l.Backlog,
+		Waiting: t.engine.Waiting(), At: t.now().Wall,
+	})
+	return value, t.engine.Expired(t.now(), t.host.cfg.KeepEnded, expiredPerCommit), err
+}
--- /dev/null
+++ b/process/owner/fleet.go
@@ -0,0 +1,157 @@
+package owner
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/connection/agent"
+	"heatherhub.example/heatherhub/connection/ledger"
+	"heatherhub.example/heatherhub/process/record"
+)
+
+// fleet is the durable list of workers on which runs of the shard may go on. A
+// worker is listed before its first start, so that a later owner knows whom to
+// ask or to wait out.
+type fleet struct {
+	workers  map[heatherhub.WorkerID]string
+	revision ledger.Revision
+	// changed and written count the changes and those that are durable.
+	changed, written uint64
+}
+
+// covers reports whether the list with a worker is durable.
+func (f *fleet) covers(id heatherhub.WorkerID) bool {
+	_, ok := f.workers[id]
+	return ok && f.written == f.changed
+}
+
+// writeFleet makes the list durable. It reports whether it is.
+func (t *term) writeFleet(ctx context.Context) bool {
+	t.commitMu.Lock()
+	defer t.commitMu.Unlock()
+	t.mu.Lock()
+	if t.fleet.written == t.fleet.changed {
+		t.mu.Unlock()
+		return true
+	}
+	var list record.Fleet
+	for id, address := range t.fleet.workers {
+		list.Workers = append(list.Workers, record.FleetWorker{ID: id, Address: address})
+	}
+	change, revision := t.fleet.changed, t.fleet.revision
+	t.mu.Unlock()
+	value, err := record.Encode(list)
+	if err != nil {
+		t.log.Error("fleet not encoded", zap.Error(err))
+		return false
+	}
+	key := record.FleetKey(t.shard)
+	rev, err := t.host.cfg.Store.Commit(ctx, ledger.Txn{
+		Require: []ledger.Require{t.requireOwner(), {Key: key, Revision: revision}},
+		Puts:    []ledger.Put{{Key: key, Value: value}},
+	})
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err != nil {
+		t.log.Warn("fleet not written", zap.Error(err))
+		if c, ok := err.(*ledger.ConflictError); ok {
+			if c.Find(record.OwnerKey(t.shard)).Revision != t.ownerRevision {
+				t.end("another owner has the shard")
+			}
+			t.fleet.revision = c.Find(key).Revision
+		}
+		return false
+	}
+	t.fleet.revision, t.fleet.written = rev, change
+	return t.fleet.written == t.fleet.changed
+}
+
+// resetWorkers takes in the whole list of workers' entries.
+func (t *term) resetWorkers(s ledger.Snapshot) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	present := make(map[heatherhub.WorkerID]struct{}, len(s.Items))
+	for _, it := range s.Items {
+		if id, ok := t.takeEntry(it); ok {
+			present[id] = struct{}{}
+		}
+	}
+	for id, w := range t.workers {
+		if _, ok := present[id]; !ok {
+			w.unlist()
+		}
+	}
+	signal(t.wakeDecide)
+}
+
+func (t *term) changeWorkers(events []ledger.Event) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range events {
+		if !e.Deleted {
+			t.takeEntry(e.Item)
+			continue
+		}
+		if w := t.workers[heatherhub.WorkerID(e.Key[len(t.host.cfg.WorkerPrefix):])]; w != nil {
+			t.log.Info("worker unlisted", zap.String("worker", string(w.entry.ID)))
+			w.unlist()
+		}
+	}
+	signal(t.wakeDecide)
+}
+
+// takeEntry takes in one worker's entry. It reports whether the worker is of this
+// shard. The caller has the lock.
+func (t *term) takeEntry(it ledger.Item) (heatherhub.WorkerID, bool) {
+	entry, err := t.host.cfg.DecodeWorker(it)
+	if err != nil {
+		t.log.Warn("worker ignored", zap.String("key", it.Key), zap.Error(err))
+		return "", false
+	}
+	layout := t.host.View().Layout
+	if layout.ShardOf(&entry) != t.shard {
+		return "", false
+	}
+	if w := t.workers[entry.ID]; w != nil {
+		if entry.Draining && !w.entry.Draining {
+			t.log.Info("worker drains", zap.String("worker", string(entry.ID)), zap.Duration("left", entry.DrainLeft))
+		}
+		w.entry, w.isListed = entry, true
+		t.engine.UpdateWorker(entry)
+		return entry.ID, true
+	}
+	t.startWorker(entry, true)
+	return entry.ID, true
+}
+
+// startWorker starts the loops of a worker. The caller has the lock.
+func (t *term) startWorker(entry agent.Worker, isListed bool) {
+	ctx, cancel := context.WithCancel(t.ctx)
+	w := &workerLoop{
+		term: t, entry: entry, isListed: isListed, ctx: ctx, cancel: cancel,
+		client: t.host.cfg.Dial(entry.ID, entry.Address), ready: make(chan struct{}, 1),
+	}
+	t.workers[entry.ID] = w
+	if _, ok := t.fleet.workers[entry.ID]; !ok {
+		t.fleet.workers[entry.ID] = entry.Address
+		t.fleet.changed++
+	}
+	t.group.Go(w.pollLoop)
+	t.group.Go(w.orderLoop)
+}
+
+// dropWorker ends the loops of a worker on which nothing runs. The caller has the
+// lock.
+func (t *term) dropWorker(w *workerLoop) {
+	w.cancel()
+	if t.workers[w.entry.ID] != w {
+		return
+	}
+	delete(t.workers, w.entry.ID)
+	if _, ok := t.fleet.workers[w.entry.ID]; ok {
+		delete(t.fleet.workers, w.entry.ID)
+		t.fleet.changed++
+	}
+}
--- /dev/null
+++ b/process/owner/host.go
@@ -0,0 +1,429 @@
+package owner
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/connection/agent"
+	"heatherhub.example/heatherhub/connection/ledger"
+	"heatherhub.example/heatherhub/process/dispatch"
+	"heatherhub.example/heatherhub/process/record"
+	"heatherhub.example/heatherhub/version/queues"
+)
+
+// Clock reads the host's clocks.
+type Clock interface {
+	Now() dispatch.Moment
+}
+
+// Config is the configuration of a host's shards.
+type Config struct {
+	Self   heatherhub.HostID
+	Domain heatherhub.FailureDomain
+	// Address is where peers reach this host.
+	Address string
+	Store   ledger.Store
+	// Dial returns a client of one life of a worker.
+	Dial func(id heatherhub.WorkerID, address string) agent.Agent
+	// WorkerPrefix and DecodeWorker tell where workers register and how.
+	WorkerPrefix string
+	DecodeWorker func(ledger.Item) (agent.Worker, error)
+	Tables       *queues.Current
+	Clock        Clock
+	Log          *zap.Logger
+	Limits
+}
+
+// Limits holds the times and sizes of ownership. Zero values take the defaults.
+type Limits struct {
+	// SessionTTL is the life of a lost host's claim on its shards.
+	SessionTTL time.Duration
+	// WorkerLease is how long a worker goes on without its owner.
+	WorkerLease time.Duration
+	// ActWithoutStore is how long an owner acts without an answer of the store.
+	ActWithoutStore time.Duration
+	// WorkersPerShard is the size of a shard.
+	WorkersPerShard int
+	// KeepEnded is how long ended jobs are kept.
+	KeepEnded time.Duration
+}
+
+// Defaults of the limits.
+const (
+	// DefaultSessionTTL is a few renewals above the least lease of the store.
+	DefaultSessionTTL = 1500 * time.Millisecond
+	// DefaultWorkerLease outlasts a takeover and a short partition.
+	DefaultWorkerLease     = 6 * time.Second
+	defaultActWithoutStore = 10 * time.Second
+	// defaultWorkersPerShard is what a host of a sixth of a core can poll and feed.
+	defaultWorkersPerShard = 100
+	defaultKeepEnded       = 150 * time.Second
+)
+
+func (l *Limits) setDefaults() {
+	setDefault(&l.SessionTTL, DefaultSessionTTL)
+	setDefault(&l.WorkerLease, DefaultWorkerLease)
+	setDefault(&l.ActWithoutStore, defaultActWithoutStore)
+	setDefault(&l.WorkersPerShard, defaultWorkersPerShard)
+	setDefault(&l.KeepEnded, defaultKeepEnded)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Host runs the shards of this host.
+type Host struct {
+	cfg   Config
+	view  atomic.Pointer[View]
+	mu    sync.Mutex
+	terms map[heatherhub.ShardID]*term
+	// missingSince is when a shard was first seen without an owner.
+	missingSince map[heatherhub.ShardID]time.Duration
+	session      session
+	group        conc.WaitGroup
+	poke         chan struct{}
+	isStopping   atomic.Bool
+	attempts     int
+}
+
+// View is what a host knows of the shards.
+type View struct {
+	Layout record.Layout
+	Owners map[heatherhub.ShardID]record.Owner
+}
+
+// New returns a host without shards.
+func New(cfg Config) *Host {
+	cfg.setDefaults()
+	h := &Host{
+		cfg: cfg, terms: make(map[heatherhub.ShardID]*term),
+		missingSince: make(map[heatherhub.ShardID]time.Duration), poke: make(chan struct{}, 1),
+	}
+	h.view.Store(&View{Owners: map[heatherhub.ShardID]record.Owner{}})
+	h.session.host = h
+	return h
+}
+
+// View returns what is known of the shards.
+func (h *Host) View() *View {
+	return h.view.Load()
+}
+
+// Times of the campaign for shards.
+const (
+	// shardWatch bounds one watch of the shards' owners.
+	shardWatch = 2 * time.Second
+	// campaignTick is how often a host looks for shards without an owner.
+	campaignTick = 100 * time.Millisecond
+	// layoutDelay is how long the set of workers must stay the same before the
+	// shards are laid out.
+	layoutDelay = 700 * time.Millisecond
+	// waitForeign and waitBusy hold a host back where another one is closer to
+	// the shard or has fewer shards.
+	waitForeign = 400 * time.Millisecond
+	waitBusy    = 250 * time.Millisecond
+)
+
+// Run takes shards over until ctx ends, then hands them over.
+func (h *Host) Run(ctx context.Context) {
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	f := ledger.Follower{
+		Store: h.cfg.Store, Prefix: record.ShardPrefix, Wait: shardWatch, Log: h.cfg.Log,
+		OnSnapshot: h.resetView, OnChanges: h.changeView, OnContact: h.session.contact,
+	}
+	h.group.Go(func() { f.Run(inner, nil) })
+	h.group.Go(func() { h.session.run(inner) })
+	h.group.Go(func() { h.planLayout(inner) })
+	h.campaign(ctx)
+	h.isStopping.Store(true)
+	h.release(inner)
+	cancel()
+	h.group.Wait()
+}
+
+func (h *Host) resetView(s ledger.Snapshot) {
+	v := &View{Owners: make(map[heatherhub.ShardID]record.Owner)}
+	for _, it := range s.Items {
+		h.apply(v, ledger.Event{Item: it})
+	}
+	h.view.Store(v)
+	h.wake()
+}
+
+func (h *Host) changeView(events []ledger.Event) {
+	old := h.view.Load()
+	v := &View{Layout: old.Layout, Owners: make(map[heatherhub.ShardID]record.Owner, len(old.Owners))}
+	for s, o := range old.Owners {
+		v.Owners[s] = o
+	}
+	for _, e := range events {
+		h.apply(v, e)
+	}
+	h.view.Store(v)
+	h.wake()
+}
+
+func (h *Host) apply(v *View, e ledger.Event) {
+	if e.Key == record.LayoutKey {
+		var l record.Layout
+		if err := heatherhub.Unmarshal(e.Value, &l); err != nil {
+			h.cfg.Log.Error("layout unreadable", zap.Error(err))
+			return
+		}
+		v.Layout = l
+		return
+	}
+	shard, err := heatherhub.ParseShardID(strings.TrimPrefix(e.Key, record.OwnerPrefix))
+	if err != nil {
+		h.cfg.Log.Warn("key ignored", zap.String("key", e.Key), zap.Error(err))
+		return
+	}
+	if e.Deleted {
+		delete(v.Owners, shard)
+		h.lost(shard, e.Revision, "owner's key is gone")
+		return
+	}
+	var o record.Owner
+	if err := heatherhub.Unmarshal(e.Value, &o); err != nil {
+		h.cfg.Log.Error("owner unreadable", zap.String("key", e.Key), zap.Error(err))
+		return
+	}
+	v.Owners[shard] = o
+}
+
+// lost ends the term of a shard whose key was removed after it began.
+func (h *Host) lost(s heatherhub.ShardID, at ledger.Revision, why string) {
+	h.mu.Lock()
+	t := h.terms[s]
+	h.mu.Unlock()
+	if t != nil && at > t.ownerRevision {
+		t.end(why)
+	}
+}
+
+func (h *Host) wake() {
+	select {
+	case h.poke <- struct{}{}:
+	default:
+	}
+}
+
+// campaign takes shards over that have no owner.
+func (h *Host) campaign(ctx context.Context) {
+	tick := time.NewTicker(campaignTick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-h.poke:
+		}
+		for _, s := range h.due() {
+			h.tryTake(ctx, s)
+		}
+	}
+}
+
+// due returns the shards without an owner that this host should try to take now.
+func (h *Host) due() []heatherhub.ShardID {
+	v := h.view.Load()
+	now := h.cfg.Clock.Now().Steady
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []heatherhub.ShardID
+	for _, s := range v.Layout.Shards {
+		if _, ok := v.Owners[s.Shard]; ok || h.terms[s.Shard] != nil {
+			delete(h.missingSince, s.Shard)
+			continue
+		}
+		since, ok := h.missingSince[s.Shard]
+		if !ok {
+			since = now
+			h.missingSince[s.Shard] = now
+		}
+		if now-since >= h.patience(s.Shard) {
+			out = append(out, s.Shard)
+		}
+	}
+	return out
+}
+
+// patience is how long this host leaves a shard to others. The caller has the
+// lock.
+func (h *Host) patience(s heatherhub.ShardID) time.Duration {
+	d := time.Duration(len(h.terms)) * waitBusy
+	if s.Domain != h.cfg.Domain && s.Domain != record.SiteDomain {
+		d += waitForeign
+	}
+	return d
+}
+
+func (h *Host) tryTake(ctx context.Context, s heatherhub.ShardID) {
+	lease, err := h.session.lease(ctx)
+	if err != nil {
+		h.cfg.Log.Warn("no session", zap.Stringer("shard", s), zap.Error(err))
+		return
+	}
+	h.attempts++
+	owner := record.Owner{Host: h.cfg.Self, Address: h.cfg.Address, Nonce: string(h.cfg.Self) + "/" + strconv.Itoa(h.attempts) + "/" + strconv.FormatInt(int64(h.cfg.Clock.Now().Wall.UnixNano()), 36)}
+	rev, err := h.claim(ctx, s, owner, lease)
+	if err != nil {
+		h.cfg.Log.Info("shard not taken", zap.Stringer("shard", s), zap.Error(err))
+		return
+	}
+	t := newTerm(h, s, rev)
+	h.mu.Lock()
+	h.terms[s] = t
+	delete(h.missingSince, s)
+	h.mu.Unlock()
+	h.cfg.Log.Info("shard taken", zap.Stringer("shard", s), zap.Uint64("token", uint64(t.token)))
+	h.group.Go(func() {
+		t.run()
+		h.mu.Lock()
+		if h.terms[s] == t {
+			delete(h.terms, s)
+		}
+		h.mu.Unlock()
+		h.wake()
+	})
+}
+
+// claim writes the owner's key and returns its revision. A lost answer is settled
+// by reading the key.
+func (h *Host) claim(ctx context.Context, s heatherhub.ShardID, o record.Owner, lease ledger.LeaseID) (ledger.Revision, error) {
+	value, err := record.Encode(o)
+	if err != nil {
+		return 0, err
+	}
+	key := record.OwnerKey(s)
+	rev, err := h.cfg.Store.Commit(ctx, ledger.Txn{
+		Require: []ledger.Require{{Key: key}},
+		Puts:    []ledger.Put{{Key: key, Value: value, Lease: lease}},
+	})
+	if err == nil {
+		return rev, nil
+	}
+	if heatherhub.CodeOf(err) == heatherhub.CodeNotFound {
+		h.session.forget(lease)
+		return 0, err
+	}
+	if heatherhub.DidNotRun(err) {
+		return 0, err
+	}
+	it, getErr := h.cfg.Store.Get(ctx, key)
+	if getErr != nil {
+		return 0, getErr
+	}
+	if it.Revision > 0 && string(it.Value) == string(value) {
+		return it.Created, nil
+	}
+	return 0, err
+}
+
+// planLayout writes the layout of the shards if there is none yet.
+func (h *Host) planLayout(ctx context.Context) {
+	previous := -1
+	for ctx.Err() == nil && len(h.view.Load().Layout.Shards) == 0 {
+		workers, err := h.readWorkers(ctx)
+		if err != nil {
+			h.cfg.Log.Warn("workers unreadable", zap.Error(err))
+		}
+		if len(workers) > 0 && len(workers) == previous {
+			h.writeLayout(ctx, workers)
+		}
+		previous = len(workers)
+		pause(ctx, layoutDelay)
+	}
+}
+
+func (h *Host) writeLayout(ctx context.Context, workers []agent.Worker) {
+	value, err := record.Encode(record.PlanLayout(workers, h.cfg.WorkersPerShard))
+	if err != nil {
+		h.cfg.Log.Error("layout not written", zap.Error(err))
+		return
+	}
+	_, err = h.cfg.Store.Commit(ctx, ledger.Txn{
+		Require: []ledger.Require{{Key: record.LayoutKey}},
+		Puts:    []ledger.Put{{Key: record.LayoutKey, Value: value}},
+	})
+	h.cfg.Log.Info("layout written", zap.Int("workers", len(workers)), zap.Error(err))
+}
+
+func (h *Host) readWorkers(ctx context.Context) ([]agent.Worker, error) {
+	snap, err := h.cfg.Store.Range(ctx, h.cfg.WorkerPrefix)
+	if err != nil {
+		return nil, err
+	}
+	var out []agent.Worker
+	for _, it := range snap.Items {
+		w, err := h.cfg.DecodeWorker(it)
+		if err != nil {
+			h.cfg.Log.Warn("worker ignored", zap.String("key", it.Key), zap.Error(err))
+			continue
+		}
+		out = append(out, w)
+	}
+	return out, nil
+}
+
+// release hands the shards over: their terms end after the last commit, and the
+// lease goes with its keys.
+func (h *Host) release(ctx context.Context) {
+	h.mu.Lock()
+	terms := make([]*term, 0, len(h.terms))
+	for _, t := range h.terms {
+		terms = append(terms, t)
+	}
+	h.mu.Unlock()
+	var g conc.WaitGroup
+	for _, t := range terms {
+		g.Go(t.handOver)
+	}
+	g.Wait()
+	h.session.end(ctx)
+}
+
+// endAll ends all terms.
+func (h *Host) endAll(why string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, t := range h.terms {
+		t.end(why)
+	}
+}
+
+// State returns the durable state of a job if this host owns its shard.
+func (h *Host) State(id heatherhub.JobID) (heatherhub.WorkflowState, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, t := range h.terms {
+		if s, ok := t.state(id); ok {
+			return s, true
+		}
+	}
+	return "", false
+}
+
+// pause waits for d or the end of ctx.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/process/owner/term.go
@@ -0,0 +1,321 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/connection/agent"
+	"heatherhub.example/heatherhub/connection/ledger"
+	"heatherhub.example/heatherhub/process/dispatch"
+	"heatherhub.example/heatherhub/process/record"
+)
+
+// term is the time during which this host owns a shard.
+type term struct {
+	host          *Host
+	shard         heatherhub.ShardID
+	token         agent.Token
+	ownerRevision ledger.Revision
+	log           *zap.Logger
+	ctx           context.Context
+	cancel        context.CancelFunc
+	group         conc.WaitGroup
+	takenAt       time.Duration
+	// isHandingOver stops new decisions.
+	isHandingOver atomic.Bool
+
+	// mu guards the engine, the workers and the fleet.
+	mu      sync.Mutex
+	engine  *dispatch.Engine
+	workers map[heatherhub.WorkerID]*workerLoop
+	fleet   fleet
+	version heatherhub.Version
+
+	// committed is closed at the next commit. The term's lock guards it.
+	committed  chan struct{}
+	wakeDecide chan struct{}
+	wakeCommit chan struct{}
+	// commitMu orders the writes of the term.
+	commitMu sync.Mutex
+}
+
+func newTerm(h *Host, s heatherhub.ShardID, rev ledger.Revision) *term {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &term{
+		host: h, shard: s, token: agent.Token(rev), ownerRevision: rev,
+		log: h.cfg.Log.With(zap.Stringer("shard", s), zap.Uint64("token", uint64(rev))),
+		ctx: ctx, cancel: cancel, takenAt: h.cfg.Clock.Now().Steady,
+		engine:  dispatch.New(dispatch.Config{Token: agent.Token(rev)}),
+		workers: make(map[heatherhub.WorkerID]*workerLoop), fleet: fleet{workers: make(map[heatherhub.WorkerID]string)},
+		committed: make(chan struct{}), wakeDecide: make(chan struct{}, 1), wakeCommit: make(chan struct{}, 1),
+	}
+}
+
+// Times of a term.
+const (
+	// jobWatch bounds one watch of the jobs: a cancel that a silent connection
+	// holds back is noticed after it.
+	jobWatch = 1500 * time.Millisecond
+	// jobGap lets jobs that arrive together come in one answer.
+	jobGap = 10 * time.Millisecond
+	// workerWatch bounds one watch of the workers' entries.
+	workerWatch = 1500 * time.Millisecond
+	takeOverTry = 200 * time.Millisecond
+	// commitGap lets the ends of a moment go into one transaction.
+	commitGap = 40 * time.Millisecond
+	// handOverTime bounds the last commit of a term.
+	handOverTime = 600 * time.Millisecond
+)
+
+// run takes over and decides until the term ends.
+func (t *term) run() {
+	defer t.cancel()
+	start, ok := t.takeOver()
+	if !ok {
+		return
+	}
+	jobs := ledger.Follower{
+		Store: t.host.cfg.Store, Prefix: record.JobPrefix, Wait: jobWatch, Gap: jobGap, Log: t.log,
+		OnSnapshot: t.addJobs, OnChanges: t.changeJobs, OnContact: t.host.session.contact,
+	}
+	workers := ledger.Follower{
+		Store: t.host.cfg.Store, Prefix: t.host.cfg.WorkerPrefix, Wait: workerWatch, Log: t.log,
+		OnSnapshot: t.resetWorkers, OnChanges: t.changeWorkers,
+	}
+	t.group.Go(func() { jobs.Run(t.ctx, &start.jobs) })
+	t.group.Go(func() { workers.Run(t.ctx, &start.workers) })
+	t.group.Go(t.decideLoop)
+	t.group.Go(t.commitLoop)
+	t.group.Go(t.publishLoop)
+	<-t.ctx.Done()
+	t.group.Wait()
+	t.log.Info("term over", zap.Duration("lasted", t.now().Steady-t.takenAt), zap.Any("stats", t.engine.Stats))
+}
+
+func (t *term) now() dispatch.Moment {
+	return t.host.cfg.Clock.Now()
+}
+
+// end ends the term at once.
+func (t *term) end(why string) {
+	if t.ctx.Err() == nil {
+		t.log.Warn("shard lost", zap.String("why", why))
+	}
+	t.cancel()
+}
+
+// handOver makes what is known durable and ends the term.
+func (t *term) handOver() {
+	t.isHandingOver.Store(true)
+	ctx, cancel := context.WithTimeout(t.ctx, handOverTime)
+	defer cancel()
+	for ctx.Err() == nil {
+		if !t.commit(ctx) {
+			break
+		}
+	}
+	t.log.Info("shard handed over")
+	t.cancel()
+}
+
+// start is what a term begins with.
+type start struct {
+	jobs     ledger.Snapshot
+	workers  ledger.Snapshot
+	progress ledger.Snapshot
+	fleet    ledger.Item
+}
+
+// takeOver reads what lasts and begins to ask the workers. It reports false if
+// the term ended meanwhile.
+func (t *term) takeOver() (start, bool) {
+	for t.ctx.Err() == nil {
+		s, err := t.read()
+		if err == nil {
+			err = t.begin(s)
+		}
+		if err == nil {
+			return s, true
+		}
+		t.log.Warn("takeover not finished", zap.Error(err))
+		pause(t.ctx, takeOverTry)
+	}
+	return start{}, false
+}
+
+// read reads jobs before progress, so that no progress is missed.
+func (t *term) read() (start, error) {
+	var s start
+	var errs [4]error
+	var g conc.WaitGroup
+	g.Go(func() { s.jobs, errs[0] = t.host.cfg.Store.Range(t.ctx, record.JobPrefix) })
+	g.Go(func() { s.workers, errs[1] = t.host.cfg.Store.Range(t.ctx, t.host.cfg.WorkerPrefix) })
+	g.Go(func() { s.progress, errs[2] = t.host.cfg.Store.Range(t.ctx, record.ProgressPrefix) })
+	g.Go(func() { s.fleet, errs[3] = t.host.cfg.Store.Get(t.ctx, record.FleetKey(t.shard)) })
+	g.Wait()
+	return s, errors.Join(errs[:]...)
+}
+
+// begin fills the engine and starts the workers' loops.
+func (t *term) begin(s start) error {
+	var inherited record.Fleet
+	if s.fleet.Revision > 0 {
+		if err := heatherhub.Unmarshal(s.fleet.Value, &inherited); err != nil {
+			return err
+		}
+	}
+	t.mu.Lock()
+	t.syncPolicies()
+	t.fleet.revision = s.fleet.Revision
+	for _, w := range inherited.Workers {
+		t.fleet.workers[w.ID] = w.Address
+		t.engine.Unresolved(w.ID)
+	}
+	t.loadJobs(s)
+	t.mu.Unlock()
+	t.resetWorkers(s.workers)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, w := range inherited.Workers {
+		if t.workers[w.ID] == nil {
+			t.startWorker(agent.Worker{ID: w.ID, Address: w.Address, Draining: true}, false)
+		}
+	}
+	t.log.Info("takeover begun", zap.Int("workers", len(t.workers)), zap.Int("inheritedWorkers", len(inherited.Workers)), zap.Int("jobs", len(s.jobs.Items)))
+	return nil
+}
+
+func (t *term) loadJobs(s start) {
+	progress := make(map[heatherhub.JobID]ledger.Item, len(s.progress.Items))
+	for _, it := range s.progress.Items {
+		progress[heatherhub.JobID(it.Key[len(record.ProgressPrefix):])] = it
+	}
+	var cancels []heatherhub.JobID
+	for _, it := range s.jobs.Items {
+		id, isCancel := record.ParseJobKey(it.Key)
+		if isCancel {
+			cancels = append(cancels, id)
+			continue
+		}
+		t.addJob(it, progress[id], dispatch.FromEarlierOwner)
+	}
+	for _, id := range cancels {
+		t.engine.Cancel(t.now(), id)
+	}
+}
+
+// addJob adds a job of this shard. The caller has the lock.
+func (t *term) addJob(it, progress ledger.Item, origin dispatch.Inherited) {
+	var flow heatherhub.Workflow
+	if err := heatherhub.Unmarshal(it.Value, &flow); err != nil {
+		t.log.Error("job unreadable", zap.String("key", it.Key), zap.Error(err))
+		return
+	}
+	if flow.Shard != t.shard {
+		return
+	}
+	var p dispatch.Progress
+	if progress.Revision > 0 {
+		if err := heatherhub.Unmarshal(progress.Value, &p); err != nil {
+			t.log.Error("progress unreadable", zap.String("key", progress.Key), zap.Error(err))
+			return
+		}
+	}
+	t.engine.AddJob(t.now(), &flow, p, progress.Revision, origin)
+}
+
+// addJobs takes in jobs that a broken watch has missed.
+func (t *term) addJobs(s ledger.Snapshot) {
+	events := make([]ledger.Event, 0, len(s.Items))
+	for _, it := range s.Items {
+		events = append(events, ledger.Event{Item: it})
+	}
+	t.changeJobs(events)
+}
+
+func (t *term) changeJobs(events []ledger.Event) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range events {
+		id, isCancel := record.ParseJobKey(e.Key)
+		switch {
+		case e.Deleted:
+		case isCancel:
+			t.engine.Cancel(t.now(), id)
+		default:
+			t.addJob(e.Item, ledger.Item{}, dispatch.IsNew)
+		}
+	}
+	signal(t.wakeDecide)
+}
+
+// state returns the durable state of a job.
+func (t *term) state(id heatherhub.JobID) (heatherhub.WorkflowState, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.engine.State(id)
+}
+
+// syncPolicies takes over the queues' policies from a new configuration. The
+// caller has the lock.
+func (t *term) syncPolicies() {
+	table := t.host.cfg.Tables.Load()
+	if table == nil || table.Version == t.version {
+		return
+	}
+	t.version = table.Version
+	policies := make(map[heatherhub.QueueID]dispatch.Policy, len(table.Queues))
+	for _, q := range table.Queues {
+		policies[q.ID] = dispatch.Policy{
+			Pool: q.Pool, Priority: q.Priority, MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, Target: q.Target,
+		}
+	}
+	t.engine.SetPolicies(policies)
+	t.log.Info("policies in force", zap.Uint64("version", uint64(table.Version)))
+}
+
+// decideLoop sends the engine's orders.
+func (t *term) decideLoop() {
+	for t.ctx.Err() == nil {
+		t.decide()
+		timer := time.NewTimer(t.engine.NextWake())
+		select {
+		case <-t.ctx.Done():
+		case <-t.wakeDecide:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+func (t *term) decide() {
+	if t.isHandingOver.Load() || t.host.session.silence() > t.host.cfg.ActWithoutStore {
+		return
+	}
+	now := t.now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.syncPolicies()
+	for _, o := range t.engine.Decide(now) {
+		if w := t.workers[o.Worker]; w != nil {
+			w.enqueue(now, o)
+		}
+	}
+	if t.engine.HasChanges() {
+		signal(t.wakeCommit)
+	}
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/process/owner/worker.go
@@ -0,0 +1,367 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/connection/agent"
+	"heatherhub.example/heatherhub/process/dispatch"
+)
+
+// Times of the loops of a worker.
+const (
+	// pollWait is how long a poll waits for an end; it is also the interval of
+	// the measures.
+	pollWait = time.Second
+	// pollRetry is the pause after a poll without an answer.
+	pollRetry = 150 * time.Millisecond
+	// commitWait bounds the wait for ends to be durable; leases and new ends must
+	// not wait for the store.
+	commitWait = 250 * time.Millisecond
+	// startWindow is how long a start may take to arrive.
+	startWindow = 2 * time.Second
+	// orderAge is the age at which an order that was not sent is outdated.
+	orderAge = time.Second
+	// noticeTime is how long an earlier owner that has lost one worker to this
+	// one may go on before it notices: a poll and its slack.
+	noticeTime = 3 * time.Second
+	// clockDrift is how much slower than ours a worker's clock may run.
+	clockDrift = 0.02
+	// leaseSlack covers the worker's own delay in ending tasks.
+	leaseSlack = 200 * time.Millisecond
+)
+
+// workerLoop talks to one life of one worker.
+type workerLoop struct {
+	term   *term
+	client agent.Agent
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	// The term's lock guards these.
+	entry    agent.Worker
+	isListed bool
+	isUp     bool
+	// isGone says that nothing runs there any more, as far as is known.
+	isGone bool
+
+	mu    sync.Mutex
+	queue []timedOrder
+	ready chan struct{}
+	// clock is the worker's clock as read at clockAt; until is the latest end of
+	// a lease that was sent.
+	clock   agent.Clock
+	clockAt time.Duration
+	until   agent.Clock
+}
+
+type timedOrder struct {
+	dispatch.Order
+	decided time.Duration
+}
+
+// unlist notes that the worker's entry is gone: nothing new starts there. The
+// caller has the term's lock.
+func (w *workerLoop) unlist() {
+	w.isListed = false
+	w.entry.Draining = true
+	w.term.engine.UpdateWorker(w.entry)
+}
+
+func (w *workerLoop) enqueue(now dispatch.Moment, o dispatch.Order) {
+	w.mu.Lock()
+	w.queue = append(w.queue, timedOrder{Order: o, decided: now.Steady})
+	w.mu.Unlock()
+	signal(w.ready)
+}
+
+func (w *workerLoop) next() (timedOrder, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.queue) == 0 {
+		return timedOrder{}, false
+	}
+	o := w.queue[0]
+	w.queue = w.queue[1:]
+	return o, true
+}
+
+// leaseEnd returns the worker's clock d from now, or zero before the first report.
+func (w *workerLoop) leaseEnd(now, d time.Duration) agent.Clock {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.clock == 0 {
+		return 0
+	}
+	until := w.clock.Add(now - w.clockAt + d)
+	w.until = max(w.until, until)
+	return until
+}
+
+func (w *workerLoop) noteClock(now time.Duration, c agent.Clock) {
+	if c == 0 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.clock, w.clockAt = c, now
+}
+
+// isExpired reports whether everything that ran on the worker has lost its lease
+// for certain, on the slowest clock that a worker may have.
+func (w *workerLoop) isExpired(now time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.clock == 0 {
+		return now-w.term.takenAt > w.term.inheritedWait()
+	}
+	return now-w.clockAt > slowed(w.until.Sub(w.clock))+leaseSlack
+}
+
+func slowed(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / (1 - clockDrift))
+}
+
+// inheritedWait is how long runs of an earlier owner may go on at a worker that
+// this owner has not reached. An earlier owner that has lost a worker to this one
+// notices it at its next poll; one that has not may act until it gives up.
+func (t *term) inheritedWait() time.Duration {
+	lease := slowed(t.host.cfg.WorkerLease) + leaseSlack
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, w := range t.workers {
+		if w.isUp {
+			return lease + noticeTime
+		}
+	}
+	return lease + t.host.cfg.ActWithoutStore
+}
+
+// pollLoop renews the lease and takes in reports until the worker or the term is
+// gone.
+func (w *workerLoop) pollLoop() {
+	defer w.client.Close()
+	for w.ctx.Err() == nil {
+		if w.term.host.session.silence() > w.term.host.cfg.ActWithoutStore {
+			pause(w.ctx, pollRetry)
+			continue
+		}
+		if !w.poll() {
+			pause(w.ctx, pollRetry)
+			continue
+		}
+		w.awaitCommit()
+	}
+}
+
+// awaitCommit waits until the ends of the last report are durable: until then the
+// worker would answer each poll at once with the same ends.
+func (w *workerLoop) awaitCommit() {
+	t := w.term
+	limit := time.NewTimer(commitWait)
+	defer limit.Stop()
+	for {
+		t.mu.Lock()
+		isPending := t.engine.HasPendingEnds(w.entry.ID)
+		committed := t.committed
+		t.mu.Unlock()
+		if !isPending {
+			return
+		}
+		select {
+		case <-committed:
+		case <-limit.C:
+			return
+		case <-w.ctx.Done():
+			return
+		}
+	}
+}
+
+// poll makes one poll. It reports whether the worker answered.
+func (w *workerLoop) poll() bool {
+	t := w.term
+	sentAt := t.now().Steady
+	t.mu.Lock()
+	isUp := w.isUp
+	p := agent.Poll{Token: t.token, Acknowledged: t.engine.Acknowledged(w.entry.ID)}
+	t.mu.Unlock()
+	p.Until = w.leaseEnd(sentAt, t.host.cfg.WorkerLease)
+	if isUp {
+		p.Wait = pollWait
+	}
+	r, err := w.client.Poll(w.ctx, p)
+	now := t.now()
+	if err != nil {
+		w.pollFailed(now, err)
+		return false
+	}
+	w.noteClock(now.Steady, r.Clock)
+	w.report(now, sentAt, &r)
+	return true
+}
+
+func (w *workerLoop) report(now dispatch.Moment, sentAt time.Duration, r *agent.Report) {
+	t := w.term
+	t.mu.Lock()
+	isUp := w.isUp
+	t.mu.Unlock()
+	if !isUp && !t.writeFleet(w.ctx) {
+		pause(w.ctx, pollRetry)
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if w.isUp {
+		t.engine.Report(now, sentAt, w.entry.ID, r)
+	} else {
+		w.isUp, w.isGone = true, false
+		t.engine.WorkerUp(now, w.entry, r)
+		t.log.Info("worker up", zap.String("worker", string(w.entry.ID)), zap.Int("running", len(r.Running)), zap.Int("ended", len(r.Ended)))
+	}
+	signal(t.wakeDecide)
+	if t.engine.HasChanges() {
+		signal(t.wakeCommit)
+	}
+}
+
+func (w *workerLoop) pollFailed(now dispatch.Moment, err error) {
+	t := w.term
+	if w.ctx.Err() != nil {
+		return
+	}
+	if w.isLostTerm(err) {
+		return
+	}
+	isExpired := w.isExpired(now.Steady)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	id := w.entry.ID
+	isReplaced := agent.IsReplaced(err)
+	if !isReplaced && !isExpired {
+		t.engine.WorkerSilent(id)
+		return
+	}
+	if w.isGone && !isReplaced && w.isListed {
+		return
+	}
+	w.isGone = true
+	t.log.Warn("worker gone", zap.String("worker", string(id)), zap.Bool("replaced", isReplaced), zap.Bool("listed", w.isListed), zap.Error(err))
+	t.engine.WorkerGone(now, id)
+	w.isUp = false
+	if isReplaced || !w.isListed {
+		t.dropWorker(w)
+		signal(t.wakeCommit)
+	}
+	signal(t.wakeDecide)
+}
+
+// isLostTerm ends the term if an answer shows that another owner is in charge.
+func (w *workerLoop) isLostTerm(err error) bool {
+	var refused *agent.RefusedError
+	if errors.As(err, &refused) && refused.Reason == agent.ReasonFenced {
+		w.term.end("worker " + string(w.entry.ID) + " obeys a newer owner")
+		return true
+	}
+	return false
+}
+
+// orderLoop sends the orders of the worker one after the other.
+func (w *workerLoop) orderLoop() {
+	for w.ctx.Err() == nil {
+		o, ok := w.next()
+		if !ok {
+			select {
+			case <-w.ctx.Done():
+			case <-w.ready:
+			}
+			continue
+		}
+		w.send(o)
+	}
+}
+
+func (w *workerLoop) send(o timedOrder) {
+	t := w.term
+	now := t.now()
+	outcome := dispatch.Outdated
+	var clock agent.Clock
+	var err error
+	if now.Steady-o.decided <= orderAge {
+		clock, err = w.carryOut(now.Steady, o.Order)
+		if w.ctx.Err() != nil || w.isLostTerm(err) {
+			return
+		}
+		outcome = outcomeOf(err)
+	}
+	done := t.now()
+	if err == nil {
+		w.noteClock(done.Steady, clock)
+	} else {
+		t.log.Info("order failed", zap.String("worker", string(o.Worker)), zap.Stringer("order", o.Kind), zap.String("job", string(o.Task.Job)), zap.Uint64("run", uint64(o.Run)), zap.Error(err))
+	}
+	t.mu.Lock()
+	t.engine.OrderResult(done, o.Order, outcome)
+	t.mu.Unlock()
+	if outcome != dispatch.Obeyed {
+		signal(t.wakeDecide)
+	}
+	if outcome == dispatch.Unanswered {
+		w.look()
+	}
+}
+
+// look asks at once what became of an order without an answer.
+func (w *workerLoop) look() {
+	t := w.term
+	sentAt := t.now().Steady
+	t.mu.Lock()
+	p := agent.Poll{Token: t.token, Acknowledged: t.engine.Acknowledged(w.entry.ID)}
+	t.mu.Unlock()
+	r, err := w.client.Poll(w.ctx, p)
+	if err != nil {
+		return
+	}
+	w.report(t.now(), sentAt, &r)
+}
+
+func (w *workerLoop) carryOut(now time.Duration, o dispatch.Order) (agent.Clock, error) {
+	token := w.term.token
+	switch o.Kind {
+	case dispatch.StopTask:
+		return w.client.Stop(w.ctx, agent.Stop{Task: o.Task, Run: o.Run, Token: token})
+	case dispatch.PaceTask:
+		return w.client.Pace(w.ctx, agent.Pace{Task: o.Task, Run: o.Run, Percent: o.Percent, Token: token})
+	default:
+		return w.client.Start(w.ctx, agent.Start{
+			Task: o.Task, Run: o.Run, Payload: o.Payload, Until: w.leaseEnd(now, startWindow),
+			Token: token, Checkpoint: o.Checkpoint,
+		})
+	}
+}
+
+func outcomeOf(err error) dispatch.Outcome {
+	var refused *agent.RefusedError
+	switch {
+	case err == nil:
+		return dispatch.Obeyed
+	case errors.As(err, &refused):
+		switch refused.Reason {
+		case agent.ReasonNoRoom:
+			return dispatch.RefusedForRoom
+		case agent.ReasonUnhealthy:
+			return dispatch.RefusedUnhealthy
+		default:
+			return dispatch.Refused
+		}
+	case agent.IsReplaced(err), heatherhub.CodeOf(err) == heatherhub.CodeUnavailable:
+		return dispatch.Unsent
+	default:
+		return dispatch.Unanswered
+	}
+}
