Place filler tasks by the interference that was learnt

Cause: serving tasks reserve 80 to 95% of the processors and use about 42%.

Ruled out: letting fillers in everywhere.

Change: fillers may use 45% of what serving tasks reserve. A model learns the effect of each pair of images on the logarithm of the tail from the lagged figures; a filler goes only where no serving task is expected within e^-0.5 of its target. Only fillers known to disturb a missed target are slowed down; if the miss lasts 1.5 s, all beside it are halted.

The limit trades sessions for simulations and is to be measured.

--- /dev/null
+++ b/process/dispatch/interference.go
@@ -0,0 +1,178 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+)
+
+// The interference model answers a load in which filler tasks slow the serving
+// tasks beside them down by amounts that depend on the pair of images. It learns,
+// from lagged and noisy figures, by how much the logarithm of a serving image's
+// tail latency rises for each share of a worker's processors that a filler image
+// uses. Most pairs hardly matter; a few do, and only those are kept apart.
+
+// Constants of the model.
+const (
+	// baseGain is the weight of a new figure in the mean of a serving image.
+	baseGain = 0.02
+	// pairGain is the least step of a pair's coefficient; the first figures move
+	// it by one over their number.
+	pairGain = 0.02
+	// shareNoise is the share of the processors below which a filler's effect is
+	// lost in the noise of the figures.
+	shareNoise = 0.02
+	// maxCoefficient bounds the effect of one pair.
+	maxCoefficient = 40
+	// priorCoefficient is assumed of pairs that were never seen together.
+	priorCoefficient = 2
+	// trusted is how many figures of a pair replace the filler's mean over all
+	// serving images.
+	trusted = 20
+)
+
+// pairKey is a serving image and a filler image.
+type pairKey struct {
+	serving, filler string
+}
+
+// coefficient is what was learnt of a pair.
+type coefficient struct {
+	value float64
+	count float64
+}
+
+// interference is the model of one shard.
+type interference struct {
+	// base is the mean logarithm of the tail latency, in milliseconds, without
+	// fillers.
+	base    map[string]*coefficient
+	pairs   map[pairKey]*coefficient
+	fillers map[string]*coefficient
+}
+
+func newInterference() *interference {
+	return &interference{
+		base: make(map[string]*coefficient), pairs: make(map[pairKey]*coefficient), fillers: make(map[string]*coefficient),
+	}
+}
+
+// of returns the coefficient of a pair.
+func (m *interference) of(serving, filler string) float64 {
+	if c := m.pairs[pairKey{serving, filler}]; c != nil && c.count >= trusted {
+		return c.value
+	}
+	if c := m.fillers[filler]; c != nil && c.count >= trusted {
+		return c.value
+	}
+	return priorCoefficient
+}
+
+// baseOf returns the mean logarithm of a serving image's tail without fillers.
+func (m *interference) baseOf(serving string, target time.Duration) float64 {
+	if c := m.base[serving]; c != nil && c.count >= trusted {
+		return c.value
+	}
+	return math.Log(float64(target.Milliseconds())) - expectedSlack
+}
+
+// expectedSlack is how far below its target, as a logarithm, the tail of an image
+// is taken to be before it was seen.
+const expectedSlack = 0.9
+
+// note takes in one figure of a serving task and the shares of the processors that
+// the fillers beside it use.
+func (m *interference) note(serving string, tail float64, shares map[string]float64) {
+	if tail <= 0 {
+		return
+	}
+	b := m.base[serving]
+	if b == nil {
+		b = &coefficient{value: math.Log(tail)}
+		m.base[serving] = b
+	}
+	predicted, power := b.value, 0.0
+	for filler, x := range shares {
+		predicted += m.pairValue(serving, filler) * x
+		power += x * x
+	}
+	miss := math.Log(tail) - predicted
+	if power < shareNoise*shareNoise {
+		b.count++
+		b.value += miss * max(baseGain, 1/b.count)
+		return
+	}
+	for filler, x := range shares {
+		step := miss * x / power
+		m.pairs[pairKey{serving, filler}].move(step)
+		m.fillerMean(filler).move(step)
+	}
+}
+
+func (m *interference) pairValue(serving, filler string) float64 {
+	key := pairKey{serving, filler}
+	c := m.pairs[key]
+	if c == nil {
+		c = &coefficient{value: m.of(serving, filler)}
+		m.pairs[key] = c
+	}
+	return c.value
+}
+
+func (m *interference) fillerMean(filler string) *coefficient {
+	c := m.fillers[filler]
+	if c == nil {
+		c = &coefficient{value: priorCoefficient}
+		m.fillers[filler] = c
+	}
+	return c
+}
+
+func (c *coefficient) move(step float64) {
+	c.count++
+	c.value = min(max(c.value+step*max(pairGain, 1/(c.count+1)), 0), maxCoefficient)
+}
+
+// observe feeds the model with a worker's report, if it has serving tasks.
+func (e *Engine) observe(n *node) {
+	if n.serving == 0 {
+		return
+	}
+	shares := n.fillerShares()
+	for _, a := range n.sorted() {
+		if s := a.task.step.spec; s.LatencyTarget > 0 && a.hasMeasure && a.state == running {
+			e.model.note(s.Image, a.measure, shares)
+		}
+	}
+}
+
+// fillerShares returns the share of the processors that each filler image used in
+// the last figures.
+func (n *node) fillerShares() map[string]float64 {
+	shares := make(map[string]float64)
+	for _, a := range n.attempts {
+		if s := a.task.step.spec; s.Filler && a.hasMeasure {
+			shares[s.Image] += a.measure / float64(n.worker.Capacity.CPU)
+		}
+	}
+	return shares
+}
+
+// tension returns how far the expected tail of the worst-off serving task of a
+// worker is from its target, as a logarithm, if extra of a filler image joins.
+// Above zero the target is expected to be missed. It reports false if no task
+// serves there.
+func (e *Engine) tension(n *node, filler string, extra float64) (float64, bool) {
+	worst, isServing := math.Inf(-1), false
+	for _, v := range n.servingImages {
+		isServing = true
+		t := e.model.baseOf(v.image, v.target) - math.Log(float64(v.target.Milliseconds()))
+		for _, a := range n.attempts {
+			if s := a.task.step.spec; s.Filler {
+				t += e.model.of(v.image, s.Image) * float64(s.Need.CPU) * float64(a.pace) / 100 / float64(n.worker.Capacity.CPU)
+			}
+		}
+		t += e.model.of(v.image, filler) * extra
+		worst = max(worst, t)
+	}
+	return worst, isServing
+}
--- a/process/dispatch/order.go
+++ b/process/dispatch/order.go
@@ -94,20 +94,26 @@
 type shape struct {
 	need     heatherhub.Resources
 	isFiller bool
+	// image matters for fillers, which are kept off the tasks that they disturb.
+	image string
 	// isPlain says that no rack, label or spread narrows the choice.
 	isPlain bool
 }
 
 func shapeOf(s *stepRun) shape {
-	return shape{
+	sh := shape{
 		need: s.spec.Need, isFiller: s.spec.Filler,
 		isPlain: s.spec.RequiredLabel == "" && s.spec.MaxPerWorker == 0 && !s.spec.Gang,
 	}
+	if s.spec.Filler {
+		sh.image = s.spec.Image
+	}
+	return sh
 }
 
 // covers reports whether no room for f means no room for o.
 func (f shape) covers(o shape) bool {
-	return f.isFiller == o.isFiller && f.need.Fits(o.need)
+	return f.isFiller == o.isFiller && f.image == o.image && f.need.Fits(o.need)
 }
 
 // startTasks starts the waiting tasks of a step. It reports false if one that may
--- a/process/dispatch/pace.go
+++ b/process/dispatch/pace.go
@@ -8,78 +8,113 @@
 
 // Pacing answers filler tasks that disturb the serving tasks beside them. The
 // figures lag by half a second and change within seconds, so the pace falls fast
-// and rises slowly.
+// and rises slowly. Only fillers that are known to disturb a task over its target
+// are slowed down; if that does not help, all of them are halted.
 
 // Steps of the pace.
 const (
 	// fullPace lets a task work at its whole speed.
 	fullPace heatherhub.Percent = 100
 	// paceFactor is what the pace is multiplied by when a target is missed.
-	paceFactor = 0.4
+	paceFactor = 0.5
 	// paceRise is added when all targets are met with room to spare.
-	paceRise heatherhub.Percent = 20
+	paceRise heatherhub.Percent = 25
 	// paceStop is where filler tasks are halted.
-	paceStop heatherhub.Percent = 15
+	paceStop heatherhub.Percent = 20
 	// paceHigh and paceLow are shares of the target between which the pace rests.
-	paceHigh = 0.85
-	paceLow  = 0.6
+	paceHigh = 0.95
+	paceLow  = 0.7
 	// paceInterval is the time between two changes; measures cover half a second.
 	paceInterval = 600 * time.Millisecond
+	// haltAfter is how long a target may be missed before all fillers beside the
+	// task are halted.
+	haltAfter = 1500 * time.Millisecond
+	// noticeable is the rise of a tail, as a logarithm, below which a filler is
+	// not held responsible.
+	noticeable = 0.05
 )
 
-// pacer holds the pace of the filler tasks of one worker.
+// pacer holds what the pace of a worker's fillers is decided on.
 type pacer struct {
-	isSet   bool
-	pace    heatherhub.Percent
 	changed time.Duration
+	// missedSince is when a target was first missed without a break; zero if all
+	// are met.
+	missedSince time.Duration
 }
 
-func (p *pacer) current() heatherhub.Percent {
-	if !p.isSet {
-		return fullPace
-	}
-	return p.pace
-}
-
-// pace adapts the speed of the filler tasks of a worker to its serving tasks.
+// pace adapts the speed of the fillers of a worker to its serving tasks.
 func (e *Engine) pace(now Moment, n *node) {
-	if n.serving > 0 && now.Steady-n.pacer.changed >= paceInterval {
-		n.adaptPace(now.Steady)
+	if n.fillCPU == 0 {
+		n.pacer.missedSince = 0
+		return
+	}
+	missed, worst := n.missed()
+	switch {
+	case len(missed) == 0:
+		n.pacer.missedSince = 0
+	case n.pacer.missedSince == 0:
+		n.pacer.missedSince = now.Steady
 	}
-	if n.serving == 0 {
-		n.pacer.isSet = false
+	if now.Steady-n.pacer.changed < paceInterval {
+		return
 	}
-	target := n.pacer.current()
+	isHalted := n.pacer.missedSince > 0 && now.Steady-n.pacer.missedSince >= haltAfter
 	for _, a := range n.sorted() {
 		if !a.task.step.spec.Filler || a.state != running || a.stop != noStop {
 			continue
 		}
-		if a.pace != target || (!a.paceSent && target != fullPace) {
-			a.pace, a.paceSent = target, true
-			e.orders = append(e.orders, Order{Worker: n.worker.ID, Kind: PaceTask, Task: a.task.id(), Run: a.run, Percent: target})
+		next := a.pace
+		switch {
+		case isHalted:
+			next = 0
+		case e.isResponsible(n, a, missed):
+			next = lowered(a.pace)
+		case len(missed) == 0 && worst < paceLow:
+			next = min(a.pace+paceRise, fullPace)
+		}
+		if next == a.pace && (a.paceSent || a.pace == fullPace) {
+			continue
 		}
+		a.pace, a.paceSent = next, true
+		n.pacer.changed = now.Steady
+		e.orders = append(e.orders, Order{Worker: n.worker.ID, Kind: PaceTask, Task: a.task.id(), Run: a.run, Percent: next})
+	}
+}
+
+func lowered(p heatherhub.Percent) heatherhub.Percent {
+	next := heatherhub.Percent(float64(p) * paceFactor)
+	if next < paceStop {
+		return 0
 	}
+	return next
 }
 
-func (n *node) adaptPace(now time.Duration) {
+// missed returns the serving attempts over their target, and the worst share of a
+// target.
+func (n *node) missed() ([]*attempt, float64) {
+	var out []*attempt
 	worst := 0.0
 	for _, a := range n.attempts {
-		if target := a.task.step.spec.LatencyTarget; target > 0 && a.hasMeasure && a.state == running {
-			worst = max(worst, a.measure/float64(target.Milliseconds()))
+		target := a.task.step.spec.LatencyTarget
+		if target == 0 || !a.hasMeasure || a.state != running {
+			continue
 		}
-	}
-	current := n.pacer.current()
-	next := current
-	switch {
-	case worst > paceHigh:
-		next = heatherhub.Percent(float64(current) * paceFactor)
-		if next < paceStop {
-			next = 0
+		share := a.measure / float64(target.Milliseconds())
+		worst = max(worst, share)
+		if share > paceHigh {
+			out = append(out, a)
 		}
-	case worst < paceLow:
-		next = min(current+paceRise, fullPace)
 	}
-	if next != current {
-		n.pacer = pacer{isSet: true, pace: next, changed: now}
+	return out, worst
+}
+
+// isResponsible reports whether a filler noticeably disturbs one of the attempts.
+func (e *Engine) isResponsible(n *node, filler *attempt, missed []*attempt) bool {
+	x := float64(filler.task.step.spec.Need.CPU) * float64(filler.pace) / 100 / float64(n.worker.Capacity.CPU)
+	for _, m := range missed {
+		if e.model.of(m.task.step.spec.Image, filler.task.step.spec.Image)*x > noticeable {
+			return true
+		}
 	}
+	return false
 }
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -17,7 +17,8 @@
 		if !e.isEligible(now, n, s, t) {
 			continue
 		}
-		if score := score(n, s); best == nil || score > bestScore {
+		score, ok := e.score(n, s)
+		if ok && (best == nil || score > bestScore) {
 			best, bestScore = n, score
 		}
 	}
@@ -49,22 +50,30 @@
 	// of their time.
 	rackWeight = 4
 	// servingWeight keeps filler tasks off workers that serve while another has
-	// room.
+	// room, and brings serving and reserving tasks together.
 	servingWeight = 2
+	// tensionLimit is the highest expected tail, as a logarithm of its share of
+	// the target, to which a filler may bring a serving task. The figures spread
+	// by about 0.4 around what is expected.
+	tensionLimit = -0.5
 )
 
-// score ranks workers that fit; more is better.
-func score(n *node, s *stepRun) float64 {
+// score ranks workers that fit; more is better. It reports false for a filler that
+// would bring a serving task too close to its target.
+func (e *Engine) score(n *node, s *stepRun) (float64, bool) {
 	capacity := float64(max(n.worker.Capacity.CPU, 1))
 	spare := float64(n.spareCPU()) / capacity
 	var v float64
-	switch {
-	case s.spec.Filler:
+	if s.spec.Filler {
 		v = spare
-		if n.serving > 0 {
-			v -= servingWeight
+		t, isServing := e.tension(n, s.spec.Image, float64(s.spec.Need.CPU)/capacity)
+		if isServing && t > tensionLimit {
+			return 0, false
+		}
+		if isServing {
+			v -= servingWeight + t
 		}
-	default:
+	} else {
 		v = -spare
 		if n.serving > 0 {
 			v += servingWeight
@@ -76,7 +85,7 @@
 	if s.spec.SameRack && s.isInRack(n.worker.Rack) {
 		v += rackWeight
 	}
-	return v
+	return v, true
 }
 
 // isInRack reports whether a task of the step runs in a rack, or none runs.
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -79,6 +79,7 @@
 	}
 	n.advance()
 	e.settle(now, sentAt, n, listed)
+	e.observe(n)
 	e.pace(now, n)
 }
 
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -55,6 +55,7 @@
 	orders     []Order
 	nextRun    heatherhub.RunID
 	durations  map[string]*estimate
+	model      *interference
 	finished   []*job
 	// Stats counts what happened.
 	Stats Stats
@@ -75,6 +76,7 @@
 		nodes:      make(map[heatherhub.WorkerID]*node),
 		unresolved: make(map[heatherhub.WorkerID]struct{}),
 		durations:  make(map[string]*estimate),
+		model:      newInterference(),
 		nextRun:    heatherhub.RunID(cfg.Token) * runsPerToken,
 	}
 }
@@ -221,9 +223,10 @@
 	attempts map[attemptKey]*attempt
 	// fillCPU is the demand of filler tasks, serving the number of serving tasks
 	// and servingCPU their reservation.
-	fillCPU    heatherhub.MilliCPU
-	serving    int
-	servingCPU heatherhub.MilliCPU
+	fillCPU       heatherhub.MilliCPU
+	serving       int
+	servingCPU    heatherhub.MilliCPU
+	servingImages []servingImage
 	// isSilent says that the last call had no answer.
 	isSilent bool
 	// restUntil keeps new tasks away for a while.
@@ -247,9 +250,21 @@
 	return n.worker.Capacity.Sub(n.used)
 }
 
+// servingUse is the share of their reservation that serving tasks are taken to
+// use; filler tasks get the rest.
+const servingUse = 0.55
+
 // spareCPU is what filler tasks may still take.
 func (n *node) spareCPU() heatherhub.MilliCPU {
-	return n.worker.Capacity.CPU - n.used.CPU - n.fillCPU
+	unused := heatherhub.MilliCPU((1 - servingUse) * float64(n.servingCPU))
+	return n.worker.Capacity.CPU - n.used.CPU + unused - n.fillCPU
+}
+
+// servingImage is an image that serves on a worker.
+type servingImage struct {
+	image  string
+	target time.Duration
+	count  int
 }
 
 func (n *node) add(a *attempt) {
@@ -273,12 +288,25 @@
 	if s.spec.LatencyTarget > 0 {
 		n.serving += sign
 		n.servingCPU += heatherhub.MilliCPU(sign) * s.need.CPU
+		n.countImage(s.spec, sign)
 	}
 	if s.perNode != nil {
 		s.perNode[n] += sign
 	}
 }
 
+func (n *node) countImage(s *heatherhub.Step, sign int) {
+	at := slices.IndexFunc(n.servingImages, func(v servingImage) bool { return v.image == s.Image && v.target == s.LatencyTarget })
+	if at < 0 {
+		n.servingImages = append(n.servingImages, servingImage{image: s.Image, target: s.LatencyTarget, count: sign})
+		return
+	}
+	n.servingImages[at].count += sign
+	if n.servingImages[at].count == 0 {
+		n.servingImages = slices.Delete(n.servingImages, at, at+1)
+	}
+}
+
 func (e *Engine) addNode(n *node) {
 	e.nodes[n.worker.ID] = n
 	at, _ := slices.BinarySearchFunc(e.order, n, compareNodes)
