Prove ownership in an in-memory world, and hold no lock over a failed commit

Two more calls of the store were made under a mutex.

Change: a stand-in of store and workers in memory, with revoked keys, lost and late answers, dropped history, cuts, freezes, kills; it audits every start for capacity, order, doubles and starts after an acknowledged end. Commits take turns by a channel, and nothing sleeps under the lock.

--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -182,7 +182,7 @@
 	}
 	for _, s := range o.steps {
 		if s.blockers == 0 && len(s.pending) > 0 && !s.isQueued {
-			s.isQueued = true
+			s.isQueued, s.readySince = true, now.Steady
 			e.ready = append(e.ready, s)
 		}
 	}
--- a/process/dispatch/order.go
+++ b/process/dispatch/order.go
@@ -72,7 +72,8 @@
 	// full remembers needs that found no room, so that equal or larger ones are
 	// not tried again.
 	var full []shape
-	for _, c := range e.candidates(now) {
+	waiting := e.candidates(now)
+	for _, c := range waiting {
 		s := c.step
 		sh := shapeOf(s)
 		if slices.ContainsFunc(full, func(f shape) bool { return f.covers(sh) }) {
@@ -88,6 +89,53 @@
 			full = append(full, sh)
 		}
 	}
+	e.startStarved(now, waiting)
+}
+
+// startStarved starts one task of each job that has nothing running though the
+// workers are half empty. Fillers then go where they disturb least, and the pace
+// keeps them in check.
+func (e *Engine) startStarved(now Moment, waiting []candidate) {
+	waiting = slices.DeleteFunc(waiting, func(c candidate) bool { return len(c.step.pending) == 0 })
+	if l := e.Load(); len(waiting) == 0 || float64(l.Reserved) > starvedLoad*float64(l.Capacity) {
+		return
+	}
+	for _, c := range waiting {
+		s := c.step
+		if !s.spec.Filler || s.occ.job.open > 0 || now.Steady-s.readySince < e.cfg.StarvedAfter {
+			continue
+		}
+		t := s.pending[0]
+		if n := e.leastTense(now, s); n != nil && t.notBefore <= now.Steady {
+			e.nextRun++
+			e.start(now, t, n, e.nextRun)
+		}
+	}
+}
+
+// starvedLoad is the share of the processors that others reserve below which no job
+// may wait without a running task.
+const starvedLoad = 0.6
+
+// leastTense returns the worker with room for the memory of a filler on which it
+// disturbs the serving tasks least.
+func (e *Engine) leastTense(now Moment, s *stepRun) *node {
+	var best *node
+	var bestTension float64
+	for _, n := range e.order {
+		if n.isSilent || n.worker.Draining || n.restUntil > now.Steady || n.health.isQuarantined(now.Steady) ||
+			n.worker.Pool != s.occ.job.policy.Pool || !s.need.Fits(n.free()) {
+			continue
+		}
+		if s.spec.RequiredLabel != "" && !n.worker.HasLabel(s.spec.RequiredLabel) {
+			continue
+		}
+		t, _ := e.tension(n, s.spec.Image, float64(s.spec.Need.CPU)/float64(max(n.worker.Capacity.CPU, 1)))
+		if best == nil || t < bestTension {
+			best, bestTension = n, t
+		}
+	}
+	return best
 }
 
 // shape is what decides whether a task of a step finds room.
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -139,6 +139,8 @@
 	undone   int
 	pending  []*task
 	isQueued bool
+	// readySince is when the step was last put in the waiting list.
+	readySince time.Duration
 	// tail is the expected time from the start of this step to the end of the
 	// longest chain behind it.
 	tail       time.Duration
--- a/process/dispatch/tuning.go
+++ b/process/dispatch/tuning.go
@@ -23,6 +23,9 @@
 	// StrayWait is how long the job of an unknown run may take to show up. It is
 	// below the time in which cancelled work has to be gone.
 	StrayWait time.Duration
+	// StarvedAfter is how long a job may wait with nothing running while the workers
+	// are half empty; three seconds are allowed.
+	StarvedAfter time.Duration
 	// StallAfter is the least time without progress after which a run counts as
 	// standing still.
 	StallAfter time.Duration
@@ -37,6 +40,7 @@
 	setDefault(&t.Quarantine, 5*time.Second)
 	setDefault(&t.NoticeTime, 3*time.Second)
 	setDefault(&t.StrayWait, 1500*time.Millisecond)
+	setDefault(&t.StarvedAfter, 1500*time.Millisecond)
 	setDefault(&t.StallAfter, 2500*time.Millisecond)
 }
 
--- a/process/owner/commit.go
+++ b/process/owner/commit.go
@@ -38,8 +38,8 @@
 
 // commit writes one batch of changes. It reports whether there may be more.
 func (t *term) commit(ctx context.Context) bool {
-	t.commitMu.Lock()
-	defer t.commitMu.Unlock()
+	t.commitTurn <- struct{}{}
+	defer func() { <-t.commitTurn }()
 	t.mu.Lock()
 	changes := t.engine.TakeChanges(changesPerCommit)
 	t.mu.Unlock()
@@ -52,6 +52,17 @@
 	if err == nil {
 		rev, err = t.host.cfg.Store.Commit(ctx, txn)
 	}
+	if t.settleCommit(changes, rev, sentAt, err) {
+		return true
+	}
+	t.log.Warn("progress not written", zap.Int("jobs", len(changes)), zap.Error(err))
+	pause(ctx, takeOverTry)
+	return true
+}
+
+// settleCommit takes in what became of a commit. It reports false if that is not
+// known, or nothing was done.
+func (t *term) settleCommit(changes []dispatch.Change, rev ledger.Revision, sentAt time.Duration, err error) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var conflict *ledger.ConflictError
@@ -61,14 +72,14 @@
 		t.engine.Committed(t.now(), changes, rev)
 		close(t.committed)
 		t.committed = make(chan struct{})
+		return true
 	case errors.As(err, &conflict):
 		t.conflict(conflict, changes)
+		return true
 	default:
-		t.log.Warn("progress not written", zap.Int("jobs", len(changes)), zap.Error(err))
 		t.engine.Retry(changes, nil)
-		pause(ctx, takeOverTry)
+		return false
 	}
-	return true
 }
 
 func (t *term) txnOf(changes []dispatch.Change) (ledger.Txn, error) {
--- a/process/owner/fleet.go
+++ b/process/owner/fleet.go
@@ -29,8 +29,8 @@
 
 // writeFleet makes the list durable. It reports whether it is.
 func (t *term) writeFleet(ctx context.Context) bool {
-	t.commitMu.Lock()
-	defer t.commitMu.Unlock()
+	t.commitTurn <- struct{}{}
+	defer func() { <-t.commitTurn }()
 	t.mu.Lock()
 	if t.fleet.written == t.fleet.changed {
 		t.mu.Unlock()
--- /dev/null
+++ b/process/owner/owner_test.go
@@ -0,0 +1,194 @@
+package owner_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/process/record"
+)
+
+// site starts three failure domains with a host and workers each, and waits for an
+// owner that has all workers.
+func site(t *testing.T, seed uint64, workersPerDomain int) *world {
+	w := newWorld(t, seed)
+	for d := range 3 {
+		domain := heatherhub.FailureDomain(fmt.Sprintf("d%d", d))
+		for i := range workersPerDomain {
+			w.addWorker(heatherhub.WorkerID(fmt.Sprintf("w%d-%d", d, i)), domain)
+		}
+	}
+	for d := range 3 {
+		w.startHost(heatherhub.HostID(fmt.Sprintf("h%d", d)), heatherhub.FailureDomain(fmt.Sprintf("d%d", d)))
+	}
+	w.submit("first", step(1, 100*time.Millisecond))
+	w.await("the first job", 5*time.Second, func() bool { return w.isCompleted("first") })
+	return w
+}
+
+// domainOf returns the number of a host's failure domain.
+func domainOf(id heatherhub.HostID) int {
+	return int(id[1] - '0')
+}
+
+func TestStepsRunInOrderAndOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := site(t, 1, 2)
+		defer w.check()
+		defer w.shutdown()
+		w.submit("chain", step(5, 300*time.Millisecond), step(8, 200*time.Millisecond, 0), step(1, 100*time.Millisecond, 0, 1))
+		w.await("the chain", 5*time.Second, func() bool { return w.isCompleted("chain") })
+		if got, want := w.starts, 1+5+8+1; got != want {
+			t.Errorf("got %d starts, want %d", got, want)
+		}
+	})
+}
+
+// TestFirstStartAfterOwnersDeath measures a takeover on virtual time. A task whose
+// turn has come may rest for 3 s, so a new owner has to start tasks in about 2 s.
+func TestFirstStartAfterOwnersDeath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := site(t, 1, 4)
+		defer w.check()
+		defer w.shutdown()
+		w.submit("running", step(10, 8*time.Second))
+		time.Sleep(time.Second)
+		w.kill(w.owner())
+		w.submit("waiting", step(3, 100*time.Millisecond))
+		took := w.await("the first start by the new owner", 3*time.Second, func() bool { return w.lastTask.Job == "waiting" })
+		t.Logf("first start %s after the owner's death", took)
+		if limit := 2200 * time.Millisecond; took > limit {
+			t.Errorf("got %s, want at most %s", took, limit)
+		}
+		w.await("both jobs", 12*time.Second, func() bool { return w.isCompleted("running", "waiting") })
+		if got, want := w.starts, 1+10+3; got != want {
+			t.Errorf("got %d starts, want %d: runs go on under a new owner", got, want)
+		}
+	})
+}
+
+// TestCutOffOwnerRestartsNothing cuts the owner's failure domain off from the store
+// and the other domains, long enough for the leases that it gave to end. Another
+// host renews them meanwhile.
+func TestCutOffOwnerRestartsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := site(t, 1, 4)
+		defer w.check()
+		defer w.shutdown()
+		w.submit("long", step(30, 20*time.Second))
+		time.Sleep(2 * time.Second)
+		former := w.owner()
+		w.cutDomain(domainOf(former), true)
+		time.Sleep(9 * time.Second)
+		if got := w.owner(); got == former || got == "" {
+			t.Errorf("got owner %q, want another one than %q", got, former)
+		}
+		w.cutDomain(domainOf(former), false)
+		w.await("the job", 40*time.Second, func() bool { return w.isCompleted("long") })
+	})
+}
+
+// cutDomain separates a failure domain from the store and all others.
+func (w *world) cutDomain(d int, isCut bool) {
+	for h := range 3 {
+		host := fmt.Sprintf("h%d", h)
+		if h == d {
+			w.cut(host, storeName, isCut)
+		}
+		w.mu.Lock()
+		var ids []string
+		for id, m := range w.workers {
+			if (m.entry.Domain == heatherhub.FailureDomain(fmt.Sprintf("d%d", d))) != (h == d) {
+				ids = append(ids, string(id))
+			}
+		}
+		w.mu.Unlock()
+		for _, id := range ids {
+			w.cut(host, id, isCut)
+		}
+	}
+}
+
+// TestDepartedWorkersTasksStartElsewhere takes a worker away without a word. Its
+// tasks start elsewhere when its lease is over, not later.
+func TestDepartedWorkersTasksStartElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := site(t, 1, 2)
+		defer w.check()
+		defer w.shutdown()
+		lasting := step(6, time.Second)
+		lasting.LongRunning = true
+		w.submit("lasting", lasting)
+		time.Sleep(2 * time.Second)
+		var gone *memoryWorker
+		for _, m := range w.workers {
+			if gone == nil && len(m.running) > 0 {
+				gone = m
+			}
+		}
+		gone.mu.Lock()
+		gone.isGone = true
+		lost := len(gone.running)
+		gone.mu.Unlock()
+		before := w.starts
+		w.store.revoke(workerPrefix + string(gone.entry.ID))
+		w.await("new starts", 9*time.Second, func() bool { return w.starts >= before+lost })
+	})
+}
+
+// TestNewOwnerKeepsRunsOfUnreadJobs lets an owner start a job that the next owner
+// has not read: its key is revoked and the news of the job reaches it late.
+func TestRevokedOwnerIsFollowedWithoutDoubles(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := site(t, 1, 3)
+		defer w.check()
+		defer w.shutdown()
+		for i := range 20 {
+			w.submit(heatherhub.JobID(fmt.Sprintf("j%d", i)), step(3, 700*time.Millisecond))
+			if i%5 == 4 {
+				w.store.revoke(record.OwnerKey(heatherhub.ShardID{Domain: record.SiteDomain}))
+			}
+			time.Sleep(150 * time.Millisecond)
+		}
+		w.await("all jobs", 20*time.Second, func() bool {
+			for i := range 20 {
+				if !w.isCompleted(heatherhub.JobID(fmt.Sprintf("j%d", i))) {
+					return false
+				}
+			}
+			return true
+		})
+	})
+}
+
+// TestCancelledWorkIsGoneInTime checks that runs of a cancelled job end, also under
+// an owner that took over after the cancel.
+func TestCancelledWorkIsGoneInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := site(t, 1, 2)
+		defer w.check()
+		defer w.shutdown()
+		w.submit("doomed", step(4, 30*time.Second))
+		time.Sleep(time.Second)
+		w.kill(w.owner())
+		w.store.set(record.CancelKey("doomed"), nil)
+		w.await("the end of its runs", 3900*time.Millisecond, func() bool { return w.running() == 0 })
+		if got, want := w.stateOf("doomed"), heatherhub.WorkflowCancelled; got != want {
+			t.Errorf("got state %q, want %q", got, want)
+		}
+	})
+}
+
+// running counts the runs on all workers.
+func (w *world) running() int {
+	n := 0
+	for _, m := range w.workers {
+		m.mu.Lock()
+		m.advance()
+		n += len(m.running)
+		m.mu.Unlock()
+	}
+	return n
+}
--- /dev/null
+++ b/process/owner/random_test.go
@@ -0,0 +1,233 @@
+package owner_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/process/record"
+)
+
+var (
+	episodes    = flag.Int("owner-episodes", 30, "random episodes")
+	episodeSeed = flag.Uint64("owner-seed", 1, "seed of the first random episode")
+)
+
+// Length of an episode of random faults, and the time after it in which all work
+// has to end.
+const (
+	faultTime = 40 * time.Second
+	calmTime  = 60 * time.Second
+)
+
+// episode is one run of random faults on a site of three failure domains.
+type episode struct {
+	*world
+	jobs      []heatherhub.JobID
+	cancelled map[heatherhub.JobID]bool
+	hosts     [3]heatherhub.HostID
+	lives     int
+	isFaulty  bool
+}
+
+// TestRandomFaults plays seeded episodes of overlapping faults against the real
+// hosts. Every start is audited; at the end all jobs are complete.
+func TestRandomFaults(t *testing.T) {
+	starts, faults := 0, 0
+	for i := range *episodes {
+		seed := *episodeSeed + uint64(i)
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := newEpisode(t, seed)
+				faults += e.play()
+				e.finish()
+				starts += e.starts
+			})
+		})
+	}
+	t.Logf("%d episodes, %d faults, %d starts", *episodes, faults, starts)
+	if faults == 0 || starts == 0 {
+		t.Errorf("got %d faults and %d starts, want some", faults, starts)
+	}
+}
+
+// TestPlantedFaultsAreSeen plants faults and expects the audit to see each of them.
+func TestPlantedFaultsAreSeen(t *testing.T) {
+	plants := map[string]func(*world){
+		"ends acknowledged before they are durable": func(w *world) { w.ackEverything = true },
+		"token of an earlier owner kept":            func(w *world) { w.forgetToken = true },
+		"unanswered start counted as free":          func(w *world) { w.unansweredIsUnsent = true },
+	}
+	for name, plant := range plants {
+		t.Run(name, func(t *testing.T) {
+			for seed := uint64(1); seed <= 60; seed++ {
+				isSeen := false
+				synctest.Test(t, func(t *testing.T) {
+					e := newEpisode(t, seed)
+					plant(e.world)
+					e.play()
+					e.shutdown()
+					isSeen = len(e.broken) > 0
+				})
+				if isSeen {
+					t.Logf("seen with seed %d", seed)
+					return
+				}
+			}
+			t.Error("got no broken promise in 60 episodes, want one")
+		})
+	}
+}
+
+func newEpisode(t *testing.T, seed uint64) *episode {
+	return &episode{world: site(t, seed, 3), cancelled: make(map[heatherhub.JobID]bool), hosts: [3]heatherhub.HostID{"h0", "h1", "h2"}}
+}
+
+// play sends jobs and plays faults. It returns the number of faults.
+func (e *episode) play() int {
+	end := time.Now().Add(faultTime)
+	n := 0
+	for time.Now().Before(end) {
+		e.addJob()
+		if e.rng.IntN(3) == 0 {
+			n++
+			e.fault()
+		}
+		time.Sleep(time.Duration(100+e.rng.IntN(500)) * time.Millisecond)
+	}
+	return n
+}
+
+func (e *episode) addJob() {
+	id := heatherhub.JobID(fmt.Sprintf("j%d", len(e.jobs)))
+	d := time.Duration(100+e.rng.IntN(4000)) * time.Millisecond
+	steps := []heatherhub.Step{step(1+e.rng.IntN(4), d)}
+	if e.rng.IntN(2) == 0 {
+		steps = append(steps, step(1+e.rng.IntN(3), d/2, 0))
+	}
+	e.jobs = append(e.jobs, id)
+	e.submit(id, steps...)
+	if e.rng.IntN(10) == 0 {
+		e.cancelled[id] = true
+		e.later(time.Duration(e.rng.IntN(3000))*time.Millisecond, func() { e.store.set(record.CancelKey(id), nil) })
+	}
+}
+
+// fault begins one fault, which ends by itself.
+func (e *episode) fault() {
+	span := time.Duration(500+e.rng.IntN(8000)) * time.Millisecond
+	d := e.rng.IntN(3)
+	host := e.hosts[d]
+	switch e.rng.IntN(11) {
+	case 0:
+		e.cut(string(host), storeName, true)
+		e.later(span, func() { e.cut(string(host), storeName, false) })
+	case 1:
+		for i := range 3 {
+			id := fmt.Sprintf("w%d-%d", e.rng.IntN(3), i)
+			e.cut(string(host), id, true)
+			e.later(span, func() { e.cut(string(host), id, false) })
+		}
+	case 2:
+		e.cutHosts(d, true)
+		e.later(span, func() { e.cutHosts(d, false) })
+	case 3:
+		e.restart(d, span/4)
+	case 4:
+		e.freeze(host, span/2)
+	case 5:
+		e.store.revoke(record.OwnerKey(heatherhub.ShardID{Domain: record.SiteDomain}))
+	case 6:
+		e.store.setDown(true)
+		e.later(span, func() { e.store.setDown(false) })
+	case 7:
+		e.store.forget()
+	case 8:
+		e.store.setLost(0.3)
+		e.later(span, func() { e.store.setLost(0) })
+	case 9:
+		e.setLate(0.2)
+		e.later(span, func() { e.setLate(0) })
+	case 10:
+		for d := range 3 {
+			e.restart(d, span/8)
+		}
+	}
+}
+
+// restart kills a host and starts another life of it later.
+func (e *episode) restart(d int, after time.Duration) {
+	if e.isDead(e.hosts[d]) {
+		return
+	}
+	e.kill(e.hosts[d])
+	e.lives++
+	next := heatherhub.HostID(fmt.Sprintf("h%d-%d", d, e.lives))
+	e.hosts[d] = next
+	e.mu.Lock()
+	e.dead[next] = true
+	e.mu.Unlock()
+	e.later(after, func() { e.startHost(next, heatherhub.FailureDomain(fmt.Sprintf("d%d", d))) })
+}
+
+// cutHosts separates the host of a domain from the store and other domains'
+// workers, and the others from its workers.
+func (e *episode) cutHosts(d int, isCut bool) {
+	for h, host := range e.hosts {
+		if h == d {
+			e.cut(string(host), storeName, isCut)
+		}
+		for k := range 3 {
+			for i := range 3 {
+				if (k == d) != (h == d) {
+					e.cut(string(host), fmt.Sprintf("w%d-%d", k, i), isCut)
+				}
+			}
+		}
+	}
+}
+
+// finish heals everything and expects all work to end.
+func (e *episode) finish() {
+	time.Sleep(10 * time.Second)
+	e.store.setDown(false)
+	e.store.setLost(0)
+	e.setLate(0)
+	e.mu.Lock()
+	clear(e.cuts)
+	e.mu.Unlock()
+	e.await("all jobs", calmTime, e.allComplete)
+	e.shutdown()
+	e.check()
+}
+
+func (e *episode) allComplete() bool {
+	for _, id := range e.jobs {
+		state := e.stateOf(id)
+		if !state.IsFinal() || (state != heatherhub.WorkflowCompleted && !e.cancelled[id]) {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *world) setLate(share float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lateShare = share
+}
+
+func (s *memoryStore) setDown(isDown bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isDown = isDown
+}
+
+func (s *memoryStore) setLost(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lostShare = share
+}
--- a/process/owner/session.go
+++ b/process/owner/session.go
@@ -31,18 +31,19 @@
 	return s.host.cfg.Clock.Now().Steady - time.Duration(s.contactAt.Load())
 }
 
-// lease returns the session's lease and makes one if there is none.
+// lease returns the session's lease and makes one if there is none. Only the
+// campaign calls it.
 func (s *session) lease(ctx context.Context) (ledger.LeaseID, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.id != 0 {
-		return s.id, nil
+	if id := s.current(); id != 0 {
+		return id, nil
 	}
 	id, _, err := s.host.cfg.Store.GrantLease(ctx, s.host.cfg.SessionTTL)
 	if err != nil {
 		return 0, err
 	}
+	s.mu.Lock()
 	s.id = id
+	s.mu.Unlock()
 	s.contact()
 	return id, nil
 }
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -46,8 +46,9 @@
 	committed  chan struct{}
 	wakeDecide chan struct{}
 	wakeCommit chan struct{}
-	// commitMu orders the writes of the term.
-	commitMu sync.Mutex
+	// commitTurn orders the writes of the term. It is held during calls of the
+	// store, which a mutex should not be.
+	commitTurn chan struct{}
 }
 
 func newTerm(h *Host, s heatherhub.ShardID, rev ledger.Revision) *term {
@@ -59,7 +60,7 @@
 		engine:  dispatch.New(dispatch.Config{Token: agent.Token(rev)}),
 		workers: make(map[heatherhub.WorkerID]*workerLoop), fleet: fleet{workers: make(map[heatherhub.WorkerID]string)},
 		committed: make(chan struct{}), wakeDecide: make(chan struct{}, 1), wakeCommit: make(chan struct{}, 1),
-		wakePublish: make(chan struct{}, 1),
+		wakePublish: make(chan struct{}, 1), commitTurn: make(chan struct{}, 1),
 	}
 	t.confirmedAt.Store(int64(t.takenAt))
 	return t
