Start tasks that end before tasks that last

Ruled out: holding room free for short work, since a lasting task may not wait while there is room for it. Change: among work that is in time, tasks that end go before tasks that last.

--- a/process/dispatch/order.go
+++ b/process/dispatch/order.go
@@ -60,6 +60,7 @@
 	slices.SortStableFunc(out, func(a, b candidate) int {
 		return cmp.Or(
 			cmp.Compare(a.urgency, b.urgency),
+			compareLasting(a.step, b.step),
 			cmp.Compare(a.step.occ.job.policy.Priority, b.step.occ.job.policy.Priority),
 			cmp.Compare(a.latestStart, b.latestStart),
 		)
@@ -67,6 +68,20 @@
 	return out
 }
 
+// compareLasting puts tasks that last behind those that end: they would hold the
+// room that short urgent work needs for a moment only, and the holes that short work
+// leaves are too small for them.
+func compareLasting(a, b *stepRun) int {
+	switch {
+	case a.spec.LongRunning == b.spec.LongRunning:
+		return 0
+	case a.spec.LongRunning:
+		return 1
+	default:
+		return -1
+	}
+}
+
 // startReady starts waiting tasks as long as they fit.
 func (e *Engine) startReady(now Moment) {
 	// full remembers needs that found no room, so that equal or larger ones are
