--- /dev/null
+++ b/process/dispatch/dispatch_test.go
@@ -0,0 +1,404 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/connection/agent"
+	"heatherhub.example/heatherhub/process/dispatch"
+)
+
+const (
+	queue = heatherhub.QueueID("q")
+	pool  = heatherhub.PoolID("pool")
+)
+
+// bench replays a load on an engine, on a clock of its own. Workers do what they
+// are told and finish each task after its estimate.
+type bench struct {
+	t       *testing.T
+	e       *dispatch.Engine
+	now     dispatch.Moment
+	workers []heatherhub.WorkerID
+	runs    map[heatherhub.WorkerID][]*run
+	ended   map[heatherhub.WorkerID]uint64
+	flows   map[heatherhub.JobID]*heatherhub.Workflow
+	started []heatherhub.StepTask
+	placed  map[heatherhub.StepTask]heatherhub.WorkerID
+	doneAt  map[heatherhub.JobID]time.Duration
+	// tail returns the tail latency of a serving image beside fillers.
+	tail func(serving string, fillers []string) float64
+	// ends says how a task ends; nil is always done.
+	ends func(heatherhub.WorkerID, heatherhub.StepTask) agent.EndKind
+}
+
+type run struct {
+	order dispatch.Order
+	left  time.Duration
+	pace  heatherhub.Percent
+}
+
+func newBench(t *testing.T, policy dispatch.Policy, workers int) *bench {
+	b := &bench{
+		t: t, e: dispatch.New(dispatch.Config{Token: 1}), now: dispatch.Moment{Steady: time.Second, Wall: time.Unix(1000, 0)},
+		runs: make(map[heatherhub.WorkerID][]*run), ended: make(map[heatherhub.WorkerID]uint64),
+		flows: make(map[heatherhub.JobID]*heatherhub.Workflow), placed: make(map[heatherhub.StepTask]heatherhub.WorkerID),
+		doneAt: make(map[heatherhub.JobID]time.Duration),
+	}
+	policy.Pool = pool
+	if policy.Stretch == 0 {
+		policy.Stretch = 2
+	}
+	b.e.SetPolicies(map[heatherhub.QueueID]dispatch.Policy{queue: policy})
+	for i := range workers {
+		id := heatherhub.WorkerID(fmt.Sprintf("w%02d", i))
+		b.workers = append(b.workers, id)
+		b.e.WorkerUp(b.now, agent.Worker{
+			ID: id, Pool: pool, Rack: heatherhub.Rack(fmt.Sprintf("r%d", i/2)),
+			Capacity: heatherhub.Resources{CPU: 10_000, Memory: 10_000},
+		}, &agent.Report{Clock: 1})
+	}
+	return b
+}
+
+func (b *bench) add(id heatherhub.JobID, steps ...heatherhub.Step) {
+	flow := &heatherhub.Workflow{ID: id, Queue: queue, Steps: steps, Accepted: b.now.Wall}
+	b.flows[id] = flow
+	b.e.AddJob(b.now, flow, dispatch.Progress{}, 0, dispatch.IsNew)
+}
+
+func tasks(n int, cpu heatherhub.MilliCPU, d time.Duration) heatherhub.Step {
+	return heatherhub.Step{Tasks: n, Need: heatherhub.Resources{CPU: cpu, Memory: 10}, Estimate: d}
+}
+
+// decide carries the engine's orders out at once.
+func (b *bench) decide() {
+	for _, o := range b.e.Decide(b.now) {
+		b.carryOut(o)
+		b.e.OrderResult(b.now, o, dispatch.Obeyed)
+	}
+}
+
+func (b *bench) carryOut(o dispatch.Order) {
+	switch o.Kind {
+	case dispatch.StartTask:
+		left := b.flows[o.Task.Job].Steps[o.Task.Step].Estimate
+		b.runs[o.Worker] = append(b.runs[o.Worker], &run{order: o, left: left, pace: 100})
+		b.started = append(b.started, o.Task)
+		b.placed[o.Task] = o.Worker
+	case dispatch.PaceTask:
+		for _, r := range b.runs[o.Worker] {
+			if r.order.Run == o.Run {
+				r.pace = o.Percent
+			}
+		}
+	case dispatch.StopTask:
+		for _, r := range b.runs[o.Worker] {
+			if r.order.Run == o.Run {
+				r.left = -1
+			}
+		}
+	}
+}
+
+// step lets d pass: runs advance, workers report, the engine decides.
+func (b *bench) step(d time.Duration) {
+	b.now.Steady += d
+	b.now.Wall = b.now.Wall.Add(d)
+	for _, w := range b.workers {
+		r := b.report(w, d)
+		b.e.Report(b.now, b.now.Steady, w, &r)
+	}
+	b.decide()
+	for id := range b.flows {
+		if s, _ := b.e.State(id); s == heatherhub.WorkflowRunning || s == heatherhub.WorkflowQueued {
+			continue
+		}
+		if _, ok := b.doneAt[id]; !ok {
+			b.doneAt[id] = b.now.Steady
+		}
+	}
+	changes := b.e.TakeChanges(1000)
+	b.e.Committed(b.now, changes, 1)
+}
+
+func (b *bench) report(w heatherhub.WorkerID, d time.Duration) agent.Report {
+	r := agent.Report{Clock: 1}
+	var fillers []string
+	for _, run := range b.runs[w] {
+		if st := b.spec(run); st.Filler && run.pace > 0 {
+			fillers = append(fillers, st.Image)
+		}
+	}
+	kept := b.runs[w][:0]
+	for _, run := range b.runs[w] {
+		st := b.spec(run)
+		isStopped := run.left < 0
+		if !st.LongRunning && !isStopped {
+			run.left -= d * time.Duration(run.pace) / 100
+		}
+		if run.left <= 0 {
+			b.ended[w]++
+			kind := agent.EndDone
+			if isStopped {
+				kind = agent.EndStopped
+			} else if b.ends != nil {
+				kind = b.ends(w, run.order.Task)
+			}
+			r.Ended = append(r.Ended, agent.Ended{Number: b.ended[w], Task: run.order.Task, Run: run.order.Run, Kind: kind})
+			continue
+		}
+		kept = append(kept, run)
+		row := agent.Running{Task: run.order.Task, Run: run.order.Run, HasMeasure: true, Measure: float64(st.Need.CPU) * float64(run.pace) / 100}
+		row.Progress = heatherhub.Percent(100 - 100*run.left/max(st.Estimate, 1))
+		if st.LongRunning {
+			row.Progress = 100
+		}
+		if st.LatencyTarget > 0 {
+			row.Measure = b.tail(st.Image, fillers)
+		}
+		r.Running = append(r.Running, row)
+	}
+	b.runs[w] = kept
+	return r
+}
+
+func (b *bench) spec(r *run) *heatherhub.Step {
+	return &b.flows[r.order.Task.Job].Steps[r.order.Task.Step]
+}
+
+// play lets time pass in steps of 100 ms.
+func (b *bench) play(d time.Duration) {
+	for range d / (100 * time.Millisecond) {
+		b.step(100 * time.Millisecond)
+	}
+}
+
+// TestLeastWorkFirstUnderOverload replays a burst of three times the room. Most jobs
+// must end within their objective; by deadline alone all end late in turn.
+func TestLeastWorkFirstUnderOverload(t *testing.T) {
+	b := newBench(t, dispatch.Policy{}, 4)
+	for i := range 12 {
+		second := tasks(10, 1000, time.Second)
+		second.After = []int{0}
+		b.add(heatherhub.JobID(fmt.Sprintf("j%02d", i)), tasks(10, 1000, time.Second), second)
+	}
+	b.decide()
+	b.play(20 * time.Second)
+	// Twice the chain of two seconds, and the ticks of four reports.
+	const objective = 4500 * time.Millisecond
+	inTime := 0
+	for id := range b.flows {
+		if at, ok := b.doneAt[id]; ok && at-time.Second <= objective {
+			inTime++
+		}
+	}
+	// Four seconds of room for 40 tasks a second hold eight jobs of 20 tasks.
+	if want := 8; inTime < want {
+		t.Errorf("got %d jobs in time, want at least %d", inTime, want)
+	}
+}
+
+// TestShortTasksGoBeforeLastingOnes replays full workers on which room becomes free
+// while lasting tasks wait: a short task gets it.
+func TestShortTasksGoBeforeLastingOnes(t *testing.T) {
+	b := newBench(t, dispatch.Policy{Target: 5 * time.Second}, 1)
+	b.add("first", tasks(10, 1000, time.Second))
+	b.decide()
+	lasting := tasks(5, 1000, time.Second)
+	lasting.LongRunning = true
+	b.add("lasting", lasting)
+	b.add("short", tasks(6, 1000, 500*time.Millisecond))
+	b.play(1200 * time.Millisecond)
+	n := 0
+	for _, s := range b.started[10:16] {
+		if s.Job == "short" {
+			n++
+		}
+	}
+	if want := 6; n != want {
+		t.Errorf("got %d short tasks among the first 6 starts, want %d", n, want)
+	}
+}
+
+// TestFillersDisturbNobody replays a pair of images that disturb each other and one
+// that does not. The disturbing filler ends up beside the other serving image, and
+// targets are missed only while the pair is learnt.
+func TestFillersDisturbNobody(t *testing.T) {
+	b := newBench(t, dispatch.Policy{}, 8)
+	missed, served := 0, 0
+	isLearning := true
+	b.tail = func(serving string, fillers []string) float64 {
+		v := 8.0
+		for _, f := range fillers {
+			if serving == "weak" && f == "heavy" {
+				v += 8
+			}
+		}
+		if !isLearning {
+			served++
+			if v > 18 {
+				missed++
+			}
+		}
+		return v
+	}
+	for i, image := range []string{"weak", "strong", "weak", "strong"} {
+		s := tasks(4, 3000, time.Second)
+		s.LongRunning, s.Image, s.LatencyTarget = true, image, 18*time.Millisecond
+		b.add(heatherhub.JobID(fmt.Sprintf("serving%d", i)), s)
+		b.decide()
+	}
+	filler := tasks(4, 1500, time.Second)
+	filler.Filler, filler.Image = true, "heavy"
+	for i := range 40 {
+		isLearning = i < 20
+		b.add(heatherhub.JobID(fmt.Sprintf("fill%02d", i)), filler)
+		b.decide()
+		b.play(500 * time.Millisecond)
+	}
+	if share := float64(missed) / float64(served); share > 0.02 {
+		t.Errorf("got %.3f of the figures over target, want at most 0.02", share)
+	}
+	b.play(5 * time.Second)
+	for i := range 40 {
+		id := heatherhub.JobID(fmt.Sprintf("fill%02d", i))
+		if s, _ := b.e.State(id); s != heatherhub.WorkflowCompleted {
+			t.Errorf("job %s: got state %q, want it completed beside the image that it does not disturb", id, s)
+		}
+	}
+}
+
+// TestMissedTargetHaltsFillers replays a target that stays missed: all fillers
+// beside the task are halted within 3 s, and none joins.
+func TestMissedTargetHaltsFillers(t *testing.T) {
+	b := newBench(t, dispatch.Policy{}, 1)
+	b.tail = func(string, []string) float64 { return 40 }
+	s := tasks(1, 2000, time.Second)
+	s.LongRunning, s.Image, s.LatencyTarget = true, "weak", 18*time.Millisecond
+	b.add("serving", s)
+	filler := tasks(2, 1000, time.Minute)
+	filler.Filler, filler.Image = true, "heavy"
+	b.add("fill", filler)
+	b.decide()
+	b.play(3 * time.Second)
+	for _, r := range b.runs["w00"] {
+		if r.order.Task.Job == "fill" && r.pace != 0 {
+			t.Errorf("got pace %d of a filler beside a missed target, want 0", r.pace)
+		}
+	}
+}
+
+// TestStarvedFillerStarts replays a filler that would disturb on every worker while
+// most of the room is free. It may not wait for ever.
+func TestStarvedFillerStarts(t *testing.T) {
+	b := newBench(t, dispatch.Policy{}, 2)
+	b.tail = func(string, []string) float64 { return 17 }
+	s := tasks(2, 2000, time.Second)
+	s.LongRunning, s.Image, s.LatencyTarget, s.MaxPerWorker = true, "weak", 18*time.Millisecond, 1
+	b.add("serving", s)
+	b.decide()
+	b.play(5 * time.Second)
+	filler := tasks(3, 3000, time.Second)
+	filler.Filler, filler.Image = true, "heavy"
+	b.add("fill", filler)
+	b.play(3 * time.Second)
+	if s, _ := b.e.State("fill"); s == heatherhub.WorkflowQueued {
+		t.Errorf("got state %q after 3 s, want a started task", s)
+	}
+}
+
+// TestFailingWorkerIsLeftAlone replays a worker that fails all that it starts. Jobs
+// complete elsewhere and the worker gets few tasks.
+func TestFailingWorkerIsLeftAlone(t *testing.T) {
+	b := newBench(t, dispatch.Policy{MaxAttempts: 3}, 4)
+	b.ends = func(w heatherhub.WorkerID, _ heatherhub.StepTask) agent.EndKind {
+		if w == "w00" {
+			return agent.EndFailed
+		}
+		return agent.EndDone
+	}
+	for i := range 30 {
+		b.add(heatherhub.JobID(fmt.Sprintf("j%02d", i)), tasks(4, 2000, 300*time.Millisecond))
+		b.decide()
+		b.play(200 * time.Millisecond)
+	}
+	b.play(3 * time.Second)
+	failed := 0
+	for id := range b.flows {
+		if s, _ := b.e.State(id); s != heatherhub.WorkflowCompleted {
+			failed++
+		}
+	}
+	if failed > 0 {
+		t.Errorf("got %d jobs that are not completed, want 0", failed)
+	}
+}
+
+// TestHopelessJobEndsAfterItsAttempts tells a job that can never be done from a bad
+// worker: it fails everywhere.
+func TestHopelessJobEndsAfterItsAttempts(t *testing.T) {
+	b := newBench(t, dispatch.Policy{MaxAttempts: 3}, 4)
+	b.ends = func(_ heatherhub.WorkerID, s heatherhub.StepTask) agent.EndKind {
+		if s.Job == "hopeless" {
+			return agent.EndFailed
+		}
+		return agent.EndDone
+	}
+	b.add("hopeless", tasks(1, 1000, 200*time.Millisecond))
+	b.decide()
+	b.play(5 * time.Second)
+	if got, _ := b.e.State("hopeless"); got != heatherhub.WorkflowFailed {
+		t.Errorf("got state %q, want %q", got, heatherhub.WorkflowFailed)
+	}
+	if got, want := len(b.started), 3; got != want {
+		t.Errorf("got %d starts, want %d", got, want)
+	}
+}
+
+// TestJobOfADroppedQueueKeepsItsPolicy adds a job whose queue no configuration
+// lists any more: one failure does not end it.
+func TestJobOfADroppedQueueKeepsItsPolicy(t *testing.T) {
+	b := newBench(t, dispatch.Policy{}, 2)
+	failures := 0
+	b.ends = func(heatherhub.WorkerID, heatherhub.StepTask) agent.EndKind {
+		failures++
+		if failures == 1 {
+			return agent.EndFailed
+		}
+		return agent.EndDone
+	}
+	flow := &heatherhub.Workflow{
+		ID: "orphan", Queue: "gone", Steps: []heatherhub.Step{tasks(1, 1000, 100*time.Millisecond)}, Accepted: b.now.Wall,
+		Policy: heatherhub.QueuePolicy{Pool: pool, MaxAttempts: 3},
+	}
+	b.flows["orphan"] = flow
+	b.e.AddJob(b.now, flow, dispatch.Progress{}, 0, dispatch.IsNew)
+	b.play(2 * time.Second)
+	if got, _ := b.e.State("orphan"); got != heatherhub.WorkflowCompleted {
+		t.Errorf("got state %q, want %q", got, heatherhub.WorkflowCompleted)
+	}
+}
+
+// TestServingImagesAreKeptApart replays the serving load of a morning: images share
+// no worker while there are empty ones.
+func TestServingImagesAreKeptApart(t *testing.T) {
+	b := newBench(t, dispatch.Policy{}, 8)
+	b.tail = func(string, []string) float64 { return 8 }
+	for i := range 8 {
+		s := tasks(2, 3000, time.Second)
+		s.LongRunning, s.Image, s.LatencyTarget = true, fmt.Sprintf("image%d", i%2), 18*time.Millisecond
+		b.add(heatherhub.JobID(fmt.Sprintf("s%d", i)), s)
+		b.decide()
+	}
+	images := make(map[heatherhub.WorkerID]string)
+	for task, w := range b.placed {
+		image := b.flows[task.Job].Steps[0].Image
+		if old, ok := images[w]; ok && old != image {
+			t.Errorf("worker %s serves %s and %s, want one image", w, old, image)
+		}
+		images[w] = image
+	}
+}
--- a/process/owner/world_test.go
+++ b/process/owner/world_test.go
@@ -45,6 +45,7 @@
 	flows    map[heatherhub.JobID]*heatherhub.Workflow
 	done     map[heatherhub.StepTask]bool
 	acked    map[heatherhub.StepTask]bool
+	isOver   bool
 	starts   int
 	lastTask heatherhub.StepTask
 	lastAt   time.Time
@@ -120,6 +121,9 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	w.mu.Lock()
+	if w.isOver {
+		cancel()
+	}
 	w.dead[id] = false
 	w.stops[id] = cancel
 	w.mu.Unlock()
@@ -138,6 +142,7 @@
 // shutdown ends all hosts and waits for them.
 func (w *world) shutdown() {
 	w.mu.Lock()
+	w.isOver = true
 	for _, stop := range w.stops {
 		stop()
 	}
