Log each decision, count it, and tell the story of a job

Cause: on-call has only logs and metrics, and the engine said nothing of why a job waited, was refused, ran again or was late.

Change: the engine notes its decisions with what decided them (tasks started with the time waited and left, runs ended, refused, unanswered or stalled, workers left alone, fillers halted, jobs ended); the owner logs and counts them. Lines are queued and written in batches; a reader that stops reading costs lines, which are counted and reported.

--- a/command/dispatch.go
+++ b/command/dispatch.go
@@ -10,6 +10,7 @@
 	"heatherhub.example/heatherhub/command/exitcode"
 	"heatherhub.example/heatherhub/command/experiment/colocation"
 	"heatherhub.example/heatherhub/command/experiment/routing"
+	"heatherhub.example/heatherhub/command/explain"
 	"heatherhub.example/heatherhub/command/factory"
 	hostlist "heatherhub.example/heatherhub/command/host/list"
 	jobadd "heatherhub.example/heatherhub/command/job/add"
@@ -42,6 +43,7 @@
 	Check    *check.Options   `arg:"subcommand:check" help:"validate declarations without a network"`
 	Entry    *entry.Options   `arg:"subcommand:entry" help:"run one entry host"`
 	Serve    *serve.Options   `arg:"subcommand:serve" help:"run one host on the users' platform"`
+	Explain  *explain.Options `arg:"subcommand:explain" help:"tell the story of a job from logs"`
 	Demo     *demo.Options    `arg:"subcommand:demo" help:"run a day of both sites in one process"`
 	Load     *load.Options    `arg:"subcommand:load" help:"send an open-loop load and check every answer"`
 	Standin  *standin.Options `arg:"subcommand:standin" help:"run a small stand-in for the platform"`
--- /dev/null
+++ b/command/explain/explain.go
@@ -0,0 +1,187 @@
+// Package explain is the command that tells the story of one job from the logs of
+// several hosts.
+//
+// # Usage
+//
+//	heatherhub explain 5c0e7a21d94b36f8 entry-*.log
+//	cat entry-*.log | heatherhub explain 5c0e7a21d94b36f8
+package explain
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"heatherhub.example/heatherhub/command/exitcode"
+	"heatherhub.example/heatherhub/command/factory"
+)
+
+// Options are the settings of the command.
+type Options struct {
+	ID    string        `arg:"positional,required" placeholder:"ID" help:"id of a job"`
+	Files []string      `arg:"positional" placeholder:"FILE" help:"log files; none reads standard input"`
+	Skew  time.Duration `arg:"--skew" default:"0s" help:"how far the hosts' clocks may differ; lines that close are ordered by cause"`
+	Near  bool          `arg:"--near" help:"add what happened to shards, workers and the store meanwhile"`
+}
+
+// line is one log line that belongs to the story.
+type line struct {
+	at     time.Time
+	host   string
+	event  string
+	rank   int
+	fields string
+}
+
+// maxLine is the longest log line, in bytes.
+const maxLine = 1 << 20
+
+// ranks order lines whose times differ by less than the clocks may: cause before
+// effect.
+var ranks = map[string]int{
+	"job refused": 0, "job submitted": 1, "tasks started": 2, "start refused": 3, "start unanswered": 3,
+	"run stalled": 4, "run ended": 5, "job cancelled": 6, "job ended": 7,
+}
+
+// context lines concern all jobs.
+var surroundings = []string{
+	"host starts", "host drains", "host stops", "shard taken", "shard lost", "shard handed over", "worker gone",
+	"worker drains", "worker quarantined", "store lost", "store regained", "session not renewed", "configuration read",
+}
+
+// Run prints the story.
+func (o *Options) Run(_ context.Context, f *factory.Factory) error {
+	lines, err := o.read(f)
+	if err != nil {
+		return err
+	}
+	story := o.story(lines)
+	if len(story) == 0 {
+		return exitcode.BadUsage("no line speaks of job %s: check the id, and give the logs of all hosts", o.ID)
+	}
+	first := story[0].at
+	for _, l := range story {
+		fmt.Fprintf(f.IO.Out, "%s  %+8.3fs  %-22s  %-20s  %s\n", l.at.UTC().Format("15:04:05.000"), l.at.Sub(first).Seconds(), l.host, l.event, l.fields)
+	}
+	return nil
+}
+
+func (o *Options) read(f *factory.Factory) ([]line, error) {
+	if len(o.Files) == 0 {
+		return parse(f.IO.In)
+	}
+	var all []line
+	for _, name := range o.Files {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, exitcode.BadUsage("cannot read %s: %s", name, err)
+		}
+		lines, err := parse(file)
+		_ = file.Close()
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
+
+// parse reads JSON lines. Text before the brace, as collectors put there, and lines
+// that are no JSON are passed over.
+func parse(r io.Reader) ([]line, error) {
+	var out []line
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLine)
+	for s.Scan() {
+		text := s.Text()
+		brace := strings.IndexByte(text, '{')
+		if brace < 0 {
+			continue
+		}
+		var fields map[string]any
+		if err := json.Unmarshal([]byte(text[brace:]), &fields); err != nil {
+			continue
+		}
+		out = append(out, newLine(fields))
+	}
+	return out, s.Err()
+}
+
+func newLine(fields map[string]any) line {
+	text := func(name string) string {
+		s, _ := fields[name].(string)
+		return s
+	}
+	at, err := time.Parse(time.RFC3339Nano, text("time"))
+	if err != nil {
+		at = time.Time{}
+	}
+	l := line{at: at, host: text("host"), event: text("msg")}
+	l.rank = ranks[l.event]
+	for _, name := range []string{"level", "time", "msg", "host", "domain"} {
+		delete(fields, name)
+	}
+	names := make([]string, 0, len(fields))
+	for name, v := range fields {
+		if v != "" && v != float64(0) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	parts := make([]string, 0, len(names))
+	for _, name := range names {
+		parts = append(parts, fmt.Sprintf("%s=%v", name, fields[name]))
+	}
+	l.fields = strings.Join(parts, " ")
+	return l
+}
+
+// story returns the lines of the job in order of time, with what happened around
+// them if that is wanted.
+func (o *Options) story(lines []line) []line {
+	var own []line
+	for _, l := range lines {
+		if strings.Contains(l.fields, o.ID) {
+			own = append(own, l)
+		}
+	}
+	if o.Near && len(own) > 0 {
+		own = append(own, o.around(lines, own)...)
+	}
+	slices.SortStableFunc(own, func(a, b line) int {
+		if d := a.at.Sub(b.at); d.Abs() > o.Skew {
+			return a.at.Compare(b.at)
+		}
+		return a.rank - b.rank
+	})
+	return own
+}
+
+// around returns lines that concern all jobs from shortly before the first to the
+// last line of a job.
+func (o *Options) around(lines, own []line) []line {
+	const before = 5 * time.Second
+	from, to := own[0].at, own[0].at
+	for _, l := range own {
+		if l.at.Before(from) {
+			from = l.at
+		}
+		if l.at.After(to) {
+			to = l.at
+		}
+	}
+	var out []line
+	for _, l := range lines {
+		isNear := !l.at.Before(from.Add(-before)) && !l.at.After(to)
+		if isNear && slices.Contains(surroundings, l.event) {
+			out = append(out, l)
+		}
+	}
+	return out
+}
--- a/command/serve/serve.go
+++ b/command/serve/serve.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"github.com/julienschmidt/httprouter"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
@@ -40,6 +42,12 @@
 	LogLevel string `arg:"--log-level,env:HEATHERHUB_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
 }
 
+// Where the metrics are served; the deploy file names the same.
+const (
+	metricsListenPort = 9464
+	metricsPath       = "/metrics"
+)
+
 // Times of a host.
 const (
 	// tableWatch bounds one watch of the configuration: a silent connection is
@@ -68,7 +76,9 @@
 	if err != nil {
 		return err
 	}
-	log, err := logs.New(logs.Config{Out: f.IO.Out, Level: o.LogLevel, Host: s.Host, Domain: s.Domain})
+	out := logs.NewBounded(f.IO.Out)
+	defer out.Close()
+	log, err := logs.New(logs.Config{Out: out, Level: o.LogLevel, Host: s.Host, Domain: s.Domain})
 	if err != nil {
 		return err
 	}
@@ -78,7 +88,7 @@
 	h.path = o.Settings
 	log.Info("host starts", zap.Int("pid", os.Getpid()), zap.Float64("cores", s.Cores), zap.Int64("memoryMb", s.MemoryMB))
 	err = h.run(ctx)
-	log.Info("host stops", zap.Error(err))
+	log.Info("host stops", zap.Int64("linesDropped", out.Dropped()), zap.Error(err))
 	return err
 }
 
@@ -87,6 +97,7 @@
 	settings platform.Settings
 	path     string
 	hups     chan os.Signal
+	registry *prometheus.Registry
 	log      *zap.Logger
 	store    *platform.Store
 	clock    *steady.Clock
@@ -102,14 +113,14 @@
 }
 
 func newHost(s platform.Settings, log *zap.Logger) *host {
-	h := &host{settings: s, log: log, hups: make(chan os.Signal, 1), store: platform.NewStore(s.Store), clock: steady.New()}
+	h := &host{settings: s, log: log, registry: prometheus.NewRegistry(), hups: make(chan os.Signal, 1), store: platform.NewStore(s.Store), clock: steady.New()}
 	h.contactAt.Store(int64(-staleAfter))
 	limits := owner.Limits{SessionTTL: max(s.MinLease, owner.DefaultSessionTTL), WorkerLease: min(s.MaxHold, owner.DefaultWorkerLease)}
 	h.owner = owner.New(owner.Config{
 		Self: s.Host, Domain: s.Domain, Address: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)), Store: h.store,
 		Dial:         func(id heatherhub.WorkerID, address string) agent.Agent { return platform.NewAgent(id, address) },
 		WorkerPrefix: platform.WorkerPrefix, DecodeWorker: platform.DecodeWorker,
-		Tables: &h.tables, Clock: h.clock, Log: log, Limits: limits,
+		Tables: &h.tables, Clock: h.clock, Log: log, Registry: h.registry, Limits: limits,
 	})
 	h.shards = intake.NewShards(intake.ShardsConfig{Store: h.store, View: h.owner.View, Log: log})
 	h.peerPort = peer.NewServer(peer.ServerConfig{Self: s.Host, Log: log})
@@ -147,11 +158,19 @@
 		ReadHeaderTimeout: 5 * time.Second,
 	}
 	probes := &http.Server{Handler: h.probes(), ReadHeaderTimeout: 5 * time.Second}
+	metricsPort := &http.Server{Handler: h.metricsHandler(), ReadHeaderTimeout: 5 * time.Second}
+	metrics, err := net.Listen("tcp4", net.JoinHostPort(h.settings.IP, strconv.Itoa(metricsListenPort)))
+	if err != nil {
+		h.log.Warn("metrics are not served", zap.Error(err))
+	}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var g conc.WaitGroup
 	g.Go(func() { h.serve(front, callers) })
 	g.Go(func() { h.serve(probes, readiness) })
+	if metrics != nil {
+		g.Go(func() { h.serve(metricsPort, metrics) })
+	}
 	g.Go(func() {
 		if err := h.peerPort.Serve(peers); err != nil {
 			h.log.Error("peers are not served", zap.Error(err))
@@ -164,6 +183,7 @@
 	h.drain(front)
 	cancel()
 	_ = probes.Close()
+	_ = metricsPort.Close()
 	h.peers.Client.Close()
 	h.peerPort.Close()
 	g.Wait()
@@ -228,6 +248,13 @@
 	return r
 }
 
+// metricsHandler serves the metrics on an address of their own.
+func (h *host) metricsHandler() http.Handler {
+	r := httprouter.New()
+	r.Handler(http.MethodGet, metricsPath, promhttp.HandlerFor(h.registry, promhttp.HandlerOpts{}))
+	return r
+}
+
 // followTable keeps the configuration up to date.
 func (h *host) followTable(ctx context.Context) {
 	f := ledger.Follower{
--- a/process/dispatch/decide.go
+++ b/process/dispatch/decide.go
@@ -53,6 +53,11 @@
 	Outdated
 )
 
+// String names the outcome for logs.
+func (o Outcome) String() string {
+	return [...]string{"obeyed", "unsent", "refused", "no room", "unhealthy", "unanswered", "outdated"}[o]
+}
+
 // Decide returns the orders that are due.
 func (e *Engine) Decide(now Moment) []Order {
 	e.releaseDue(now)
@@ -128,11 +133,13 @@
 	}
 	if result == Unanswered {
 		e.Stats.Unanswered++
+		e.noteTask(EventUnanswered, a, "no answer")
 		a.state, a.since = doubtful, now.Steady
 		a.node.isSilent = true
 		return
 	}
 	e.Stats.Refused++
+	e.noteTask(EventRefused, a, result.String())
 	switch result {
 	case RefusedForRoom, RefusedUnhealthy:
 		a.node.restUntil = now.Steady + e.cfg.RefusalRest
--- a/process/dispatch/health.go
+++ b/process/dispatch/health.go
@@ -15,24 +15,24 @@
 	// failedJobs are the jobs that failed since the last success.
 	failedJobs      map[heatherhub.JobID]struct{}
 	quarantineUntil time.Duration
-	quarantines     int
 }
 
 func (h *health) succeeded() {
 	clear(h.failedJobs)
-	h.quarantines = 0
 }
 
-func (h *health) failed(now time.Duration, id heatherhub.JobID) {
+// failed takes in a failure. It reports whether the worker is left alone from now on.
+func (h *health) failed(now time.Duration, id heatherhub.JobID) bool {
 	if h.failedJobs == nil {
 		h.failedJobs = make(map[heatherhub.JobID]struct{})
 	}
 	h.failedJobs[id] = struct{}{}
-	if len(h.failedJobs) >= quarantineAfter {
-		h.quarantines++
-		h.quarantineUntil = now + quarantine
-		clear(h.failedJobs)
+	if len(h.failedJobs) < quarantineAfter {
+		return false
 	}
+	h.quarantineUntil = now + quarantine
+	clear(h.failedJobs)
+	return true
 }
 
 // Thresholds of the quarantine.
@@ -62,6 +62,7 @@
 				continue
 			}
 			a.stop = stopWanted
+			e.noteTask(EventStalled, a, "no progress")
 			n.restUntil = now.Steady + e.cfg.RefusalRest
 			a.task.avoid = n.worker.ID
 		}
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -201,6 +201,7 @@
 	j.endedAt = now.Steady
 	e.touch(j)
 	e.finished = append(e.finished, j)
+	e.noteEnd(now, j)
 	if j.open == 0 {
 		return
 	}
@@ -213,6 +214,14 @@
 	}
 }
 
+func (e *Engine) noteEnd(now Moment, j *job) {
+	n := Note{Event: EventJobEnded, Job: j.flow.ID, Reason: string(j.state), Waited: now.Steady - j.arrived}
+	if len(j.occurrences) > 0 {
+		n.Left = j.occurrences[len(j.occurrences)-1].objective - now.Steady
+	}
+	e.note(n)
+}
+
 func (e *Engine) finishIfDone(now Moment, j *job) {
 	if j.left == 0 && !j.isOver() {
 		e.end(now, j, heatherhub.WorkflowCompleted)
--- a/process/dispatch/order.go
+++ b/process/dispatch/order.go
@@ -35,6 +35,11 @@
 	}
 }
 
+// String names the urgency for logs.
+func (u urgency) String() string {
+	return [...]string{"inTime", "late", "worthless"}[u]
+}
+
 type candidate struct {
 	step        *stepRun
 	urgency     urgency
@@ -138,6 +143,7 @@
 		if n := e.leastTense(now, s); n != nil && t.notBefore <= now.Steady {
 			e.nextRun++
 			e.start(now, t, n, e.nextRun)
+			e.noteStarts(now, s, 1, n.worker.ID)
 		}
 	}
 }
@@ -196,17 +202,22 @@
 // startTasks starts the waiting tasks of a step. It reports false if one that may
 // start found no room.
 func (e *Engine) startTasks(now Moment, s *stepRun) bool {
+	count := 0
+	var last heatherhub.WorkerID
 	for _, t := range slices.Clone(s.pending) {
 		if t.notBefore > now.Steady {
 			continue
 		}
 		n := e.choose(now, s, t)
 		if n == nil {
+			e.noteStarts(now, s, count, last)
 			return false
 		}
 		e.nextRun++
 		e.start(now, t, n, e.nextRun)
+		count, last = count+1, n.worker.ID
 	}
+	e.noteStarts(now, s, count, last)
 	return true
 }
 
@@ -236,6 +247,7 @@
 		}
 		placed = append(placed, e.start(now, t, n, run))
 	}
+	e.noteStarts(now, s, len(placed), placed[0].node.worker.ID)
 	return true
 }
 
--- a/process/dispatch/pace.go
+++ b/process/dispatch/pace.go
@@ -49,6 +49,7 @@
 	// calmSince is when all targets were first met again; zero while one is
 	// missed.
 	calmSince time.Duration
+	isHalted  bool
 }
 
 // note takes in whether a target is missed. A miss is over only after a while with
@@ -100,6 +101,10 @@
 		return
 	}
 	isHalted := n.pacer.missedFor(now.Steady) >= haltAfter
+	if isHalted && !n.pacer.isHalted {
+		e.note(Note{Event: EventHalted, Worker: n.worker.ID, Count: len(missed), Waited: n.pacer.missedFor(now.Steady)})
+	}
+	n.pacer.isHalted = isHalted
 	isAllHalted := n.pacer.missedFor(now.Steady) >= haltAllAfter
 	for _, a := range n.sorted() {
 		if !a.task.step.spec.Filler || a.state != running || a.stop != noStop {
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -48,6 +48,7 @@
 	e.dropNode(n)
 	for _, a := range n.sorted() {
 		e.Stats.Lost++
+		e.noteTask(EventEnded, a, "worker gone")
 		e.release(a)
 		e.requeue(now, a)
 	}
@@ -210,6 +211,9 @@
 		if end.Checkpoint != "" {
 			a.checkpoint = end.Checkpoint
 		}
+		if end.Kind != agent.EndDone {
+			e.noteTask(EventEnded, a, string(end.Kind))
+		}
 		e.release(a)
 	}
 	ack := pendingAck{number: end.Number}
@@ -287,7 +291,9 @@
 // taskFailed counts a failure and ends the job that has used up its attempts.
 func (e *Engine) taskFailed(now Moment, n *node, t *task, run heatherhub.RunID) {
 	j := t.step.occ.job
-	n.health.failed(now.Steady, j.flow.ID)
+	if n.health.failed(now.Steady, j.flow.ID) {
+		e.note(Note{Event: EventQuarantined, Worker: n.worker.ID, Job: j.flow.ID, Count: quarantineAfter, Left: quarantine})
+	}
 	t.avoid = n.worker.ID
 	if t.step.spec.LongRunning {
 		t.notBefore = now.Steady + e.cfg.RetryDelay
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -53,6 +53,7 @@
 	scheduled    []*job
 	dirty        []*job
 	orders       []Order
+	notes        []Note
 	nextRun      heatherhub.RunID
 	durations    map[string]*estimate
 	model        *interference
--- a/process/owner/commit.go
+++ b/process/owner/commit.go
@@ -52,6 +52,7 @@
 	if err == nil {
 		rev, err = t.host.cfg.Store.Commit(ctx, txn)
 	}
+	t.host.metrics.countCommit(err, t.now().Steady-sentAt)
 	if t.settleCommit(changes, rev, sentAt, err) {
 		return true
 	}
@@ -159,6 +160,7 @@
 func (t *term) summary() ([]byte, []heatherhub.JobID, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.countWorkers()
 	l := t.engine.Load()
 	t.log.Info("load", zap.Int64("capacity", int64(l.Capacity)), zap.Int64("reserved", int64(l.Reserved)), zap.Int64("filling", int64(l.Filling)), zap.Duration("backlog", l.Backlog), zap.Any("stats", t.engine.Stats))
 	value, err := record.Encode(record.Load{
--- a/process/owner/host.go
+++ b/process/owner/host.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
@@ -39,6 +40,8 @@
 	Tables       *queues.Current
 	Clock        Clock
 	Log          *zap.Logger
+	// Registry takes the metrics, if set.
+	Registry prometheus.Registerer
 	Limits
 }
 
@@ -97,6 +100,7 @@
 	isStopping   atomic.Bool
 	attempts     int
 	onView       []func(*View)
+	metrics      *metrics
 }
 
 // OnView adds a function that is called with each new view. Call it before Run.
@@ -124,6 +128,7 @@
 	h := &Host{
 		cfg: cfg, terms: make(map[heatherhub.ShardID]*term),
 		missingSince: make(map[heatherhub.ShardID]time.Duration), poke: make(chan struct{}, 1),
+		metrics: newMetrics(cfg.Registry),
 	}
 	h.view.Store(&View{Owners: map[heatherhub.ShardID]record.Owner{}})
 	h.session.host = h
@@ -302,6 +307,7 @@
 	h.terms[s] = t
 	delete(h.missingSince, s)
 	h.mu.Unlock()
+	h.metrics.takeovers.Inc()
 	h.cfg.Log.Info("shard taken", zap.Stringer("shard", s), zap.Uint64("token", uint64(t.token)))
 	h.group.Go(func() {
 		t.run()
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -114,6 +114,7 @@
 // end ends the term at once.
 func (t *term) end(why string) {
 	if t.ctx.Err() == nil {
+		t.host.metrics.lost.Inc()
 		t.log.Warn("shard lost", zap.String("why", why))
 	}
 	t.cancel()
@@ -317,6 +318,18 @@
 	if t.engine.HasChanges() {
 		signal(t.wakeCommit)
 	}
+	t.logNotes()
+}
+
+// logNotes writes what the engine decided and came to believe. The caller has the
+// lock.
+func (t *term) logNotes() {
+	for _, n := range t.engine.TakeNotes() {
+		t.host.metrics.count(n)
+		t.log.Info(string(n.Event), zap.String("job", string(n.Job)), zap.Int("step", n.Step), zap.Int("index", n.Index),
+			zap.String("worker", string(n.Worker)), zap.Uint64("run", uint64(n.Run)), zap.String("reason", n.Reason),
+			zap.Int("count", n.Count), zap.Duration("waited", n.Waited), zap.Duration("left", n.Left))
+	}
 }
 
 func signal(c chan struct{}) {
