Take a worker that left by itself as over at once, and shun slow workers

Ruled out: trusting a missing entry alone: a worker that is cut off runs on when its entry is removed after three heartbeats.

Change: a worker that answered until shortly before its entry was removed, and does not answer now, has left: an entry of a dead worker goes only after a longer silence. A new owner waits 2 s instead of 3 s for the former one to notice.

TestWorkerThatLeftIsNotWaitedOut.

--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -39,7 +39,7 @@
 	if s.spec.MaxPerWorker > 0 && s.perNode[n] >= s.spec.MaxPerWorker {
 		return false
 	}
-	if n.health.isQuarantined(now.Steady) {
+	if n.health.isQuarantined(now.Steady) || (e.isSlow(now.Steady, n) && !s.spec.LongRunning) {
 		return false
 	}
 	return t.avoid != n.worker.ID || len(e.order) == 1
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -104,6 +104,7 @@
 		a.checkpoint = r.Checkpoint
 	}
 	a.measure, a.hasMeasure = r.Measure, r.HasMeasure
+	e.noteSpeed(now, n, a)
 }
 
 // adopt takes over a run that an earlier owner started. A run that should not be
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -58,6 +58,8 @@
 	durations    map[string]*estimate
 	model        *interference
 	finished     []*job
+	// usual is the speed over all workers.
+	usual speed
 	// Stats counts what happened.
 	Stats Stats
 }
@@ -202,6 +204,9 @@
 	hasMeasure bool
 	pace       heatherhub.Percent
 	paceSent   bool
+	// speedAt and speedFrom are the last figure of the run's speed.
+	speedAt   time.Duration
+	speedFrom heatherhub.Percent
 }
 
 // stopState says how far the stop of an attempt is.
@@ -248,6 +253,7 @@
 	acked  uint64
 	acks   []pendingAck
 	health health
+	speed  speed
 	pacer  pacer
 }
 
--- a/process/owner/owner_test.go
+++ b/process/owner/owner_test.go
@@ -192,3 +192,33 @@
 	}
 	return n
 }
+
+// TestWorkerThatLeftIsNotWaitedOut takes a draining worker away in the planned way:
+// its entry goes while it still answers. Its lasting tasks start elsewhere at once.
+func TestWorkerThatLeftIsNotWaitedOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := site(t, 1, 2)
+		defer w.check()
+		defer w.shutdown()
+		lasting := step(6, time.Second)
+		lasting.LongRunning = true
+		w.submit("lasting", lasting)
+		time.Sleep(2 * time.Second)
+		var gone *memoryWorker
+		for _, m := range w.workers {
+			if gone == nil && len(m.running) > 0 {
+				gone = m
+			}
+		}
+		gone.entry.Draining = true
+		w.register(gone)
+		time.Sleep(2 * time.Second)
+		gone.mu.Lock()
+		gone.isGone = true
+		lost := len(gone.running)
+		gone.mu.Unlock()
+		before := w.starts
+		w.store.revoke(workerPrefix + string(gone.entry.ID))
+		w.await("new starts", time.Second, func() bool { return w.starts >= before+lost })
+	})
+}
--- a/process/owner/session.go
+++ b/process/owner/session.go
@@ -67,6 +67,7 @@
 // terms end.
 func (s *session) run(ctx context.Context) {
 	every := s.host.cfg.SessionTTL / 3
+	isLost := false
 	for ctx.Err() == nil {
 		pause(ctx, every)
 		id := s.current()
@@ -79,12 +80,17 @@
 		switch {
 		case err == nil:
 			s.contact()
+			if isLost {
+				isLost = false
+				s.host.cfg.Log.Info("session renewed again")
+			}
 		case heatherhub.CodeOf(err) == heatherhub.CodeNotFound:
 			s.forget(id)
 			s.host.endAll("session ended")
 		case s.silence() > s.host.cfg.ActWithoutStore:
 			s.host.endAll("store silent for too long")
-		default:
+		case !isLost:
+			isLost = true
 			s.host.cfg.Log.Warn("session not renewed", zap.Duration("silence", s.silence()), zap.Error(err))
 		}
 	}
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -29,8 +29,13 @@
 	// orderAge is the age at which an order that was not sent is outdated.
 	orderAge = time.Second
 	// noticeTime is how long an earlier owner may go on that has lost most workers
-	// to this one: actAlone, or a poll and its slack.
-	noticeTime = 3 * time.Second
+	// to this one: a poll and its slack, or actAlone less the time in which its
+	// session ended.
+	noticeTime = 2 * time.Second
+	// leftSilence is the longest silence of a worker at the removal of its entry for
+	// which it counts as having left. The entry of a worker that crashed or was cut
+	// off is removed after three heartbeats, which take longer.
+	leftSilence = 2500 * time.Millisecond
 	// clockDrift is how much slower than ours a worker's clock may run.
 	clockDrift = 0.02
 	// leaseSlack covers the worker's own delay in ending tasks.
@@ -50,6 +55,10 @@
 	isUp     bool
 	// isGone says that nothing runs there any more, as far as is known.
 	isGone bool
+	// answeredAt is when the worker last answered a poll, unlistedAt when its entry
+	// was removed.
+	answeredAt time.Duration
+	unlistedAt time.Duration
 
 	mu    sync.Mutex
 	queue []timedOrder
@@ -72,6 +81,9 @@
 // unlist notes that the worker's entry is gone: nothing new starts there. The
 // caller has the term's lock.
 func (w *workerLoop) unlist() {
+	if w.isListed {
+		w.unlistedAt = w.term.now().Steady
+	}
 	w.isListed = false
 	w.entry.Draining = true
 	w.term.engine.UpdateWorker(w.entry)
@@ -158,6 +170,12 @@
 	return lease + t.host.cfg.ActWithoutStore
 }
 
+// hasLeft reports whether a worker that does not answer ended by itself: it was
+// there until shortly before its entry was removed. The caller has the term's lock.
+func (w *workerLoop) hasLeft() bool {
+	return w.isUp && !w.isListed && w.unlistedAt > 0 && w.unlistedAt-w.answeredAt < leftSilence
+}
+
 // pollLoop renews the lease and takes in reports until the worker or the term is
 // gone.
 func (w *workerLoop) pollLoop() {
@@ -236,6 +254,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	w.answeredAt = now.Steady
 	if w.isUp {
 		t.engine.Report(now, sentAt, w.entry.ID, r)
 	} else {
@@ -262,19 +281,19 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	id := w.entry.ID
-	isReplaced := agent.IsReplaced(err)
-	if !isReplaced && !isExpired {
+	isOver := agent.IsReplaced(err) || w.hasLeft()
+	if !isOver && !isExpired {
 		t.engine.WorkerSilent(id)
 		return
 	}
-	if w.isGone && !isReplaced && w.isListed {
+	if w.isGone && !isOver && w.isListed {
 		return
 	}
 	w.isGone = true
-	t.log.Warn("worker gone", zap.String("worker", string(id)), zap.Bool("replaced", isReplaced), zap.Bool("listed", w.isListed), zap.Error(err))
+	t.log.Warn("worker gone", zap.String("worker", string(id)), zap.Bool("over", isOver), zap.Bool("listed", w.isListed), zap.Error(err))
 	t.engine.WorkerGone(now, id)
 	w.isUp = false
-	if isReplaced || !w.isListed {
+	if isOver || !w.isListed {
 		t.dropWorker(w)
 		signal(t.wakeCommit)
 	}
