Tell a worker that left from one that was cut off, and halt fillers sooner

An entry goes three heartbeats after the last one, which may be two heartbeats (2.2 s) after the last answer; the limit was 2.5 s.

Change: the limit is 1.3 heartbeats of the settings. All fillers beside a target that stays missed are halted after 1.5 s whatever the model says, and such workers are polled every 400 ms.

TestCutOffWorkerHasNotLeft fails with 2.5 heartbeats.

--- a/command/serve/serve.go
+++ b/command/serve/serve.go
@@ -115,7 +115,7 @@
 func newHost(s platform.Settings, log *zap.Logger) *host {
 	h := &host{settings: s, log: log, registry: prometheus.NewRegistry(), hups: make(chan os.Signal, 1), store: platform.NewStore(s.Store), clock: steady.New()}
 	h.contactAt.Store(int64(-staleAfter))
-	limits := owner.Limits{SessionTTL: max(s.MinLease, owner.DefaultSessionTTL), WorkerLease: min(s.MaxHold, owner.DefaultWorkerLease)}
+	limits := owner.Limits{SessionTTL: max(s.MinLease, owner.DefaultSessionTTL), WorkerLease: min(s.MaxHold, owner.DefaultWorkerLease), WorkerHeartbeat: s.Heartbeat}
 	h.owner = owner.New(owner.Config{
 		Self: s.Host, Domain: s.Domain, Address: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)), Store: h.store,
 		Dial:         func(id heatherhub.WorkerID, address string) agent.Agent { return platform.NewAgent(id, address) },
--- a/process/dispatch/pace.go
+++ b/process/dispatch/pace.go
@@ -33,8 +33,8 @@
 	// haltAfter is how long a target may be missed before the fillers that may
 	// disturb a serving task of the worker are halted, and haltAllAfter before all
 	// are.
-	haltAfter    = 1200 * time.Millisecond
-	haltAllAfter = 2400 * time.Millisecond
+	haltAfter    = 600 * time.Millisecond
+	haltAllAfter = 1500 * time.Millisecond
 	// noticeable is the rise of a tail, as a logarithm, below which a filler is
 	// not held responsible.
 	noticeable = 0.05
@@ -78,6 +78,13 @@
 	return now - p.missedSince
 }
 
+// IsTense reports whether a target was missed lately on a worker, so that its figures
+// are wanted more often.
+func (e *Engine) IsTense(id heatherhub.WorkerID) bool {
+	n := e.nodes[id]
+	return n != nil && n.fillCPU > 0 && n.pacer.isMissing()
+}
+
 // mayDisturb reports whether a filler noticeably disturbs any serving task of its
 // worker at full speed.
 func (e *Engine) mayDisturb(n *node, filler *attempt) bool {
--- a/process/owner/host.go
+++ b/process/owner/host.go
@@ -51,6 +51,8 @@
 	SessionTTL time.Duration
 	// WorkerLease is how long a worker goes on without its owner.
 	WorkerLease time.Duration
+	// WorkerHeartbeat is how often workers refresh their entries.
+	WorkerHeartbeat time.Duration
 	// ActWithoutStore is how long an owner acts without an answer of the store.
 	ActWithoutStore time.Duration
 	// WorkersPerShard is the size of a shard.
@@ -65,6 +67,7 @@
 	DefaultSessionTTL = 1500 * time.Millisecond
 	// DefaultWorkerLease outlasts a takeover and a short partition.
 	DefaultWorkerLease     = 6 * time.Second
+	defaultWorkerHeartbeat = time.Second
 	defaultActWithoutStore = 10 * time.Second
 	// defaultWorkersPerShard is what a host of a sixth of a core can poll and feed.
 	defaultWorkersPerShard = 100
@@ -74,6 +77,7 @@
 func (l *Limits) setDefaults() {
 	setDefault(&l.SessionTTL, DefaultSessionTTL)
 	setDefault(&l.WorkerLease, DefaultWorkerLease)
+	setDefault(&l.WorkerHeartbeat, defaultWorkerHeartbeat)
 	setDefault(&l.ActWithoutStore, defaultActWithoutStore)
 	setDefault(&l.WorkersPerShard, defaultWorkersPerShard)
 	setDefault(&l.KeepEnded, defaultKeepEnded)
--- a/process/owner/owner_test.go
+++ b/process/owner/owner_test.go
@@ -222,3 +222,30 @@
 		w.await("new starts", time.Second, func() bool { return w.starts >= before+lost })
 	})
 }
+
+// TestCutOffWorkerHasNotLeft cuts a worker off just after a heartbeat was due: its
+// entry goes two heartbeats after its last answer, while its tasks run on until their
+// lease is over.
+func TestCutOffWorkerHasNotLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := site(t, 1, 2)
+		defer w.check()
+		defer w.shutdown()
+		lasting := step(6, time.Second)
+		lasting.LongRunning = true
+		w.submit("lasting", lasting)
+		time.Sleep(2 * time.Second)
+		var cut *memoryWorker
+		for _, m := range w.workers {
+			if cut == nil && len(m.running) > 0 {
+				cut = m
+			}
+		}
+		for h := range 3 {
+			w.cut(fmt.Sprintf("h%d", h), string(cut.entry.ID), true)
+		}
+		time.Sleep(2 * time.Second)
+		w.store.revoke(workerPrefix + string(cut.entry.ID))
+		time.Sleep(10 * time.Second)
+	})
+}
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -19,6 +19,9 @@
 	// pollWait is how long a poll waits for an end; it is also the interval of
 	// the measures.
 	pollWait = time.Second
+	// tensePollWait is pollWait while a target is missed: fillers beside it have to
+	// be halted well before four seconds.
+	tensePollWait = 400 * time.Millisecond
 	// pollRetry is the pause after a poll without an answer.
 	pollRetry = 150 * time.Millisecond
 	// commitWait bounds the wait for ends to be durable; leases and new ends must
@@ -32,10 +35,6 @@
 	// to this one: a poll and its slack, or actAlone less the time in which its
 	// session ended.
 	noticeTime = 2 * time.Second
-	// leftSilence is the longest silence of a worker at the removal of its entry for
-	// which it counts as having left. The entry of a worker that crashed or was cut
-	// off is removed after three heartbeats, which take longer.
-	leftSilence = 2500 * time.Millisecond
 	// clockDrift is how much slower than ours a worker's clock may run.
 	clockDrift = 0.02
 	// leaseSlack covers the worker's own delay in ending tasks.
@@ -171,9 +170,13 @@
 }
 
 // hasLeft reports whether a worker that does not answer ended by itself: it was
-// there until shortly before its entry was removed. The caller has the term's lock.
+// there until shortly before its entry was removed. The entry of a worker that
+// crashed or was cut off is removed after three heartbeats without one, which is at
+// least two after its last answer. The caller has the term's lock.
 func (w *workerLoop) hasLeft() bool {
-	return w.isUp && !w.isListed && w.unlistedAt > 0 && w.unlistedAt-w.answeredAt < leftSilence
+	const heartbeats = 1.3
+	limit := time.Duration(heartbeats * float64(w.term.host.cfg.WorkerHeartbeat))
+	return w.isUp && !w.isListed && w.unlistedAt > 0 && w.unlistedAt-w.answeredAt < limit
 }
 
 // pollLoop renews the lease and takes in reports until the worker or the term is
@@ -223,12 +226,17 @@
 	sentAt := t.now().Steady
 	t.mu.Lock()
 	isUp := w.isUp
+	isTense := t.engine.IsTense(w.entry.ID)
 	p := agent.Poll{Token: t.token, Acknowledged: t.engine.Acknowledged(w.entry.ID)}
 	t.mu.Unlock()
 	if !w.isSilent.Load() {
 		p.Until = w.leaseEnd(sentAt, t.host.cfg.WorkerLease)
 	}
-	if isUp && !w.isSilent.Load() {
+	switch {
+	case !isUp || w.isSilent.Load():
+	case isTense:
+		p.Wait = tensePollWait
+	default:
 		p.Wait = pollWait
 	}
 	r, err := w.client.Poll(w.ctx, p)
