--- a/command/check/check.go
+++ b/command/check/check.go
@@ -1,8 +1,10 @@
-// Package check is the command that validates declarations without a network.
+// Package check is the command that validates declarations, or a platform's settings
+// file, without a network.
 //
 // # Usage
 //
 //	heatherhub check -f sites/vanroosbroeck
+//	heatherhub check --settings /etc/heatherhub/settings.conf
 package check
 
 import (
@@ -14,16 +16,24 @@
 	"heatherhub.example/heatherhub/command/exitcode"
 	"heatherhub.example/heatherhub/command/factory"
 	"heatherhub.example/heatherhub/command/streams"
+	"heatherhub.example/heatherhub/platform"
 	"heatherhub.example/heatherhub/version/declaration"
 )
 
 // Options are the settings of the command.
 type Options struct {
-	Dir string `arg:"-f,--file,required" placeholder:"DIR" help:"directory of declarations"`
+	Dir      string `arg:"-f,--file" placeholder:"DIR" help:"directory of declarations"`
+	Settings string `arg:"--settings" placeholder:"FILE" help:"settings file of the platform"`
 }
 
 // Run validates the declarations and lists every mistake.
 func (o *Options) Run(_ context.Context, f *factory.Factory) error {
+	if o.Settings != "" {
+		return o.checkSettings(f)
+	}
+	if o.Dir == "" {
+		return exitcode.BadUsage("name what to check: -f DIR or --settings FILE")
+	}
 	set, err := Read(f.IO, o.Dir)
 	if err != nil {
 		return err
@@ -33,6 +43,16 @@
 	return nil
 }
 
+// checkSettings validates a settings file and names all its mistakes.
+func (o *Options) checkSettings(f *factory.Factory) error {
+	s, err := platform.ReadSettings(o.Settings)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(f.IO.Out, "%s: host %s in %s: no mistakes\n", o.Settings, s.Host, s.Domain)
+	return nil
+}
+
 // Read reads a directory and writes every mistake to the error stream.
 func Read(s *streams.IO, dir string) (*declaration.Set, error) {
 	set, err := declaration.ReadDir(os.DirFS(dir))
--- /dev/null
+++ b/command/explain/explain_test.go
@@ -0,0 +1,94 @@
+package explain_test
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"heatherhub.example/heatherhub/command/explain"
+	"heatherhub.example/heatherhub/command/factory"
+	"heatherhub.example/heatherhub/command/streams"
+)
+
+const logs = `  -0.1 entry-1 {"level":"info","time":"2026-01-01T00:00:01.000Z","msg":"tasks started","host":"entry-2","job":"5c0e7a21d94b36f8","count":4,"waited":3}
+not a line
+{"level":"info","time":"2026-01-01T00:00:01.005Z","msg":"job submitted","host":"entry-1","job":"5c0e7a21d94b36f8","outcome":"accepted"}
+{"level":"info","time":"2026-01-01T00:00:03.000Z","msg":"job ended","host":"entry-2","job":"5c0e7a21d94b36f8","reason":"completed","waited":1995}
+{"level":"info","time":"2026-01-01T00:00:02.000Z","msg":"worker gone","host":"entry-2","worker":"i-1"}
+{"level":"info","time":"2026-01-01T00:00:02.000Z","msg":"job ended","host":"entry-2","job":"aaaaaaaaaaaaaaaa"}
+`
+
+func run(t *testing.T, o explain.Options, in string) (string, error) {
+	t.Helper()
+	io, out, _ := streams.Test()
+	io.In = strings.NewReader(in)
+	err := o.Run(t.Context(), &factory.Factory{IO: io})
+	return out.String(), err
+}
+
+// TestStoryIsInOrderOfCause puts a submission before the start that it caused, though
+// the clock of its host is 5 ms ahead.
+func TestStoryIsInOrderOfCause(t *testing.T) {
+	got, err := run(t, explain.Options{ID: "5c0e7a21d94b36f8", Skew: 10e6}, logs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := `00:00:01.005    +0.000s  entry-1                 job submitted         job=5c0e7a21d94b36f8 outcome=accepted
+00:00:01.000    -0.005s  entry-2                 tasks started         count=4 job=5c0e7a21d94b36f8 waited=3
+00:00:03.000    +1.995s  entry-2                 job ended             job=5c0e7a21d94b36f8 reason=completed waited=1995
+`
+	if got != want {
+		t.Errorf("got\n%s\nwant\n%s", got, want)
+	}
+}
+
+func TestNearAddsWhatHappenedAround(t *testing.T) {
+	got, err := run(t, explain.Options{ID: "5c0e7a21d94b36f8", Near: true}, logs)
+	if err != nil || !strings.Contains(got, "worker gone") || strings.Contains(got, "aaaaaaaa") {
+		t.Errorf("got %q and error %v, want the lost worker and no other job", got, err)
+	}
+}
+
+func TestUnknownJobIsAnError(t *testing.T) {
+	if _, err := run(t, explain.Options{ID: "ffffffffffffffff"}, logs); err == nil {
+		t.Error("got no error, want one that says what to do")
+	}
+}
+
+// TestEventsAreDocumented compares the messages in the code of a host with the table
+// in docs/OPERATIONS.md.
+func TestEventsAreDocumented(t *testing.T) {
+	root := filepath.Join("..", "..")
+	page, err := os.ReadFile(filepath.Join(root, "docs", "OPERATIONS.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	message := regexp.MustCompile(`[lL]og\.(?:Debug|Info|Warn|Error)\("([^"]+)"|Event = "([^"]+)"`)
+	n := 0
+	for _, dir := range []string{"platform", "process/owner", "process/dispatch", "request/intake", "command/serve", "connection/ledger"} {
+		files, err := filepath.Glob(filepath.Join(root, dir, "*.go"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, f := range files {
+			if strings.HasSuffix(f, "_test.go") {
+				continue
+			}
+			source, err := os.ReadFile(f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, m := range message.FindAllStringSubmatch(string(source), -1) {
+				n++
+				if event := m[1] + m[2]; !strings.Contains(string(page), "`"+event+"`") {
+					t.Errorf("%s: event %q is not in docs/OPERATIONS.md", f, event)
+				}
+			}
+		}
+	}
+	if n < 40 {
+		t.Errorf("got %d events, want at least 40: the search is wrong", n)
+	}
+}
