--- a/connection/ledger/follow.go
+++ b/connection/ledger/follow.go
@@ -38,7 +38,7 @@
 		if from == nil {
 			snap, err := f.Store.Range(ctx, f.Prefix)
 			if err != nil {
-				f.note(&isLost, err)
+				f.note(ctx, &isLost, err)
 				sleep(ctx, retryDelay)
 				continue
 			}
@@ -59,7 +59,7 @@
 			f.Log.Info("history lost", zap.String("prefix", f.Prefix), zap.Uint64("revision", uint64(from.Revision)))
 			from = nil
 		default:
-			f.note(&isLost, err)
+			f.note(ctx, &isLost, err)
 			sleep(ctx, retryDelay)
 		}
 	}
@@ -75,8 +75,8 @@
 	}
 }
 
-func (f *Follower) note(isLost *bool, err error) {
-	if *isLost {
+func (f *Follower) note(ctx context.Context, isLost *bool, err error) {
+	if *isLost || ctx.Err() != nil {
 		return
 	}
 	*isLost = true
