Halt fillers after 1.2 and 1.9 s, and at the target itself

Change: a miss begins at the target, not at 95% of it. Responsible fillers are halted after 1.2 s, all after 1.9 s: with polls every 400 ms the last one is halted 3.9 s after a miss begins, below the 4 s that are allowed.

--- a/process/dispatch/pace.go
+++ b/process/dispatch/pace.go
@@ -22,7 +22,7 @@
 	// paceStop is where filler tasks are halted.
 	paceStop heatherhub.Percent = 20
 	// paceHigh and paceLow are shares of the target between which the pace rests.
-	paceHigh = 0.95
+	paceHigh = 1.0
 	paceLow  = 0.7
 	// paceInterval is the time between two changes; measures cover half a second.
 	paceInterval = 600 * time.Millisecond
@@ -33,8 +33,8 @@
 	// haltAfter is how long a target may be missed before the fillers that may
 	// disturb a serving task of the worker are halted, and haltAllAfter before all
 	// are.
-	haltAfter    = 600 * time.Millisecond
-	haltAllAfter = 1500 * time.Millisecond
+	haltAfter    = 1200 * time.Millisecond
+	haltAllAfter = 1900 * time.Millisecond
 	// noticeable is the rise of a tail, as a logarithm, below which a filler is
 	// not held responsible.
 	noticeable = 0.05
