Let the owner's tests race with nothing

All reports named test code; none of the product. Change: accessors under the lock, a source of randomness for late orders and one for the episode, atomic switches for planted faults.

--- a/process/owner/owner_test.go
+++ b/process/owner/owner_test.go
@@ -40,7 +40,7 @@
 		defer w.shutdown()
 		w.submit("chain", step(5, 300*time.Millisecond), step(8, 200*time.Millisecond, 0), step(1, 100*time.Millisecond, 0, 1))
 		w.await("the chain", 5*time.Second, func() bool { return w.isCompleted("chain") })
-		if got, want := w.starts, 1+5+8+1; got != want {
+		if got, want := w.startCount(), 1+5+8+1; got != want {
 			t.Errorf("got %d starts, want %d", got, want)
 		}
 	})
@@ -57,13 +57,13 @@
 		time.Sleep(time.Second)
 		w.kill(w.owner())
 		w.submit("waiting", step(3, 100*time.Millisecond))
-		took := w.await("the first start by the new owner", 3*time.Second, func() bool { return w.lastTask.Job == "waiting" })
+		took := w.await("the first start by the new owner", 3*time.Second, func() bool { return w.lastStarted() == "waiting" })
 		t.Logf("first start %s after the owner's death", took)
 		if limit := 2200 * time.Millisecond; took > limit {
 			t.Errorf("got %s, want at most %s", took, limit)
 		}
 		w.await("both jobs", 12*time.Second, func() bool { return w.isCompleted("running", "waiting") })
-		if got, want := w.starts, 1+10+3; got != want {
+		if got, want := w.startCount(), 1+10+3; got != want {
 			t.Errorf("got %d starts, want %d: runs go on under a new owner", got, want)
 		}
 	})
@@ -122,19 +122,14 @@
 		lasting.LongRunning = true
 		w.submit("lasting", lasting)
 		time.Sleep(2 * time.Second)
-		var gone *memoryWorker
-		for _, m := range w.workers {
-			if gone == nil && len(m.running) > 0 {
-				gone = m
-			}
-		}
+		gone := w.busyWorker()
 		gone.mu.Lock()
 		gone.isGone = true
 		lost := len(gone.running)
 		gone.mu.Unlock()
-		before := w.starts
+		before := w.startCount()
 		w.store.revoke(workerPrefix + string(gone.entry.ID))
-		w.await("new starts", 9*time.Second, func() bool { return w.starts >= before+lost })
+		w.await("new starts", 9*time.Second, func() bool { return w.startCount() >= before+lost })
 	})
 }
 
@@ -181,6 +176,20 @@
 	})
 }
 
+// busyWorker returns a worker on which tasks run.
+func (w *world) busyWorker() *memoryWorker {
+	for _, m := range w.workers {
+		m.mu.Lock()
+		n := len(m.running)
+		m.mu.Unlock()
+		if n > 0 {
+			return m
+		}
+	}
+	w.t.Fatal("no task runs on any worker")
+	return nil
+}
+
 // running counts the runs on all workers.
 func (w *world) running() int {
 	n := 0
@@ -204,12 +213,7 @@
 		lasting.LongRunning = true
 		w.submit("lasting", lasting)
 		time.Sleep(2 * time.Second)
-		var gone *memoryWorker
-		for _, m := range w.workers {
-			if gone == nil && len(m.running) > 0 {
-				gone = m
-			}
-		}
+		gone := w.busyWorker()
 		gone.entry.Draining = true
 		w.register(gone)
 		time.Sleep(2 * time.Second)
@@ -217,9 +221,9 @@
 		gone.isGone = true
 		lost := len(gone.running)
 		gone.mu.Unlock()
-		before := w.starts
+		before := w.startCount()
 		w.store.revoke(workerPrefix + string(gone.entry.ID))
-		w.await("new starts", time.Second, func() bool { return w.starts >= before+lost })
+		w.await("new starts", time.Second, func() bool { return w.startCount() >= before+lost })
 	})
 }
 
@@ -235,12 +239,7 @@
 		lasting.LongRunning = true
 		w.submit("lasting", lasting)
 		time.Sleep(2 * time.Second)
-		var cut *memoryWorker
-		for _, m := range w.workers {
-			if cut == nil && len(m.running) > 0 {
-				cut = m
-			}
-		}
+		cut := w.busyWorker()
 		for h := range 3 {
 			w.cut(fmt.Sprintf("h%d", h), string(cut.entry.ID), true)
 		}
--- a/process/owner/random_test.go
+++ b/process/owner/random_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,6 +27,7 @@
 // episode is one run of random faults on a site of three failure domains.
 type episode struct {
 	*world
+	rng       *rand.Rand
 	jobs      []heatherhub.JobID
 	cancelled map[heatherhub.JobID]bool
 	hosts     [3]heatherhub.HostID
@@ -44,7 +46,7 @@
 				e := newEpisode(t, seed)
 				faults += e.play()
 				e.finish()
-				starts += e.starts
+				starts += e.startCount()
 			})
 		})
 	}
@@ -57,9 +59,9 @@
 // TestPlantedFaultsAreSeen plants faults and expects the audit to see each of them.
 func TestPlantedFaultsAreSeen(t *testing.T) {
 	plants := map[string]func(*world){
-		"ends acknowledged before they are durable": func(w *world) { w.ackEverything = true },
-		"token of an earlier owner kept":            func(w *world) { w.forgetToken = true },
-		"unanswered start counted as free":          func(w *world) { w.unansweredIsUnsent = true },
+		"ends acknowledged before they are durable": func(w *world) { w.ackEverything.Store(true) },
+		"token of an earlier owner kept":            func(w *world) { w.forgetToken.Store(true) },
+		"unanswered start counted as free":          func(w *world) { w.unansweredIsUnsent.Store(true) },
 	}
 	for name, plant := range plants {
 		t.Run(name, func(t *testing.T) {
@@ -83,7 +85,7 @@
 }
 
 func newEpisode(t *testing.T, seed uint64) *episode {
-	return &episode{world: site(t, seed, 3), cancelled: make(map[heatherhub.JobID]bool), hosts: [3]heatherhub.HostID{"h0", "h1", "h2"}}
+	return &episode{world: site(t, seed, 3), rng: rand.New(rand.NewPCG(seed, 3)), cancelled: make(map[heatherhub.JobID]bool), hosts: [3]heatherhub.HostID{"h0", "h1", "h2"}}
 }
 
 // play sends jobs and plays faults. It returns the number of faults.
@@ -112,7 +114,8 @@
 	e.submit(id, steps...)
 	if e.rng.IntN(10) == 0 {
 		e.cancelled[id] = true
-		e.later(time.Duration(e.rng.IntN(3000))*time.Millisecond, func() { e.store.set(record.CancelKey(id), nil) })
+		delay := time.Duration(e.rng.IntN(3000)) * time.Millisecond
+		e.later(delay, func() { e.store.set(record.CancelKey(id), nil) })
 	}
 }
 
@@ -132,8 +135,9 @@
 			e.later(span, func() { e.cut(string(host), id, false) })
 		}
 	case 2:
-		e.cutHosts(d, true)
-		e.later(span, func() { e.cutHosts(d, false) })
+		hosts := e.hosts
+		e.cutHosts(hosts, d, true)
+		e.later(span, func() { e.cutHosts(hosts, d, false) })
 	case 3:
 		e.restart(d, span/4)
 	case 4:
@@ -175,8 +179,8 @@
 
 // cutHosts separates the host of a domain from the store and other domains'
 // workers, and the others from its workers.
-func (e *episode) cutHosts(d int, isCut bool) {
-	for h, host := range e.hosts {
+func (e *episode) cutHosts(hosts [3]heatherhub.HostID, d int, isCut bool) {
+	for h, host := range hosts {
 		if h == d {
 			e.cut(string(host), storeName, isCut)
 		}
--- a/process/owner/worker_test.go
+++ b/process/owner/worker_test.go
@@ -90,7 +90,7 @@
 	if m.isGone {
 		return heatherhub.ErrUnavailable.New("the worker is gone")
 	}
-	if token < m.token && !m.w.forgetToken {
+	if token < m.token && !m.w.forgetToken.Load() {
 		return &agent.RefusedError{Reason: agent.ReasonFenced, Clock: m.clock()}
 	}
 	m.token = token
@@ -224,7 +224,7 @@
 }
 
 func (w *world) noAnswer() error {
-	if w.unansweredIsUnsent {
+	if w.unansweredIsUnsent.Load() {
 		return heatherhub.ErrUnavailable.New("not sent")
 	}
 	return heatherhub.ErrUnknown.New("no answer of the worker")
--- a/process/owner/world_test.go
+++ b/process/owner/world_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,8 +34,9 @@
 type world struct {
 	t     *testing.T
 	store *memoryStore
-	rng   *rand.Rand
-	group conc.WaitGroup
+	// lateRNG decides which orders are late; the lock guards it.
+	lateRNG *rand.Rand
+	group   conc.WaitGroup
 
 	mu       sync.Mutex
 	workers  map[heatherhub.WorkerID]*memoryWorker
@@ -48,23 +50,21 @@
 	isOver   bool
 	starts   int
 	lastTask heatherhub.StepTask
-	lastAt   time.Time
 	broken   []string
 	// lateShare is the share of orders that are carried out late.
 	lateShare float64
 	// ackEverything plants a fault: ends are acknowledged before they are durable.
-	ackEverything bool
+	ackEverything atomic.Bool
 	// forgetToken plants a fault: workers obey every token.
-	forgetToken bool
+	forgetToken atomic.Bool
 	// unansweredIsUnsent plants a fault: a start without an answer counts as not
 	// sent.
-	unansweredIsUnsent bool
+	unansweredIsUnsent atomic.Bool
 }
 
 func newWorld(t *testing.T, seed uint64) *world {
-	rng := rand.New(rand.NewPCG(seed, 1))
 	return &world{
-		t: t, store: newMemoryStore(rand.New(rand.NewPCG(seed, 2))), rng: rng,
+		t: t, store: newMemoryStore(rand.New(rand.NewPCG(seed, 2))), lateRNG: rand.New(rand.NewPCG(seed, 1)),
 		workers: make(map[heatherhub.WorkerID]*memoryWorker), cuts: make(map[[2]string]bool),
 		dead: make(map[heatherhub.HostID]bool), thawed: make(map[heatherhub.HostID]chan struct{}),
 		stops: make(map[heatherhub.HostID]context.CancelFunc), flows: make(map[heatherhub.JobID]*heatherhub.Workflow),
@@ -196,10 +196,10 @@
 func (w *world) lateOrder() (time.Duration, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.rng.Float64() >= w.lateShare {
+	if w.lateRNG.Float64() >= w.lateShare {
 		return 0, false
 	}
-	return time.Duration(300+w.rng.IntN(8000)) * time.Millisecond, true
+	return time.Duration(300+w.lateRNG.IntN(8000)) * time.Millisecond, true
 }
 
 func (w *world) worker(id heatherhub.WorkerID) *memoryWorker {
@@ -210,7 +210,7 @@
 
 // alterPoll plants the fault of ends that are acknowledged too early.
 func (w *world) alterPoll(id heatherhub.WorkerID, p agent.Poll) agent.Poll {
-	if w.ackEverything {
+	if w.ackEverything.Load() {
 		m := w.worker(id)
 		m.mu.Lock()
 		p.Acknowledged = m.number
@@ -258,7 +258,7 @@
 func (w *world) auditStart(m *memoryWorker, s agent.Start) {
 	m.mu.Lock()
 	m.advance()
-	isRefused := (s.Token < m.token && !w.forgetToken) || s.Until <= m.clock() || s.Run <= m.burned[s.Task] || m.running[s.Task] != nil || m.isGone
+	isRefused := (s.Token < m.token && !w.forgetToken.Load()) || s.Until <= m.clock() || s.Run <= m.burned[s.Task] || m.running[s.Task] != nil || m.isGone
 	var used heatherhub.Resources
 	w.mu.Lock()
 	for t := range m.running {
@@ -307,7 +307,21 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.starts++
-	w.lastTask, w.lastAt = t, time.Now()
+	w.lastTask = t
+}
+
+// startCount returns how many starts the workers have obeyed.
+func (w *world) startCount() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.starts
+}
+
+// lastStarted returns the job of the last start.
+func (w *world) lastStarted() heatherhub.JobID {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lastTask.Job
 }
 
 func (w *world) noteDone(t heatherhub.StepTask) {
