--- a/command/serve/serve.go
+++ b/command/serve/serve.go
@@ -61,6 +61,8 @@
 	drainTime = 2500 * time.Millisecond
 	// shutdownTime bounds the end of the last requests.
 	shutdownTime = 2 * time.Second
+	// stopMargin is left of the grace period for the end of the process.
+	stopMargin = 500 * time.Millisecond
 )
 
 // Shares of a host's memory.
@@ -222,8 +224,9 @@
 	h.log.Info("host drains")
 	h.isDraining.Store(true)
 	front.SetKeepAlivesEnabled(false)
-	time.Sleep(drainTime)
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
+	span := min(drainTime, h.settings.Grace/2)
+	time.Sleep(span)
+	ctx, cancel := context.WithTimeout(context.Background(), min(shutdownTime, h.settings.Grace-span-stopMargin))
 	defer cancel()
 	if err := front.Shutdown(ctx); err != nil {
 		h.log.Warn("requests were cut off", zap.Error(err))
--- a/connection/agent/agent.go
+++ b/connection/agent/agent.go
@@ -51,8 +51,6 @@
 	Until      Clock
 	Token      Token
 	Checkpoint heatherhub.CheckpointRef
-	// Permit is the placement service's leave, if the queue needs one.
-	Permit string
 }
 
 // Stop ends a run and refuses later starts up to that run.
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -292,13 +292,3 @@
 func (e *Engine) Unresolved(id heatherhub.WorkerID) {
 	e.unresolved[id] = struct{}{}
 }
-
-// Resolved says that nothing unknown runs at a worker any more.
-func (e *Engine) Resolved(id heatherhub.WorkerID) {
-	delete(e.unresolved, id)
-}
-
-// UnresolvedCount returns how many workers were not yet asked.
-func (e *Engine) UnresolvedCount() int {
-	return len(e.unresolved)
-}
--- a/process/dispatch/tuning.go
+++ b/process/dispatch/tuning.go
@@ -13,10 +13,6 @@
 	StopRetry time.Duration
 	// RefusalRest keeps tasks away from a worker that refused one.
 	RefusalRest time.Duration
-	// QuarantineAfter is how many failures of different jobs in a row put a
-	// worker in quarantine, and Quarantine for how long.
-	QuarantineAfter int
-	Quarantine      time.Duration
 	// NoticeTime is how long an earlier owner may act after its first worker has
 	// obeyed this one: it polls each worker every second.
 	NoticeTime time.Duration
@@ -36,8 +32,6 @@
 	setDefault(&t.RetryDelay, 100*time.Millisecond)
 	setDefault(&t.StopRetry, 400*time.Millisecond)
 	setDefault(&t.RefusalRest, time.Second)
-	setDefault(&t.QuarantineAfter, 3)
-	setDefault(&t.Quarantine, 5*time.Second)
 	setDefault(&t.NoticeTime, 3*time.Second)
 	setDefault(&t.StrayWait, 1500*time.Millisecond)
 	setDefault(&t.StarvedAfter, 1500*time.Millisecond)
--- /dev/null
+++ b/process/owner/campaign.go
@@ -0,0 +1,131 @@
+package owner
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/connection/ledger"
+	"heatherhub.example/heatherhub/process/record"
+)
+
+// campaign takes shards over that have no owner.
+func (h *Host) campaign(ctx context.Context) {
+	tick := time.NewTicker(campaignTick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-h.poke:
+		}
+		if due := h.due(); len(due) > 0 {
+			// One at a time: with a shard in hand this host leaves the next to others.
+			h.tryTake(ctx, due[0])
+		}
+	}
+}
+
+// due returns the shards without an owner that this host should try to take now.
+func (h *Host) due() []heatherhub.ShardID {
+	v := h.view.Load()
+	now := h.cfg.Clock.Now().Steady
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []heatherhub.ShardID
+	for _, s := range v.Layout.Shards {
+		if _, ok := v.Owners[s.Shard]; ok || h.terms[s.Shard] != nil {
+			delete(h.missingSince, s.Shard)
+			continue
+		}
+		since, ok := h.missingSince[s.Shard]
+		if !ok {
+			since = now
+			h.missingSince[s.Shard] = now
+		}
+		if now-since >= h.patience(s.Shard) {
+			out = append(out, s.Shard)
+		}
+	}
+	return out
+}
+
+// patience is how long this host leaves a shard to others. The caller has the
+// lock.
+func (h *Host) patience(s heatherhub.ShardID) time.Duration {
+	d := time.Duration(len(h.terms)) * waitBusy
+	if len(h.view.Load().Layout.Shards) > 1 && h.cfg.Cores < strongCores {
+		d += time.Duration((strongCores - h.cfg.Cores) * float64(waitWeak))
+	}
+	if s.Domain != h.cfg.Domain && s.Domain != record.SiteDomain {
+		d += waitForeign
+	}
+	return d
+}
+
+func (h *Host) tryTake(ctx context.Context, s heatherhub.ShardID) {
+	lease, err := h.session.lease(ctx)
+	if err != nil {
+		h.cfg.Log.Warn("no session", zap.Stringer("shard", s), zap.Error(err))
+		return
+	}
+	h.attempts++
+	owner := record.Owner{Host: h.cfg.Self, Address: h.cfg.Address, Nonce: string(h.cfg.Self) + "/" + strconv.Itoa(h.attempts) + "/" + strconv.FormatInt(int64(h.cfg.Clock.Now().Wall.UnixNano()), 36)}
+	rev, err := h.claim(ctx, s, owner, lease)
+	if err != nil {
+		h.cfg.Log.Info("shard not taken", zap.Stringer("shard", s), zap.Error(err))
+		return
+	}
+	t := newTerm(h, s, rev)
+	h.mu.Lock()
+	h.terms[s] = t
+	delete(h.missingSince, s)
+	h.mu.Unlock()
+	h.metrics.takeovers.Inc()
+	h.cfg.Log.Info("shard taken", zap.Stringer("shard", s), zap.Uint64("token", uint64(t.token)))
+	h.group.Go(func() {
+		t.run()
+		h.mu.Lock()
+		if h.terms[s] == t {
+			delete(h.terms, s)
+		}
+		h.mu.Unlock()
+		h.wake()
+	})
+}
+
+// claim writes the owner's key and returns its revision. A lost answer is settled
+// by reading the key.
+func (h *Host) claim(ctx context.Context, s heatherhub.ShardID, o record.Owner, lease ledger.LeaseID) (ledger.Revision, error) {
+	value, err := record.Encode(o)
+	if err != nil {
+		return 0, err
+	}
+	key := record.OwnerKey(s)
+	rev, err := h.cfg.Store.Commit(ctx, ledger.Txn{
+		Require: []ledger.Require{{Key: key}},
+		Puts:    []ledger.Put{{Key: key, Value: value, Lease: lease}},
+	})
+	if err == nil {
+		return rev, nil
+	}
+	if heatherhub.CodeOf(err) == heatherhub.CodeNotFound {
+		h.session.forget(lease)
+		return 0, err
+	}
+	if heatherhub.DidNotRun(err) {
+		return 0, err
+	}
+	it, getErr := h.cfg.Store.Get(ctx, key)
+	if getErr != nil {
+		return 0, getErr
+	}
+	if it.Revision > 0 && string(it.Value) == string(value) {
+		return it.Created, nil
+	}
+	return 0, err
+}
--- a/process/owner/fleet.go
+++ b/process/owner/fleet.go
@@ -21,12 +21,6 @@
 	changed, written uint64
 }
 
-// covers reports whether the list with a worker is durable.
-func (f *fleet) covers(id heatherhub.WorkerID) bool {
-	_, ok := f.workers[id]
-	return ok && f.written == f.changed
-}
-
 // writeFleet makes the list durable. It reports whether it is.
 func (t *term) writeFleet(ctx context.Context) bool {
 	t.commitTurn <- struct{}{}
--- a/version/queues/queues.go
+++ b/version/queues/queues.go
@@ -27,30 +27,11 @@
 	heatherhub.QueuePolicy
 	// Timeout bounds a caller's request.
 	Timeout time.Duration
-	// Placement is set if a policy service chooses the workers of each step.
-	Placement *Placement
-}
-
-// Placement describes the policy service of a queue.
-type Placement struct {
-	Decide  time.Duration
-	Each    time.Duration
-	Permits time.Duration
-}
-
-// Pool is a set of workers.
-type Pool struct {
-	ID heatherhub.PoolID
-	// IsSpare pools are switched off.
-	IsSpare bool
 }
 
 // Limits bound what callers send.
 type Limits struct {
-	MaxHeaderBytes int
-	MaxBodyBytes   int64
-	HeaderTimeout  time.Duration
-	IdleTimeout    time.Duration
+	MaxBodyBytes int64
 }
 
 // Table is one version of the configuration.
@@ -59,7 +40,6 @@
 	// Revision is where the store holds this version.
 	Revision ledger.Revision
 	Queues   []Queue
-	Pools    []Pool
 	Limits   Limits
 }
 
