Let two requests of a test's server read its switch safely

The first connection is aborted, the client sends the change again on a new one, and nothing orders the two requests. The product has no part in it. Ruled out: the product's client (both accesses are in dropFirst.ServeHTTP of the test). Change: the switch is atomic; the check is the same.

--- a/request/operator/operator_test.go
+++ b/request/operator/operator_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -122,12 +123,11 @@
 // dropFirst loses the answer of the first change after it took effect.
 type dropFirst struct {
 	h       http.Handler
-	dropped bool
+	dropped atomic.Bool
 }
 
 func (d *dropFirst) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.Method == http.MethodPost && !d.dropped {
-		d.dropped = true
+	if r.Method == http.MethodPost && d.dropped.CompareAndSwap(false, true) {
 		d.h.ServeHTTP(httptest.NewRecorder(), r)
 		panic(http.ErrAbortHandler)
 	}
