Look up jobs that workers list before they are read

With a silent watch the task ran again.

A delay before the acknowledgement (tried before): the store may be silent for any time, and ends that were held back made settle take their runs for lost.

Runs and ends of an unread job are kept; the owner reads that job's own record, which is durable before its first start. Until then the worker keeps the end. Jobs count as inherited until the watch has answered three times after the earlier owner's end. A job completes only when no start of it may still arrive.

--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -33,6 +33,19 @@
 	FromEarlierOwner Inherited = true
 )
 
+// freshAnswers is how many answers of the jobs' watch have to come after the earlier
+// owner has stopped, before a job that the next one brings is new for certain: the
+// first may have been asked for before, and the second may bring what was accepted
+// until it was asked for.
+const freshAnswers = 3
+
+// JobsAnswered notes an answer of the jobs' watch, before its jobs are added.
+func (e *Engine) JobsAnswered(now Moment) {
+	if e.hasFenced && now.Steady >= e.inheritUntil {
+		e.answersSince++
+	}
+}
+
 // AddJob adds a job unless it is there. Progress is its durable state.
 func (e *Engine) AddJob(now Moment, flow *heatherhub.Workflow, p Progress, rev ledger.Revision, origin Inherited) {
 	if e.jobs[flow.ID] != nil {
@@ -40,7 +53,7 @@
 	}
 	j := &job{
 		flow: flow, policy: flow.Policy, state: heatherhub.WorkflowQueued,
-		isInherited: bool(origin) || !e.hasFenced || now.Steady < e.inheritUntil, progress: p, revision: rev,
+		isInherited: bool(origin) || e.answersSince < freshAnswers, progress: p, revision: rev,
 	}
 	if p, ok := e.policies[flow.Queue]; ok {
 		j.policy = p
@@ -51,7 +64,7 @@
 	if p.State.IsFinal() {
 		j.state, j.endedAt = p.State, now.Steady
 		e.finished = append(e.finished, j)
-		e.adoptStrays(now, flow.ID)
+		e.adoptUnread(now, flow.ID)
 		return
 	}
 	if len(p.Done) > 0 {
@@ -65,7 +78,7 @@
 	if flow.Schedule != nil {
 		e.scheduled = append(e.scheduled, j)
 	}
-	e.adoptStrays(now, flow.ID)
+	e.adoptUnread(now, flow.ID)
 	for _, o := range j.occurrences {
 		e.enqueueReady(now, o)
 	}
@@ -222,13 +235,33 @@
 	e.note(n)
 }
 
+// finishIfDone completes a job of which all tasks are done. It waits for starts that
+// may still arrive: nothing of a completed job may start.
 func (e *Engine) finishIfDone(now Moment, j *job) {
-	if j.left == 0 && !j.isOver() {
+	if j.left == 0 && !j.isOver() && !j.mayStart() {
 		e.end(now, j, heatherhub.WorkflowCompleted)
 		j.occurrences = nil
 	}
 }
 
+// mayStart reports whether a start is under way of which the worker has not said
+// that it arrived.
+func (j *job) mayStart() bool {
+	if j.open == 0 {
+		return false
+	}
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				if slices.ContainsFunc(t.attempts, func(a *attempt) bool { return a.state != running }) {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 // Expired returns finished jobs older than keep, to be deleted from the store,
 // and forgets them.
 func (e *Engine) Expired(now Moment, keep time.Duration, limit int) []heatherhub.JobID {
--- a/process/dispatch/progress.go
+++ b/process/dispatch/progress.go
@@ -149,7 +149,7 @@
 func (n *node) advance() {
 	for len(n.acks) > 0 {
 		a := n.acks[0]
-		if a.job != nil && a.job.committed < a.change {
+		if a.isUnread || (a.job != nil && a.job.committed < a.change) {
 			return
 		}
 		n.acked = a.number
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -119,7 +119,7 @@
 func (e *Engine) adopt(now Moment, n *node, r *agent.Running) {
 	t := e.find(r.Task)
 	if t == nil {
-		e.noteStray(now, n, r)
+		e.noteUnreadRun(n, r)
 		return
 	}
 	a := &attempt{
@@ -138,31 +138,6 @@
 	}
 }
 
-// noteStray keeps a run of an unknown job in mind. An earlier owner may have read
-// the job before this one; a run whose job does not show up is stopped.
-func (e *Engine) noteStray(now Moment, n *node, r *agent.Running) {
-	list := e.strays[r.Task.Job]
-	for _, s := range list {
-		if s.node == n.worker.ID && s.run.Task == r.Task && s.run.Run == r.Run {
-			if now.Steady-s.since > e.cfg.StrayWait {
-				e.orders = append(e.orders, Order{Worker: n.worker.ID, Kind: StopTask, Task: r.Task, Run: r.Run})
-			}
-			return
-		}
-	}
-	e.strays[r.Task.Job] = append(list, stray{node: n.worker.ID, run: *r, since: now.Steady})
-}
-
-// adoptStrays takes over the runs of a job that has shown up.
-func (e *Engine) adoptStrays(now Moment, id heatherhub.JobID) {
-	for _, s := range e.strays[id] {
-		if n := e.nodes[s.node]; n != nil {
-			e.adopt(now, n, &s.run)
-		}
-	}
-	delete(e.strays, id)
-}
-
 // find returns a task of a job that this shard has, or nil.
 func (e *Engine) find(id heatherhub.StepTask) *task {
 	j := e.jobs[id.Job]
@@ -212,6 +187,17 @@
 // noteEnded takes in one end that a worker lists.
 func (e *Engine) noteEnded(now Moment, n *node, end *agent.Ended) {
 	n.seen = end.Number
+	ack := &pendingAck{number: end.Number}
+	n.acks = append(n.acks, ack)
+	if e.jobs[end.Task.Job] == nil {
+		e.noteUnreadEnd(n, end, ack)
+		return
+	}
+	e.takeEnd(now, n, end, ack)
+}
+
+// takeEnd applies an end of a job that is known.
+func (e *Engine) takeEnd(now Moment, n *node, end *agent.Ended, ack *pendingAck) {
 	a := n.attempts[attemptKey{end.Task, end.Run}]
 	t := e.find(end.Task)
 	if a != nil {
@@ -224,15 +210,11 @@
 		}
 		e.release(a)
 	}
-	ack := pendingAck{number: end.Number}
 	if t != nil {
-		ack.job = t.step.occ.job
 		e.applyEnd(now, n, t, a, end)
-		ack.change = ack.job.changed
-	} else if j := e.jobs[end.Task.Job]; j != nil {
-		ack.job, ack.change = j, j.changed
 	}
-	n.acks = append(n.acks, ack)
+	ack.job = e.jobs[end.Task.Job]
+	ack.change = ack.job.changed
 }
 
 func (e *Engine) applyEnd(now Moment, n *node, t *task, a *attempt, end *agent.Ended) {
@@ -321,6 +303,7 @@
 // requeue lets the task of an attempt that is over wait for its next one.
 func (e *Engine) requeue(now Moment, a *attempt) {
 	t := a.task
+	e.finishIfDone(now, t.step.occ.job)
 	if t.isDone || t.step.occ.job.isOver() || len(t.attempts) > 0 {
 		return
 	}
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -43,12 +43,14 @@
 	order []*node
 	// unresolved are workers on which runs of an earlier owner may go on.
 	unresolved map[heatherhub.WorkerID]struct{}
-	// strays are listed runs of jobs that this owner has not read yet.
-	strays map[heatherhub.JobID][]stray
+	// unread are jobs that workers list and this owner has not read.
+	unread map[heatherhub.JobID]*unreadJob
 	// inheritUntil is when the earlier owner is certain to have noticed that it
-	// was replaced. Jobs that arrive until then may have been started by it.
+	// was replaced. Jobs that were accepted until then may have been started by it.
 	inheritUntil time.Duration
 	hasFenced    bool
+	// answersSince counts the answers of the jobs' watch since inheritUntil.
+	answersSince int
 	ready        []*stepRun
 	scheduled    []*job
 	dirty        []*job
@@ -80,7 +82,7 @@
 		jobs:       make(map[heatherhub.JobID]*job),
 		nodes:      make(map[heatherhub.WorkerID]*node),
 		unresolved: make(map[heatherhub.WorkerID]struct{}),
-		strays:     make(map[heatherhub.JobID][]stray),
+		unread:     make(map[heatherhub.JobID]*unreadJob),
 		durations:  make(map[string]*estimate),
 		model:      newInterference(),
 		nextRun:    heatherhub.RunID(cfg.Token) * runsPerToken,
@@ -222,13 +224,6 @@
 	stopObeyed
 )
 
-// stray is a run of a job that is not known.
-type stray struct {
-	node  heatherhub.WorkerID
-	run   agent.Running
-	since time.Duration
-}
-
 type attemptKey struct {
 	task heatherhub.StepTask
 	run  heatherhub.RunID
@@ -255,16 +250,20 @@
 	// are not yet durable.
 	seen   uint64
 	acked  uint64
-	acks   []pendingAck
+	acks   []*pendingAck
 	health health
 	speed  speed
 	pacer  pacer
 }
 
+// pendingAck is an end that the worker may forget once a change of its job is
+// durable.
 type pendingAck struct {
 	number uint64
 	job    *job
 	change uint64
+	// isUnread says that nothing is known of the job yet.
+	isUnread bool
 }
 
 func (n *node) free() heatherhub.Resources {
--- a/process/dispatch/tuning.go
+++ b/process/dispatch/tuning.go
@@ -16,9 +16,6 @@
 	// NoticeTime is how long an earlier owner may act after its first worker has
 	// obeyed this one: it polls each worker every second.
 	NoticeTime time.Duration
-	// StrayWait is how long the job of an unknown run may take to show up. It is
-	// below the time in which cancelled work has to be gone.
-	StrayWait time.Duration
 	// StarvedAfter is how long a job may wait with nothing running while the workers
 	// are half empty; three seconds are allowed.
 	StarvedAfter time.Duration
@@ -33,7 +30,6 @@
 	setDefault(&t.StopRetry, 400*time.Millisecond)
 	setDefault(&t.RefusalRest, time.Second)
 	setDefault(&t.NoticeTime, 3*time.Second)
-	setDefault(&t.StrayWait, 1500*time.Millisecond)
 	setDefault(&t.StarvedAfter, 1500*time.Millisecond)
 	setDefault(&t.StallAfter, 2500*time.Millisecond)
 }
--- a/process/owner/owner_test.go
+++ b/process/owner/owner_test.go
@@ -248,3 +248,36 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// TestUnreadJobRunsOnce lets a new owner meet the runs and ends of jobs that its watch
+// has not brought yet: they were accepted after its first read of the jobs, started by
+// the old owner and done before the watch answers.
+func TestUnreadJobRunsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := site(t, 1, 2)
+		defer w.check()
+		defer w.shutdown()
+		old := w.owner()
+		w.submit("short", step(2, 300*time.Millisecond))
+		w.submit("long", step(2, 4*time.Second))
+		time.Sleep(100 * time.Millisecond)
+		w.store.hide(record.JobKey("short"), record.JobKey("long"))
+		w.store.setSilent(record.JobPrefix)
+		w.kill(old)
+		w.await("a new owner", 5*time.Second, func() bool { o := w.owner(); return o != old && o != "" })
+		time.Sleep(3 * time.Second)
+		w.store.hide()
+		w.store.setSilent("")
+		w.await("both jobs", 10*time.Second, func() bool { return w.isCompleted("short", "long") })
+		if got, want := w.startCount(), 1+2+2; got != want {
+			t.Errorf("got %d starts, want %d", got, want)
+		}
+	})
+}
+
+// hide leaves keys out of ranges: these are as they were before the keys were written.
+func (s *memoryStore) hide(keys ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hidden = keys
+}
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -46,6 +46,7 @@
 	committed  chan struct{}
 	wakeDecide chan struct{}
 	wakeCommit chan struct{}
+	wakeLookup chan struct{}
 	// commitTurn orders the writes of the term. It is held during calls of the
 	// store, which a mutex should not be.
 	commitTurn chan struct{}
@@ -60,7 +61,7 @@
 		engine:  dispatch.New(dispatch.Config{Token: agent.Token(rev)}),
 		workers: make(map[heatherhub.WorkerID]*workerLoop), fleet: fleet{workers: make(map[heatherhub.WorkerID]string)},
 		committed: make(chan struct{}), wakeDecide: make(chan struct{}, 1), wakeCommit: make(chan struct{}, 1),
-		wakePublish: make(chan struct{}, 1), commitTurn: make(chan struct{}, 1),
+		wakePublish: make(chan struct{}, 1), wakeLookup: make(chan struct{}, 1), commitTurn: make(chan struct{}, 1),
 	}
 	t.confirmedAt.Store(int64(t.takenAt))
 	return t
@@ -91,7 +92,7 @@
 	}
 	jobs := ledger.Follower{
 		Store: t.host.cfg.Store, Prefix: record.JobPrefix, Wait: jobWatch, Gap: jobGap, Log: t.log,
-		OnSnapshot: t.addJobs, OnChanges: t.changeJobs, OnContact: t.host.session.contact,
+		OnSnapshot: t.addJobs, OnChanges: t.changeJobs, OnContact: t.jobsAnswered,
 	}
 	workers := ledger.Follower{
 		Store: t.host.cfg.Store, Prefix: t.host.cfg.WorkerPrefix, Wait: workerWatch, Log: t.log,
@@ -102,6 +103,7 @@
 	t.group.Go(t.decideLoop)
 	t.group.Go(t.commitLoop)
 	t.group.Go(t.publishLoop)
+	t.group.Go(t.lookupLoop)
 	<-t.ctx.Done()
 	t.group.Wait()
 	t.log.Info("term over", zap.Duration("lasted", t.now().Steady-t.takenAt), zap.Any("stats", t.engine.Stats))
@@ -249,6 +251,14 @@
 	t.changeJobs(events)
 }
 
+// jobsAnswered notes an answer of the jobs' watch.
+func (t *term) jobsAnswered() {
+	t.host.session.contact()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.engine.JobsAnswered(t.now())
+}
+
 func (t *term) changeJobs(events []ledger.Event) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -274,6 +274,9 @@
 	if t.engine.HasChanges() {
 		signal(t.wakeCommit)
 	}
+	if t.engine.HasUnread() {
+		signal(t.wakeLookup)
+	}
 }
 
 func (w *workerLoop) pollFailed(now dispatch.Moment, err error) {
