--- a/command/serve/serve.go
+++ b/command/serve/serve.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -115,7 +116,8 @@
 }
 
 func newHost(s platform.Settings, log *zap.Logger) *host {
-	h := &host{settings: s, log: log, registry: prometheus.NewRegistry(), hups: make(chan os.Signal, 1), store: platform.NewStore(s.Store), clock: steady.New()}
+	registry := prometheus.NewRegistry()
+	h := &host{settings: s, log: log, registry: registry, hups: make(chan os.Signal, 1), store: platform.NewStore(s.Store, registry), clock: steady.New()}
 	h.contactAt.Store(int64(-staleAfter))
 	limits := owner.Limits{SessionTTL: max(s.MinLease, owner.DefaultSessionTTL), WorkerLease: min(s.MaxHold, owner.DefaultWorkerLease), WorkerHeartbeat: s.Heartbeat}
 	h.owner = owner.New(owner.Config{
@@ -124,7 +126,7 @@
 		WorkerPrefix: platform.WorkerPrefix, DecodeWorker: platform.DecodeWorker,
 		Tables: &h.tables, Clock: h.clock, Log: log, Registry: h.registry, Limits: limits,
 	})
-	h.shards = intake.NewShards(intake.ShardsConfig{Store: h.store, View: h.owner.View, Log: log})
+	h.shards = intake.NewShards(intake.ShardsConfig{Store: h.store, View: h.owner.View, Random: rand.Float64, Log: log})
 	h.peerPort = peer.NewServer(peer.ServerConfig{Self: s.Host, Log: log})
 	h.peerPort.Handle(peer.MethodWorkflowState, intake.AnswerState(h.owner.State))
 	h.peers = &intake.Peers{Client: peer.NewClient(peer.ClientConfig{Self: s.Host, Log: log}), View: h.owner.View}
--- a/connection/ledger/ledger.go
+++ b/connection/ledger/ledger.go
@@ -111,6 +111,10 @@
 	Get(ctx context.Context, key string) (Item, error)
 	// Range reads all keys with a prefix.
 	Range(ctx context.Context, prefix string) (Snapshot, error)
+	// Hints reads all keys with a prefix as they were at some time in the last
+	// seconds, for a tenth of the price. The snapshot's revision is no start of a
+	// watch.
+	Hints(ctx context.Context, prefix string) (Snapshot, error)
 	// Watch waits for changes after a revision, at most for wait.
 	// heatherhub.ErrNotFound says that the history is gone: read the range again.
 	Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) (Changes, error)
--- a/process/dispatch/dispatch_test.go
+++ b/process/dispatch/dispatch_test.go
@@ -55,18 +55,23 @@
 	for i := range workers {
 		id := heatherhub.WorkerID(fmt.Sprintf("w%02d", i))
 		b.workers = append(b.workers, id)
-		b.e.WorkerUp(b.now, agent.Worker{
-			ID: id, Pool: pool, Rack: heatherhub.Rack(fmt.Sprintf("r%d", i/2)),
-			Capacity: heatherhub.Resources{CPU: 10_000, Memory: 10_000},
-		}, &agent.Report{Clock: 1})
+		b.e.WorkerUp(b.now, b.worker(i), &agent.Report{Clock: 1})
 	}
 	return b
 }
 
+// worker returns the entry of a worker.
+func (b *bench) worker(i int) agent.Worker {
+	return agent.Worker{
+		ID: b.workers[i], Pool: pool, Rack: heatherhub.Rack(fmt.Sprintf("r%d", i/2)),
+		Capacity: heatherhub.Resources{CPU: 10_000, Memory: 10_000},
+	}
+}
+
 func (b *bench) add(id heatherhub.JobID, steps ...heatherhub.Step) {
 	flow := &heatherhub.Workflow{ID: id, Queue: queue, Steps: steps, Accepted: b.now.Wall}
 	b.flows[id] = flow
-	b.e.AddJob(b.now, flow, dispatch.Progress{}, 0, dispatch.IsNew)
+	b.e.AddJob(b.now, dispatch.Read{Flow: flow, Recorded: 1})
 }
 
 func tasks(n int, cpu heatherhub.MilliCPU, d time.Duration) heatherhub.Step {
@@ -375,7 +380,7 @@
 		Policy: heatherhub.QueuePolicy{Pool: pool, MaxAttempts: 3},
 	}
 	b.flows["orphan"] = flow
-	b.e.AddJob(b.now, flow, dispatch.Progress{}, 0, dispatch.IsNew)
+	b.e.AddJob(b.now, dispatch.Read{Flow: flow, Recorded: 1})
 	b.play(2 * time.Second)
 	if got, _ := b.e.State("orphan"); got != heatherhub.WorkflowCompleted {
 		t.Errorf("got state %q, want %q", got, heatherhub.WorkflowCompleted)
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -22,6 +23,12 @@
 	}
 }
 
+// isFresh reports whether a job that arrives was accepted after the earlier owner had
+// stopped.
+func (e *Engine) isFresh() bool {
+	return e.answersSince >= freshAnswers
+}
+
 // Inherited says where a job comes from.
 type Inherited bool
 
@@ -46,14 +53,35 @@
 	}
 }
 
-// AddJob adds a job unless it is there. Progress is its durable state.
-func (e *Engine) AddJob(now Moment, flow *heatherhub.Workflow, p Progress, rev ledger.Revision, origin Inherited) {
-	if e.jobs[flow.ID] != nil {
+// Read is a job as it was read from the store.
+type Read struct {
+	Flow *heatherhub.Workflow
+	// Recorded is the revision of the job's record.
+	Recorded ledger.Revision
+	// Progress is the job's durable state and Revision that of its record.
+	Progress Progress
+	Revision ledger.Revision
+	Origin   Inherited
+}
+
+// AddJob adds a job, or takes in which shards run its tasks now. Records may come
+// in any order.
+func (e *Engine) AddJob(now Moment, r Read) {
+	flow := r.Flow
+	if old := e.jobs[flow.ID]; old != nil {
+		e.updateJob(now, old, r)
+		return
+	}
+	if d, ok := e.left[flow.ID]; ok && r.Recorded <= d.recorded {
+		return
+	}
+	if !flow.IsAt(e.cfg.Shard) {
 		return
 	}
 	j := &job{
-		flow: flow, policy: flow.Policy, state: heatherhub.WorkflowQueued,
-		isInherited: bool(origin) || e.answersSince < freshAnswers, progress: p, revision: rev,
+		flow: flow, policy: flow.Policy, state: heatherhub.WorkflowQueued, recorded: r.Recorded,
+		isInherited: bool(r.Origin) || !e.isFresh(), progress: r.Progress, revision: r.Revision,
+		isGuest: flow.Shard != e.cfg.Shard,
 	}
 	if p, ok := e.policies[flow.Queue]; ok {
 		j.policy = p
@@ -61,13 +89,13 @@
 	age := max(now.Wall.Sub(flow.Accepted), 0)
 	j.arrived = now.Steady - age
 	e.jobs[flow.ID] = j
-	if p.State.IsFinal() {
+	if p := r.Progress; p.State.IsFinal() {
 		j.state, j.endedAt = p.State, now.Steady
 		e.finished = append(e.finished, j)
 		e.adoptUnread(now, flow.ID)
 		return
 	}
-	if len(p.Done) > 0 {
+	if len(r.Progress.Done) > 0 {
 		j.state = heatherhub.WorkflowRunning
 	}
 	for k := range flow.Occurrences() {
@@ -94,7 +122,7 @@
 			s.perNode = make(map[*node]int)
 		}
 		for n := range s.spec.Tasks {
-			t := &task{step: s, index: n, isDone: j.progress.isDone(k, flat)}
+			t := &task{step: s, index: n, isDone: j.progress.isDone(k, flat), isForeign: j.flow.HomeOf(flat) != e.cfg.Shard}
 			flat++
 			s.tasks = append(s.tasks, t)
 			if !t.isDone {
@@ -178,12 +206,20 @@
 }
 
 func (s *stepRun) push(t *task) {
-	if !t.isPending && !t.isDone {
+	if !t.isPending && !t.isDone && !t.isForeign {
 		t.isPending = true
 		s.pending = append(s.pending, t)
 	}
 }
 
+// unpend takes a task from the waiting ones.
+func (s *stepRun) unpend(t *task) {
+	if t.isPending {
+		t.isPending = false
+		s.pending = slices.DeleteFunc(s.pending, func(p *task) bool { return p == t })
+	}
+}
+
 // enqueueReady puts the steps of an occurrence in the waiting list whose turn has
 // come.
 func (e *Engine) enqueueReady(now Moment, o *occurrence) {
@@ -212,7 +248,9 @@
 func (e *Engine) end(now Moment, j *job, state heatherhub.WorkflowState) {
 	j.state, j.progress.State = state, state
 	j.endedAt = now.Steady
-	e.touch(j)
+	if !j.isGuest {
+		e.touch(j)
+	}
 	e.finished = append(e.finished, j)
 	e.noteEnd(now, j)
 	if j.open == 0 {
@@ -269,7 +307,9 @@
 	kept := e.finished[:0]
 	for _, j := range e.finished {
 		if len(out) < limit && j.open == 0 && j.committed == j.changed && now.Steady-j.endedAt > keep {
-			out = append(out, j.flow.ID)
+			if !j.isGuest {
+				out = append(out, j.flow.ID)
+			}
 			delete(e.jobs, j.flow.ID)
 			continue
 		}
@@ -277,6 +317,7 @@
 	}
 	clear(e.finished[len(kept):])
 	e.finished = kept
+	maps.DeleteFunc(e.left, func(_ heatherhub.JobID, d departed) bool { return now.Steady-d.at > keep })
 	return out
 }
 
@@ -285,42 +326,13 @@
 func (e *Engine) Waiting() map[heatherhub.QueueID]int {
 	out := make(map[heatherhub.QueueID]int)
 	for _, j := range e.jobs {
-		if j.state == heatherhub.WorkflowQueued && j.flow.Schedule == nil {
+		if j.state == heatherhub.WorkflowQueued && j.flow.Schedule == nil && !j.isGuest {
 			out[j.flow.Queue]++
 		}
 	}
 	return out
 }
 
-// Load sums up the shard for those who choose a shard for a new job.
-type Load struct {
-	// Capacity and Reserved are of all workers in use.
-	Capacity, Reserved heatherhub.MilliCPU
-	// Filling is the demand of running filler tasks.
-	Filling heatherhub.MilliCPU
-	// Backlog is the demand of tasks that wait, in processor time.
-	Backlog time.Duration
-}
-
-// Load returns the present load.
-func (e *Engine) Load() Load {
-	var l Load
-	for _, n := range e.order {
-		if n.worker.Draining || n.isSilent {
-			continue
-		}
-		l.Capacity += n.worker.Capacity.CPU
-		l.Reserved += n.used.CPU
-		l.Filling += n.fillCPU
-	}
-	for _, s := range e.ready {
-		if !s.occ.job.isOver() {
-			l.Backlog += time.Duration(len(s.pending)) * e.expected(s) * time.Duration(s.spec.Need.CPU) / 1000
-		}
-	}
-	return l
-}
-
 // Unresolved says that runs of an earlier owner may go on at a worker.
 func (e *Engine) Unresolved(id heatherhub.WorkerID) {
 	e.unresolved[id] = struct{}{}
--- /dev/null
+++ b/process/dispatch/load.go
@@ -0,0 +1,62 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"heatherhub.example/heatherhub"
+)
+
+// Load sums up the shard for those who choose a shard for new or waiting work.
+type Load struct {
+	// Capacity and Reserved are of all workers in use.
+	Capacity, Reserved heatherhub.MilliCPU
+	// Filling is the demand of running filler tasks.
+	Filling heatherhub.MilliCPU
+	// Backlog is the demand of tasks that wait, in processor time.
+	Backlog time.Duration
+}
+
+// Load returns the present load.
+func (e *Engine) Load() Load {
+	var l Load
+	for _, n := range e.order {
+		if n.worker.Draining || n.isSilent {
+			continue
+		}
+		l.Capacity += n.worker.Capacity.CPU
+		l.Reserved += n.used.CPU
+		l.Filling += n.fillCPU
+	}
+	for _, s := range e.ready {
+		if !s.occ.job.isOver() {
+			l.Backlog += time.Duration(len(s.pending)) * e.expected(s) * time.Duration(s.spec.Need.CPU) / 1000
+		}
+	}
+	return l
+}
+
+// Holes returns the free room of the emptiest workers, the largest first.
+func (e *Engine) Holes(now Moment, limit int) []heatherhub.Resources {
+	var out []heatherhub.Resources
+	for _, n := range e.order {
+		if n.worker.Draining || n.isSilent || n.restUntil > now.Steady || n.health.isQuarantined(now.Steady) {
+			continue
+		}
+		out = append(out, n.free())
+	}
+	slices.SortFunc(out, func(a, b heatherhub.Resources) int { return cmp.Compare(b.CPU, a.CPU) })
+	return out[:min(limit, len(out))]
+}
+
+// Racks returns the racks of the workers.
+func (e *Engine) Racks() []heatherhub.Rack {
+	var out []heatherhub.Rack
+	for _, n := range e.order {
+		if n.worker.Rack != "" && !slices.Contains(out, n.worker.Rack) {
+			out = append(out, n.worker.Rack)
+		}
+	}
+	return out
+}
--- a/process/dispatch/order.go
+++ b/process/dispatch/order.go
@@ -140,7 +140,7 @@
 			continue
 		}
 		t := s.pending[0]
-		if n := e.leastTense(now, s); n != nil && t.notBefore <= now.Steady {
+		if n := e.leastTense(now, s); n != nil && t.notBefore <= now.Steady && !t.isLeaving {
 			e.nextRun++
 			e.start(now, t, n, e.nextRun)
 			e.noteStarts(now, s, 1, n.worker.ID)
@@ -205,7 +205,7 @@
 	count := 0
 	var last heatherhub.WorkerID
 	for _, t := range slices.Clone(s.pending) {
-		if t.notBefore > now.Steady {
+		if t.notBefore > now.Steady || t.isLeaving {
 			continue
 		}
 		n := e.choose(now, s, t)
@@ -227,7 +227,7 @@
 		return true
 	}
 	for _, t := range s.tasks {
-		if t.notBefore > now.Steady {
+		if t.notBefore > now.Steady || t.isLeaving {
 			return true
 		}
 	}
--- a/process/dispatch/progress.go
+++ b/process/dispatch/progress.go
@@ -169,7 +169,7 @@
 func (e *Engine) State(id heatherhub.JobID) (heatherhub.WorkflowState, bool) {
 	j := e.jobs[id]
 	switch {
-	case j == nil:
+	case j == nil || j.isGuest:
 		return "", false
 	case j.isOver() && j.committed == j.changed:
 		return j.state, true
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -129,7 +129,7 @@
 	}
 	e.nextRun = max(e.nextRun, r.Run)
 	j := t.step.occ.job
-	if t.isDone || j.isOver() || (len(t.attempts) > 0 && !t.step.spec.Speculative) {
+	if t.isDone || t.isForeign || j.isOver() || (len(t.attempts) > 0 && !t.step.spec.Speculative) {
 		a.stop = stopWanted
 	}
 	e.attach(a)
@@ -166,10 +166,7 @@
 	t := a.task
 	t.attempts = append(t.attempts, a)
 	t.step.occ.job.open++
-	if t.isPending {
-		t.isPending = false
-		t.step.pending = slices.DeleteFunc(t.step.pending, func(p *task) bool { return p == t })
-	}
+	t.step.unpend(t)
 	a.node.add(a)
 }
 
@@ -255,10 +252,7 @@
 		s.undone--
 		j.left--
 		j.progress.setDone(o.index, d.flat())
-		if d.isPending {
-			d.isPending = false
-			s.pending = slices.DeleteFunc(s.pending, func(p *task) bool { return p == d })
-		}
+		s.unpend(d)
 		for _, other := range d.attempts {
 			if other.stop == noStop && !s.spec.Gang {
 				other.stop = stopWanted
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -26,6 +26,8 @@
 	// Token is the owner's fencing token; runs are numbered above those of all
 	// lower tokens.
 	Token agent.Token
+	// Shard is the shard whose tasks the engine runs.
+	Shard heatherhub.ShardID
 	Tuning
 }
 
@@ -45,6 +47,9 @@
 	unresolved map[heatherhub.WorkerID]struct{}
 	// unread are jobs that workers list and this owner has not read.
 	unread map[heatherhub.JobID]*unreadJob
+	// left has the revisions at which records of jobs were found to be those of
+	// other shards. Older ones may still be on their way.
+	left map[heatherhub.JobID]departed
 	// inheritUntil is when the earlier owner is certain to have noticed that it
 	// was replaced. Jobs that were accepted until then may have been started by it.
 	inheritUntil time.Duration
@@ -83,6 +88,7 @@
 		nodes:      make(map[heatherhub.WorkerID]*node),
 		unresolved: make(map[heatherhub.WorkerID]struct{}),
 		unread:     make(map[heatherhub.JobID]*unreadJob),
+		left:       make(map[heatherhub.JobID]departed),
 		durations:  make(map[string]*estimate),
 		model:      newInterference(),
 		nextRun:    heatherhub.RunID(cfg.Token) * runsPerToken,
@@ -105,6 +111,10 @@
 	left     int
 	progress Progress
 	revision ledger.Revision
+	// recorded is the revision of the job's own record as it was read last.
+	recorded ledger.Revision
+	// isGuest says that another shard owns the job and this one runs tasks of it.
+	isGuest bool
 	// changed counts the changes of progress, committed those that are durable.
 	changed   uint64
 	committed uint64
@@ -151,10 +161,14 @@
 
 // task is one task of a step.
 type task struct {
-	step       *stepRun
-	index      int
-	isDone     bool
-	isPending  bool
+	step      *stepRun
+	index     int
+	isDone    bool
+	isPending bool
+	// isForeign says that another shard runs the task, isLeaving that another one
+	// may do so soon.
+	isForeign  bool
+	isLeaving  bool
 	checkpoint heatherhub.CheckpointRef
 	failedRuns []heatherhub.RunID
 	attempts   []*attempt
--- a/process/dispatch/tuning.go
+++ b/process/dispatch/tuning.go
@@ -19,6 +19,9 @@
 	// StarvedAfter is how long a job may wait with nothing running while the workers
 	// are half empty; three seconds are allowed.
 	StarvedAfter time.Duration
+	// MoveAfter is how long work waits before another shard may run it. A task may
+	// rest for three seconds where there is room.
+	MoveAfter time.Duration
 	// StallAfter is the least time without progress after which a run counts as
 	// standing still.
 	StallAfter time.Duration
@@ -31,6 +34,7 @@
 	setDefault(&t.RefusalRest, time.Second)
 	setDefault(&t.NoticeTime, 3*time.Second)
 	setDefault(&t.StarvedAfter, 1500*time.Millisecond)
+	setDefault(&t.MoveAfter, time.Second)
 	setDefault(&t.StallAfter, 2500*time.Millisecond)
 }
 
--- a/process/dispatch/unread.go
+++ b/process/dispatch/unread.go
@@ -6,6 +6,7 @@
 
 	"heatherhub.example/heatherhub"
 	"heatherhub.example/heatherhub/connection/agent"
+	"heatherhub.example/heatherhub/connection/ledger"
 )
 
 // An owner meets runs and ends of jobs that it has not read when its watch of the
@@ -59,9 +60,12 @@
 	return e.jobs[id] != nil
 }
 
-// Absent says that a looked-up job is not one of this shard: its runs are stopped
-// and its ends may be forgotten.
-func (e *Engine) Absent(id heatherhub.JobID) {
+// Absent says that a looked-up job is not one of this shard, by its record of a
+// revision: its runs are stopped and its ends may be forgotten.
+func (e *Engine) Absent(now Moment, id heatherhub.JobID, recorded ledger.Revision) {
+	if recorded > 0 {
+		e.left[id] = departed{recorded: recorded, at: now.Steady}
+	}
 	u := e.unread[id]
 	if u == nil {
 		return
--- a/process/dispatch/unread_test.go
+++ b/process/dispatch/unread_test.go
@@ -51,7 +51,7 @@
 	if got := b.e.Decide(b.now); len(got) != 0 {
 		t.Errorf("got orders %v before the job was looked up, want none", got)
 	}
-	b.e.Absent(unread)
+	b.e.Absent(b.now, unread, 0)
 	if got, want := b.e.Acknowledged(w), uint64(1); got != want {
 		t.Errorf("got end %d acknowledged, want %d", got, want)
 	}
--- a/process/owner/campaign.go
+++ b/process/owner/campaign.go
@@ -23,6 +23,7 @@
 		case <-tick.C:
 		case <-h.poke:
 		}
+		h.releaseOrphans(ctx)
 		if due := h.due(); len(due) > 0 {
 			// One at a time: with a shard in hand this host leaves the next to others.
 			h.tryTake(ctx, due[0])
@@ -30,6 +31,39 @@
 	}
 }
 
+// releaseOrphans removes this host's keys of shards that it does not run: a claim
+// whose answer was lost took effect after all, or a term ended before its lease did.
+// The lease is kept for other shards, so such a key would stay.
+func (h *Host) releaseOrphans(ctx context.Context) {
+	for s, o := range h.view.Load().Owners {
+		h.mu.Lock()
+		isRun := h.terms[s] != nil
+		h.mu.Unlock()
+		if o.Host != h.cfg.Self || isRun {
+			continue
+		}
+		err := h.releaseOrphan(ctx, s)
+		h.cfg.Log.Info("orphaned shard released", zap.Stringer("shard", s), zap.Error(err))
+	}
+}
+
+func (h *Host) releaseOrphan(ctx context.Context, s heatherhub.ShardID) error {
+	key := record.OwnerKey(s)
+	it, err := h.cfg.Store.Get(ctx, key)
+	if err != nil || it.Revision == 0 {
+		return err
+	}
+	var o record.Owner
+	if err := heatherhub.Unmarshal(it.Value, &o); err != nil {
+		return err
+	}
+	if o.Host != h.cfg.Self {
+		return nil
+	}
+	_, err = h.cfg.Store.Commit(ctx, ledger.Txn{Require: []ledger.Require{{Key: key, Revision: it.Revision}}, Deletes: []string{key}})
+	return err
+}
+
 // due returns the shards without an owner that this host should try to take now.
 func (h *Host) due() []heatherhub.ShardID {
 	v := h.view.Load()
--- a/process/owner/commit.go
+++ b/process/owner/commit.go
@@ -165,7 +165,7 @@
 	t.log.Info("load", zap.Int64("capacity", int64(l.Capacity)), zap.Int64("reserved", int64(l.Reserved)), zap.Int64("filling", int64(l.Filling)), zap.Duration("backlog", l.Backlog), zap.Any("stats", t.engine.Stats))
 	value, err := record.Encode(record.Load{
 		Capacity: l.Capacity, Reserved: l.Reserved, Filling: l.Filling, Backlog: l.Backlog,
-		Waiting: t.engine.Waiting(), At: t.now().Wall,
+		Waiting: t.engine.Waiting(), Racks: t.engine.Racks(), Holes: t.engine.Holes(t.now(), record.MaxHoles), At: t.now().Wall,
 	})
 	return value, t.engine.Expired(t.now(), t.host.cfg.KeepEnded, expiredPerCommit), err
 }
--- a/process/owner/lookup.go
+++ b/process/owner/lookup.go
@@ -50,7 +50,7 @@
 	isKnown := t.engine.Has(id)
 	t.log.Info("job looked up", zap.String("job", string(id)), zap.Bool("known", isKnown))
 	if !isKnown {
-		t.engine.Absent(id)
+		t.engine.Absent(t.now(), id, it.Revision)
 	}
 	signal(t.wakeDecide)
 	if t.engine.HasChanges() {
--- /dev/null
+++ b/process/owner/move.go
@@ -0,0 +1,230 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/connection/ledger"
+	"heatherhub.example/heatherhub/process/dispatch"
+	"heatherhub.example/heatherhub/process/record"
+)
+
+// Limits of the moves of waiting work to other shards.
+const (
+	// moveInterval is how often work is moved; the loads of the others are as old.
+	moveInterval = 700 * time.Millisecond
+	// movesAtOnce bounds the writes of one round.
+	movesAtOnce = 8
+	// moveGain is how much lower the pressure of another shard has to be before a
+	// job goes there: a third of a second of work, or of the processors in use.
+	moveGain = 0.3
+)
+
+// moveLoop offers waiting work to shards with more room.
+func (t *term) moveLoop() {
+	for t.ctx.Err() == nil {
+		pause(t.ctx, moveInterval)
+		if len(t.host.View().Layout.Shards) < 2 || t.isHandingOver.Load() || !t.mayAct(t.now().Steady) {
+			continue
+		}
+		t.mu.Lock()
+		moves := t.engine.Movable(t.now(), movesAtOnce)
+		t.mu.Unlock()
+		if len(moves) == 0 {
+			continue
+		}
+		loads, err := ReadLoads(t.ctx, t.host.cfg.Store, t.log)
+		if err != nil {
+			t.log.Info("loads not read", zap.Error(err))
+			continue
+		}
+		t.moveAll(moves, loads)
+	}
+}
+
+// ReadLoads reads what the owners told of their shards some seconds ago at most. An
+// unreadable one is left out.
+func ReadLoads(ctx context.Context, store ledger.Store, log *zap.Logger) (map[heatherhub.ShardID]record.Load, error) {
+	snap, err := store.Hints(ctx, record.LoadPrefix)
+	if err != nil {
+		return nil, err
+	}
+	loads := make(map[heatherhub.ShardID]record.Load, len(snap.Items))
+	for _, it := range snap.Items {
+		id, err := heatherhub.ParseShardID(strings.TrimPrefix(it.Key, record.LoadPrefix))
+		var l record.Load
+		if err == nil {
+			err = heatherhub.Unmarshal(it.Value, &l)
+		}
+		if err != nil {
+			log.Warn("load unreadable", zap.String("key", it.Key), zap.Error(err))
+			continue
+		}
+		loads[id] = l
+	}
+	return loads, nil
+}
+
+// moveAll moves work to the shards that have room for it. What does not fit in one
+// goes to the next.
+func (t *term) moveAll(moves []dispatch.Move, loads map[heatherhub.ShardID]record.Load) {
+	m := mover{own: t.shard, owners: t.host.View().Owners, loads: loads}
+	t.given = slices.DeleteFunc(t.given, func(g gift) bool { return t.now().Steady-g.at > giftTime })
+	for _, g := range t.given {
+		m.take(g.to, g.need, g.tasks)
+	}
+	for _, move := range moves {
+		for {
+			to, part, ok := m.target(move)
+			if !ok {
+				break
+			}
+			t.given = append(t.given, gift{to: to, need: part.Need, tasks: max(len(part.Tasks), 1), at: t.now().Steady})
+			t.move(part, to)
+			if len(part.Tasks) == len(move.Tasks) {
+				break
+			}
+			move.Tasks = move.Tasks[len(part.Tasks):]
+		}
+	}
+}
+
+// gift is work that was moved and that the loads may not show yet.
+type gift struct {
+	to    heatherhub.ShardID
+	need  heatherhub.Resources
+	tasks int
+	at    time.Duration
+}
+
+// giftTime is how old the loads that are read may be, and the start of a task.
+const giftTime = 3 * time.Second
+
+// mover chooses shards for waiting work.
+type mover struct {
+	own    heatherhub.ShardID
+	owners map[heatherhub.ShardID]record.Owner
+	loads  map[heatherhub.ShardID]record.Load
+}
+
+// take takes room for n tasks in a shard, and returns for how many there was room.
+func (m *mover) take(id heatherhub.ShardID, need heatherhub.Resources, n int) int {
+	l := m.loads[id]
+	taken := takeHoles(&l, need, n)
+	m.loads[id] = l
+	return taken
+}
+
+// target returns where a move should go, and the part of it that fits there.
+func (m *mover) target(move dispatch.Move) (heatherhub.ShardID, dispatch.Move, bool) {
+	var best heatherhub.ShardID
+	bestPressure := math.Inf(1)
+	for id, l := range m.loads {
+		if _, isOwned := m.owners[id]; id == m.own || !isOwned || !m.suits(move, l) {
+			continue
+		}
+		if p := l.Pressure(); p < bestPressure || (p == bestPressure && id.Compare(best) < 0) {
+			best, bestPressure = id, p
+		}
+	}
+	if math.IsInf(bestPressure, 1) {
+		return best, move, false
+	}
+	n := m.take(best, move.Need, max(len(move.Tasks), 1))
+	if move.Tasks != nil {
+		move.Tasks = move.Tasks[:n]
+	}
+	return best, move, true
+}
+
+// suits reports whether a shard has room for a task that waits here.
+func (m *mover) suits(move dispatch.Move, l record.Load) bool {
+	hasHole := slices.ContainsFunc(l.Holes, move.Need.Fits)
+	if move.Tasks != nil {
+		return hasHole
+	}
+	own := m.loads[m.own]
+	return hasHole && l.Pressure() < own.Pressure()-moveGain
+}
+
+// takeHoles takes room for n tasks, and returns for how many there was room.
+func takeHoles(l *record.Load, need heatherhub.Resources, n int) int {
+	l.Holes = slices.Clone(l.Holes)
+	for k := range n {
+		at := slices.IndexFunc(l.Holes, need.Fits)
+		if at < 0 {
+			return k
+		}
+		l.Holes[at] = l.Holes[at].Sub(need)
+		l.Reserved += need.CPU
+	}
+	return n
+}
+
+// move records that another shard runs waiting work. What became of the write is
+// taken in as any record of the job is.
+func (t *term) move(m dispatch.Move, to heatherhub.ShardID) {
+	t.mu.Lock()
+	flow, recorded, ok := t.engine.Depart(m, to)
+	t.mu.Unlock()
+	if !ok {
+		return
+	}
+	it, err := t.writeMove(flow, recorded)
+	if err != nil {
+		t.log.Warn("work not moved", zap.String("job", string(m.Job)), zap.Error(err))
+		return
+	}
+	t.mu.Lock()
+	t.addJob(it, ledger.Item{}, dispatch.IsNew)
+	t.mu.Unlock()
+	t.log.Info("work moved", zap.String("job", string(m.Job)), zap.Int("count", len(m.Tasks)), zap.Stringer("to", to), zap.Duration("waited", m.Waited))
+}
+
+// writeMove replaces the record of a job and returns it as it is then. It fails only
+// if the term ends before the outcome is known.
+func (t *term) writeMove(flow *heatherhub.Workflow, recorded ledger.Revision) (ledger.Item, error) {
+	value, err := record.Encode(flow)
+	if err != nil {
+		return ledger.Item{}, err
+	}
+	key := record.JobKey(flow.ID)
+	txn := ledger.Txn{
+		Require: []ledger.Require{t.requireOwner(), {Key: key, Revision: recorded}},
+		Puts:    []ledger.Put{{Key: key, Value: value}},
+	}
+	for {
+		rev, err := t.host.cfg.Store.Commit(t.ctx, txn)
+		var conflict *ledger.ConflictError
+		switch {
+		case err == nil:
+			return ledger.Item{Key: key, Value: value, Revision: rev}, nil
+		case t.ctx.Err() != nil:
+			return ledger.Item{}, err
+		case errors.As(err, &conflict):
+			return t.settleMove(conflict, key)
+		}
+		pause(t.ctx, takeOverTry)
+	}
+}
+
+// settleMove returns the record that stood against a move: that of an earlier try
+// whose answer was lost, or another one.
+func (t *term) settleMove(c *ledger.ConflictError, key string) (ledger.Item, error) {
+	if c.Find(record.OwnerKey(t.shard)).Revision != t.ownerRevision {
+		t.end("another owner has the shard")
+		return ledger.Item{}, heatherhub.ErrNotOwner.New("another owner has the shard")
+	}
+	it := c.Find(key)
+	if it.Revision == 0 {
+		return it, heatherhub.ErrNotFound.New("the record is gone")
+	}
+	return it, nil
+}
--- /dev/null
+++ b/process/owner/move_test.go
@@ -0,0 +1,137 @@
+package owner_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/process/record"
+)
+
+// lasting returns a step of n tasks that run until their job is cancelled.
+func lasting(n int) heatherhub.Step {
+	s := step(n, time.Second)
+	s.LongRunning = true
+	return s
+}
+
+// runsOf counts the tasks of a job that run.
+func (w *world) runsOf(id heatherhub.JobID) int {
+	n := 0
+	w.mu.Lock()
+	tasks := w.flows[id].Steps[0].Tasks
+	w.mu.Unlock()
+	for i := range tasks {
+		for _, m := range w.workers {
+			if m.runs(heatherhub.StepTask{Job: id, Index: i}) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// TestLastingTasksLeaveAFullShard gives one shard more lasting tasks than it has room
+// for. The others have room: all tasks run within the 3 s for which one may rest, and
+// all end with their job.
+func TestLastingTasksLeaveAFullShard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := divided(t, 1, 2)
+		defer w.check()
+		defer w.shutdown()
+		w.submit("wide", lasting(24))
+		took := w.await("all tasks", 3*time.Second, func() bool { return w.runsOf("wide") == 24 })
+		t.Logf("all tasks run after %s", took)
+		w.store.set(record.CancelKey("wide"), nil)
+		w.await("the end of its runs", 3900*time.Millisecond, func() bool { return w.running() == 0 })
+		if got, want := w.stateOf("wide"), heatherhub.WorkflowCancelled; got != want {
+			t.Errorf("got state %q, want %q", got, want)
+		}
+	})
+}
+
+// TestJobsLeaveAFullShard gives one shard far more short work than the others have.
+func TestJobsLeaveAFullShard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := divided(t, 1, 2)
+		defer w.check()
+		defer w.shutdown()
+		var ids []heatherhub.JobID
+		for i := range 12 {
+			id := heatherhub.JobID(fmt.Sprintf("j%d", i))
+			ids = append(ids, id)
+			w.submit(id, step(10, 2*time.Second), step(2, time.Second, 0))
+		}
+		// In one shard they take 12 turns of 2 s and the last step.
+		took := w.await("all jobs", 20*time.Second, func() bool { return w.isCompleted(ids...) })
+		t.Logf("all jobs completed after %s", took)
+		if limit := 15 * time.Second; took > limit {
+			t.Errorf("got %s, want at most %s", took, limit)
+		}
+		if got, want := w.startCount(), 1+12*12; got != want {
+			t.Errorf("got %d starts, want %d", got, want)
+		}
+	})
+}
+
+// TestRandomFaultsOfDividedSites plays the random faults on a site of three shards
+// that has more lasting tasks in one shard than fit there.
+func TestRandomFaultsOfDividedSites(t *testing.T) {
+	moved := 0
+	for i := range (*episodes + 2) / 3 {
+		seed := *episodeSeed + uint64(i)
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := &episode{
+					world: divided(t, seed, 3), rng: rand.New(rand.NewPCG(seed, 3)), watchRNG: rand.New(rand.NewPCG(seed, 4)),
+					cancelled: make(map[heatherhub.JobID]bool), hosts: [3]heatherhub.HostID{"h0", "h1", "h2"},
+				}
+				for k := range 3 {
+					e.submit(heatherhub.JobID(fmt.Sprintf("lasting%d", k)), lasting(6))
+				}
+				e.play()
+				e.finishDivided()
+				moved += e.movedCount()
+			})
+		})
+	}
+	t.Logf("%d jobs were moved", moved)
+	if moved == 0 {
+		t.Error("got no moved job, want some")
+	}
+}
+
+// finishDivided heals everything and expects the lasting tasks to run, once each,
+// until their jobs are cancelled.
+func (e *episode) finishDivided() {
+	e.heal()
+	for k := range 3 {
+		id := heatherhub.JobID(fmt.Sprintf("lasting%d", k))
+		e.await(string(id), calmTime, func() bool { return e.runsOf(id) == 6 })
+		e.store.set(record.CancelKey(id), nil)
+		e.await("the end of "+string(id), 4*time.Second, func() bool { return e.runsOf(id) == 0 })
+	}
+	e.await("all jobs", calmTime, e.allComplete)
+	e.shutdown()
+	e.check()
+}
+
+// movedCount counts the jobs of which another shard runs something.
+func (e *episode) movedCount() int {
+	e.store.mu.Lock()
+	defer e.store.mu.Unlock()
+	n := 0
+	for key, it := range e.store.items {
+		if id, isCancel := record.ParseJobKey(key); isCancel || record.JobKey(id) != key {
+			continue
+		}
+		var flow heatherhub.Workflow
+		if err := heatherhub.Unmarshal(it.Value, &flow); err == nil && (len(flow.Homes) > 0 || flow.Shard != e.home) {
+			n++
+		}
+	}
+	return n
+}
--- a/process/owner/owner_test.go
+++ b/process/owner/owner_test.go
@@ -13,7 +13,17 @@
 // site starts three failure domains with a host and workers each, and waits for an
 // owner that has all workers.
 func site(t *testing.T, seed uint64, workersPerDomain int) *world {
+	return populate(newWorld(t, seed), workersPerDomain)
+}
+
+// divided is site with a shard for each failure domain. New jobs go to the first.
+func divided(t *testing.T, seed uint64, workersPerDomain int) *world {
 	w := newWorld(t, seed)
+	w.perShard, w.home = workersPerDomain, heatherhub.ShardID{Domain: "d0"}
+	return populate(w, workersPerDomain)
+}
+
+func populate(w *world, workersPerDomain int) *world {
 	for d := range 3 {
 		domain := heatherhub.FailureDomain(fmt.Sprintf("d%d", d))
 		for i := range workersPerDomain {
@@ -281,3 +291,26 @@
 	defer s.mu.Unlock()
 	s.hidden = keys
 }
+
+// TestLateClaimIsNotOrphaned lets a claim of the shard take effect seconds after its
+// host has given it up. The host's lease lives on, and the key with it: the shard
+// must not stay without an owner.
+func TestLateClaimIsNotOrphaned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := site(t, 1, 2)
+		defer w.check()
+		defer w.shutdown()
+		w.store.setLate(record.OwnerKey(w.home))
+		w.kill(w.owner())
+		w.submit("waiting", step(1, 100*time.Millisecond))
+		time.Sleep(3 * time.Second)
+		w.store.setLate("")
+		w.await("the job", 5*time.Second, func() bool { return w.isCompleted("waiting") })
+	})
+}
+
+func (s *memoryStore) setLate(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lateKey = key
+}
--- a/process/owner/random_test.go
+++ b/process/owner/random_test.go
@@ -164,7 +164,7 @@
 	case 4:
 		e.freeze(host, span/2)
 	case 5:
-		e.store.revoke(record.OwnerKey(heatherhub.ShardID{Domain: record.SiteDomain}))
+		e.store.revoke(record.OwnerKey(e.home))
 	case 6:
 		e.store.setDown(true)
 		e.later(span, func() { e.store.setDown(false) })
@@ -217,6 +217,14 @@
 
 // finish heals everything and expects all work to end.
 func (e *episode) finish() {
+	e.heal()
+	e.await("all jobs", calmTime, e.allComplete)
+	e.shutdown()
+	e.check()
+}
+
+// heal ends the faults.
+func (e *episode) heal() {
 	time.Sleep(10 * time.Second)
 	e.store.setDown(false)
 	e.store.setLost(0)
@@ -225,9 +233,6 @@
 	e.mu.Lock()
 	clear(e.cuts)
 	e.mu.Unlock()
-	e.await("all jobs", calmTime, e.allComplete)
-	e.shutdown()
-	e.check()
 }
 
 func (e *episode) allComplete() bool {
--- a/process/owner/store_test.go
+++ b/process/owner/store_test.go
@@ -30,8 +30,12 @@
 	isDown    bool
 	// silentPrefix is that of watches that get no answer.
 	silentPrefix string
+	// lateKey is a key whose commits take effect late and without an answer.
+	lateKey string
 	// hidden are keys that ranges leave out.
 	hidden []string
+	// hints are old answers that Hints may give again.
+	hints map[string]hints
 }
 
 type memoryLease struct {
@@ -42,7 +46,7 @@
 func newMemoryStore(rng *rand.Rand) *memoryStore {
 	return &memoryStore{
 		rev: 10, items: make(map[string]ledger.Item), leases: make(map[ledger.LeaseID]*memoryLease),
-		changed: make(chan struct{}), rng: rng,
+		changed: make(chan struct{}), rng: rng, hints: make(map[string]hints),
 	}
 }
 
@@ -214,6 +218,30 @@
 	return snap, nil
 }
 
+// hintAge is how old the answer to Hints may be.
+const hintAge = 2 * time.Second
+
+type hints struct {
+	ledger.Snapshot
+	at time.Time
+}
+
+func (s *storeOf) Hints(ctx context.Context, prefix string) (ledger.Snapshot, error) {
+	s.mu.Lock()
+	old, ok := s.hints[prefix]
+	s.mu.Unlock()
+	if ok && time.Since(old.at) < hintAge {
+		return old.Snapshot, s.reach(ctx)
+	}
+	snap, err := s.Range(ctx, prefix)
+	if err == nil {
+		s.mu.Lock()
+		s.hints[prefix] = hints{Snapshot: snap, at: time.Now()}
+		s.mu.Unlock()
+	}
+	return snap, err
+}
+
 func (s *storeOf) Watch(ctx context.Context, prefix string, after ledger.Revision, span time.Duration) (ledger.Changes, error) {
 	until := time.Now().Add(span)
 	for {
@@ -258,7 +286,13 @@
 	s.mu.Lock()
 	dice := s.rng.Float64()
 	share := s.lostShare
+	isLate := s.lateKey != "" && slices.ContainsFunc(txn.Puts, func(p ledger.Put) bool { return p.Key == s.lateKey })
 	s.mu.Unlock()
+	if isLate {
+		s.w.later(2*time.Second, func() { _, _ = s.apply(txn) })
+		wait(ctx, callTimeout)
+		return 0, heatherhub.ErrUnknown.New("the answer was lost")
+	}
 	if dice < share/2 {
 		s.w.later(time.Duration(1+4*dice/share)*time.Second, func() { _, _ = s.apply(txn) })
 		wait(ctx, callTimeout)
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -47,6 +47,8 @@
 	wakeDecide chan struct{}
 	wakeCommit chan struct{}
 	wakeLookup chan struct{}
+	// given is what the move loop has moved in the last seconds.
+	given []gift
 	// commitTurn orders the writes of the term. It is held during calls of the
 	// store, which a mutex should not be.
 	commitTurn chan struct{}
@@ -58,7 +60,7 @@
 		host: h, shard: s, token: agent.Token(rev), ownerRevision: rev,
 		log: h.cfg.Log.With(zap.Stringer("shard", s), zap.Uint64("token", uint64(rev))),
 		ctx: ctx, cancel: cancel, takenAt: h.cfg.Clock.Now().Steady,
-		engine:  dispatch.New(dispatch.Config{Token: agent.Token(rev)}),
+		engine:  dispatch.New(dispatch.Config{Token: agent.Token(rev), Shard: s}),
 		workers: make(map[heatherhub.WorkerID]*workerLoop), fleet: fleet{workers: make(map[heatherhub.WorkerID]string)},
 		committed: make(chan struct{}), wakeDecide: make(chan struct{}, 1), wakeCommit: make(chan struct{}, 1),
 		wakePublish: make(chan struct{}, 1), wakeLookup: make(chan struct{}, 1), commitTurn: make(chan struct{}, 1),
@@ -76,6 +78,9 @@
 	jobGap = 10 * time.Millisecond
 	// workerWatch bounds one watch of the workers' entries.
 	workerWatch = 1500 * time.Millisecond
+	// workerGap lets changes of entries come together: on a site of 490 workers they
+	// were six of ten calls of the store.
+	workerGap = 200 * time.Millisecond
 	takeOverTry = 200 * time.Millisecond
 	// commitGap lets the ends of a moment go into one transaction.
 	commitGap = 40 * time.Millisecond
@@ -95,7 +100,7 @@
 		OnSnapshot: t.addJobs, OnChanges: t.changeJobs, OnContact: t.jobsAnswered,
 	}
 	workers := ledger.Follower{
-		Store: t.host.cfg.Store, Prefix: t.host.cfg.WorkerPrefix, Wait: workerWatch, Log: t.log,
+		Store: t.host.cfg.Store, Prefix: t.host.cfg.WorkerPrefix, Wait: workerWatch, Gap: workerGap, Log: t.log,
 		OnSnapshot: t.resetWorkers, OnChanges: t.changeWorkers,
 	}
 	t.group.Go(func() { jobs.Run(t.ctx, &start.jobs) })
@@ -104,6 +109,7 @@
 	t.group.Go(t.commitLoop)
 	t.group.Go(t.publishLoop)
 	t.group.Go(t.lookupLoop)
+	t.group.Go(t.moveLoop)
 	<-t.ctx.Done()
 	t.group.Wait()
 	t.log.Info("term over", zap.Duration("lasted", t.now().Steady-t.takenAt), zap.Any("stats", t.engine.Stats))
@@ -222,24 +228,21 @@
 	}
 }
 
-// addJob adds a job of this shard. The caller has the lock.
+// addJob gives the engine a job as it was read. The caller has the lock.
 func (t *term) addJob(it, progress ledger.Item, origin dispatch.Inherited) {
 	var flow heatherhub.Workflow
 	if err := heatherhub.Unmarshal(it.Value, &flow); err != nil {
 		t.log.Error("job unreadable", zap.String("key", it.Key), zap.Error(err))
 		return
 	}
-	if flow.Shard != t.shard {
-		return
-	}
-	var p dispatch.Progress
+	r := dispatch.Read{Flow: &flow, Recorded: it.Revision, Revision: progress.Revision, Origin: origin}
 	if progress.Revision > 0 {
-		if err := heatherhub.Unmarshal(progress.Value, &p); err != nil {
+		if err := heatherhub.Unmarshal(progress.Value, &r.Progress); err != nil {
 			t.log.Error("progress unreadable", zap.String("key", progress.Key), zap.Error(err))
 			return
 		}
 	}
-	t.engine.AddJob(t.now(), &flow, p, progress.Revision, origin)
+	t.engine.AddJob(t.now(), r)
 }
 
 // addJobs takes in jobs that a broken watch has missed.
--- a/process/owner/world_test.go
+++ b/process/owner/world_test.go
@@ -51,6 +51,10 @@
 	starts   map[heatherhub.StepTask]int
 	lastTask heatherhub.StepTask
 	broken   []string
+	// home is the shard of new jobs.
+	home heatherhub.ShardID
+	// perShard is the size of a shard; zero is one shard for all workers.
+	perShard int
 	// lateShare is the share of orders that are carried out late.
 	lateShare float64
 	// ackEverything plants a fault: ends are acknowledged before they are durable.
@@ -69,7 +73,7 @@
 		dead: make(map[heatherhub.HostID]bool), thawed: make(map[heatherhub.HostID]chan struct{}),
 		stops: make(map[heatherhub.HostID]context.CancelFunc), flows: make(map[heatherhub.JobID]*heatherhub.Workflow),
 		done: make(map[heatherhub.StepTask]bool), acked: make(map[heatherhub.StepTask]bool),
-		starts: make(map[heatherhub.StepTask]int),
+		starts: make(map[heatherhub.StepTask]int), home: heatherhub.ShardID{Domain: record.SiteDomain},
 	}
 }
 
@@ -118,7 +122,7 @@
 			return &agentOf{w: w, host: id, worker: worker}
 		},
 		WorkerPrefix: workerPrefix, DecodeWorker: decodeEntry, Tables: &tables,
-		Clock: testClock{start: time.Now()}, Log: zap.NewNop(),
+		Clock: testClock{start: time.Now()}, Log: zap.NewNop(), Limits: owner.Limits{WorkersPerShard: w.perShard},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	w.mu.Lock()
@@ -224,7 +228,7 @@
 func (w *world) submit(id heatherhub.JobID, steps ...heatherhub.Step) {
 	flow := &heatherhub.Workflow{
 		ID: id, Queue: testQueue, Steps: steps, Accepted: time.Now(),
-		Shard: heatherhub.ShardID{Domain: record.SiteDomain},
+		Shard: w.home,
 	}
 	value, err := record.Encode(flow)
 	if err != nil {
@@ -358,13 +362,13 @@
 	}
 }
 
-// owner returns the host that owns the shard, or "".
+// owner returns the host that owns the shard of new jobs, or "".
 func (w *world) owner() heatherhub.HostID {
 	w.store.mu.Lock()
 	defer w.store.mu.Unlock()
 	w.store.expire()
 	var o record.Owner
-	it := w.store.items[record.OwnerKey(heatherhub.ShardID{Domain: record.SiteDomain})]
+	it := w.store.items[record.OwnerKey(w.home)]
 	if it.Revision == 0 {
 		return ""
 	}
--- a/process/record/record.go
+++ b/process/record/record.go
@@ -13,7 +13,8 @@
 //   - shard/owner/SHARD: a host that takes the shard over; the key is absent. It
 //     lives as long as the host's lease.
 //   - fleet/SHARD: the owner; the owner's key is unchanged.
-//   - job/ID: any host; the key is absent and the configuration unchanged.
+//   - job/ID: any host; the key is absent and the configuration unchanged. Later the
+//     owner, to let another shard run what waits; its key and the record are unchanged.
 //   - job/ID/cancel: any host.
 //   - progress/ID: the owner; its key and the record are unchanged.
 //   - load/SHARD: the owner; its key is unchanged.
@@ -21,7 +22,6 @@
 
 import (
 	"strings"
-	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -97,16 +97,6 @@
 	Address string              `msgpack:"a" json:"address"`
 }
 
-// Load is what an owner tells of its shard.
-type Load struct {
-	Capacity heatherhub.MilliCPU        `msgpack:"c" json:"capacityMilli"`
-	Reserved heatherhub.MilliCPU        `msgpack:"r" json:"reservedMilli"`
-	Filling  heatherhub.MilliCPU        `msgpack:"f" json:"fillingMilli"`
-	Backlog  time.Duration              `msgpack:"b" json:"backlog"`
-	Waiting  map[heatherhub.QueueID]int `msgpack:"w,omitempty" json:"waiting,omitempty"`
-	At       time.Time                  `msgpack:"at" json:"at"`
-}
-
 // Encode encodes a value for the store.
 func Encode(v any) ([]byte, error) {
 	data, err := msgpack.Marshal(v)
--- a/request/intake/intake_test.go
+++ b/request/intake/intake_test.go
@@ -75,7 +75,7 @@
 		Layout: record.Layout{Shards: []record.ShardSize{{Shard: heatherhub.ShardID{Domain: record.SiteDomain}, CPU: 1000}}},
 		Owners: map[heatherhub.ShardID]record.Owner{},
 	}
-	shards := intake.NewShards(intake.ShardsConfig{Store: s, View: func() *owner.View { return view }, Log: zap.NewNop()})
+	shards := intake.NewShards(intake.ShardsConfig{Store: s, View: func() *owner.View { return view }, Random: func() float64 { return 0 }, Log: zap.NewNop()})
 	unknown := func(heatherhub.JobID) (heatherhub.WorkflowState, bool) { return "", false }
 	return intake.New(intake.Config{
 		Store: s, TableKey: tableKey, Shards: shards, Local: unknown, Clock: clock, Log: zap.NewNop(),
@@ -156,3 +156,91 @@
 		t.Errorf("got code %q, want %q", got, want)
 	}
 }
+
+var (
+	north = heatherhub.ShardID{Domain: "north"}
+	south = heatherhub.ShardID{Domain: "south"}
+)
+
+// hinted is a store that has loads.
+type hinted struct {
+	ledger.Store
+	loads map[heatherhub.ShardID]record.Load
+}
+
+func (h *hinted) Hints(context.Context, string) (ledger.Snapshot, error) {
+	var snap ledger.Snapshot
+	for id, l := range h.loads {
+		value, err := record.Encode(l)
+		if err != nil {
+			return snap, err
+		}
+		snap.Items = append(snap.Items, ledger.Item{Key: record.LoadKey(id), Value: value, Revision: 1})
+	}
+	return snap, nil
+}
+
+func twoShards(t *testing.T, loads map[heatherhub.ShardID]record.Load) *intake.Shards {
+	view := &owner.View{
+		Layout: record.Layout{Shards: []record.ShardSize{{Shard: north, CPU: 10_000}, {Shard: south, CPU: 10_000}}},
+		Owners: map[heatherhub.ShardID]record.Owner{north: {Host: "a"}, south: {Host: "b"}},
+	}
+	s := intake.NewShards(intake.ShardsConfig{
+		Store: &hinted{loads: loads}, View: func() *owner.View { return view }, Random: func() float64 { return 0 }, Log: zap.NewNop(),
+	})
+	if _, err := s.Waiting(context.Background(), "q"); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func TestJobGoesToTheShardThatServesItBest(t *testing.T) {
+	load := func(reserved, filling heatherhub.MilliCPU, backlog time.Duration, racks ...heatherhub.Rack) record.Load {
+		return record.Load{Capacity: 10_000, Reserved: reserved, Filling: filling, Backlog: backlog, Racks: racks}
+	}
+	short := heatherhub.Step{Tasks: 2, Need: heatherhub.Resources{CPU: 1000}, Estimate: time.Second}
+	near := short
+	near.DataRack = "r2"
+	lasting := short
+	lasting.LongRunning = true
+	cases := map[string]struct {
+		north, south record.Load
+		step         heatherhub.Step
+		want         heatherhub.ShardID
+	}{
+		"less waits":                     {load(5000, 0, 9*time.Second), load(8000, 0, 0), short, south},
+		"less is in use":                 {load(5000, 0, 0), load(8000, 0, 0), short, north},
+		"the data is there":              {load(5000, 0, 0, "r1"), load(8000, 0, 0, "r2"), near, south},
+		"the data is where far too much": {load(5000, 0, 0, "r1"), load(8000, 0, 30*time.Second, "r2"), near, north},
+		"lasting tasks reserve":          {load(8000, 0, 0), load(5000, 5000, 9*time.Second), lasting, south},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := twoShards(t, map[heatherhub.ShardID]record.Load{north: c.north, south: c.south})
+			got, err := s.Choose(&heatherhub.Workflow{ID: "j", Steps: []heatherhub.Step{c.step}})
+			if err != nil || got != c.want {
+				t.Errorf("got shard %s, error %v, want %s", got, err, c.want)
+			}
+		})
+	}
+}
+
+// TestBurstIsSpread sends jobs faster than the loads are read.
+func TestBurstIsSpread(t *testing.T) {
+	s := twoShards(t, map[heatherhub.ShardID]record.Load{north: {Capacity: 10_000}, south: {Capacity: 10_000, Reserved: 100}})
+	for _, isLasting := range []bool{false, true} {
+		counts := make(map[heatherhub.ShardID]int)
+		for range 10 {
+			id, err := s.Choose(&heatherhub.Workflow{ID: "j", Steps: []heatherhub.Step{{
+				Tasks: 2, Need: heatherhub.Resources{CPU: 500}, Estimate: time.Second, LongRunning: isLasting,
+			}}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			counts[id]++
+		}
+		if counts[north] < 4 || counts[south] < 4 {
+			t.Errorf("lasting %v: got %v jobs by shard, want them spread", isLasting, counts)
+		}
+	}
+}
--- a/request/intake/shards.go
+++ b/request/intake/shards.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"strings"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,24 +25,34 @@
 
 	mu    sync.Mutex
 	loads map[heatherhub.ShardID]record.Load
-	// sent is the processor time that this host has given to a shard since its
-	// load was read.
-	sent map[heatherhub.ShardID]time.Duration
-	next int
+	// sent is what this host has given to a shard since its load was read.
+	sent map[heatherhub.ShardID]sent
+	// random returns a number from zero to one.
+	random func() float64
+}
+
+// sent is work that a load does not show yet.
+type sent struct {
+	// work is processor time, lasting what lasting tasks reserve.
+	work    time.Duration
+	lasting heatherhub.MilliCPU
 }
 
 // ShardsConfig is the configuration of the choice of shards.
 type ShardsConfig struct {
 	Store ledger.Store
 	View  func() *owner.View
-	Log   *zap.Logger
+	// Random returns a number from zero to one.
+	Random func() float64
+	Log    *zap.Logger
 }
 
 // NewShards returns a choice without loads; Run reads them.
 func NewShards(cfg ShardsConfig) *Shards {
 	return &Shards{
 		store: cfg.Store, view: cfg.View, log: cfg.Log,
-		loads: make(map[heatherhub.ShardID]record.Load), sent: make(map[heatherhub.ShardID]time.Duration),
+		loads: make(map[heatherhub.ShardID]record.Load), sent: make(map[heatherhub.ShardID]sent),
+		random: cfg.Random,
 	}
 }
 
@@ -68,23 +78,10 @@
 }
 
 func (s *Shards) refresh(ctx context.Context) (map[heatherhub.ShardID]record.Load, error) {
-	snap, err := s.store.Range(ctx, record.LoadPrefix)
+	loads, err := owner.ReadLoads(ctx, s.store, s.log)
 	if err != nil {
 		return nil, err
 	}
-	loads := make(map[heatherhub.ShardID]record.Load, len(snap.Items))
-	for _, it := range snap.Items {
-		id, err := heatherhub.ParseShardID(strings.TrimPrefix(it.Key, record.LoadPrefix))
-		var l record.Load
-		if err == nil {
-			err = heatherhub.Unmarshal(it.Value, &l)
-		}
-		if err != nil {
-			s.log.Warn("load unreadable", zap.String("key", it.Key), zap.Error(err))
-			continue
-		}
-		loads[id] = l
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.loads = loads
@@ -105,8 +102,10 @@
 	return n, nil
 }
 
-// Choose returns the shard with the least load for its size. Shards without an
-// owner take jobs only if no other is left.
+// Choose returns the shard that serves a new job best: the one with the rack of its
+// data, unless that is much busier, and the least loaded one else. Lasting tasks go
+// where most processors are not reserved. Shards without an owner take jobs only if no
+// other is left.
 func (s *Shards) Choose(flow *heatherhub.Workflow) (heatherhub.ShardID, error) {
 	v := s.view()
 	if len(v.Layout.Shards) == 0 {
@@ -114,12 +113,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.next++
 	var best heatherhub.ShardID
 	bestCost, isFound := 0.0, false
-	for i := range v.Layout.Shards {
-		size := v.Layout.Shards[(i+s.next)%len(v.Layout.Shards)]
-		cost := s.cost(size)
+	for _, size := range v.Layout.Shards {
+		cost := s.cost(size, flow) + scatter*s.random()
 		if _, ok := v.Owners[size.Shard]; !ok {
 			cost += withoutOwner
 		}
@@ -127,35 +124,70 @@
 			best, bestCost, isFound = size.Shard, cost, true
 		}
 	}
-	s.sent[best] += workOf(flow)
+	s.note(best, flow)
 	return best, nil
 }
 
-// withoutOwner is above every load.
-const withoutOwner = 1e6
+// Weights of the choice of a shard, as shares of its processors or seconds of work.
+const (
+	// withoutOwner is above every load.
+	withoutOwner = 1e6
+	// scatter keeps hosts that know the same loads from all choosing the same shard
+	// until the next loads come.
+	scatter = 0.06
+	// remoteCost is what it costs to run a job away from its data: tasks take up to
+	// three times as long there.
+	remoteCost = 1.5
+)
 
-// cost returns the seconds of work that a shard has before it, plus the share of
-// its processors in use. The caller has the lock.
-func (s *Shards) cost(size record.ShardSize) float64 {
+// cost ranks a shard for a job; less is better. The caller has the lock.
+func (s *Shards) cost(size record.ShardSize, flow *heatherhub.Workflow) float64 {
 	l, ok := s.loads[size.Shard]
-	capacity := float64(size.CPU) / 1000
-	used := 0.0
-	if ok && l.Capacity > 0 {
-		capacity = float64(l.Capacity) / 1000
-		used = float64(l.Reserved+l.Filling) / float64(l.Capacity)
+	if !ok {
+		l.Capacity = size.CPU
+	}
+	sent := s.sent[size.Shard]
+	l.Backlog += sent.work
+	l.Reserved += sent.lasting
+	cost := l.Pressure()
+	if flow.IsLongRunning() {
+		cost = l.ReservedShare()
 	}
-	return used + (l.Backlog+s.sent[size.Shard]).Seconds()/max(capacity, 1)
+	if rack := dataRack(flow); rack != "" && len(l.Racks) > 0 && !slices.Contains(l.Racks, rack) {
+		cost += remoteCost
+	}
+	return cost
+}
+
+// note remembers what this host has sent to a shard. The caller has the lock.
+func (s *Shards) note(to heatherhub.ShardID, flow *heatherhub.Workflow) {
+	sent := s.sent[to]
+	for i := range flow.Steps {
+		switch st := &flow.Steps[i]; {
+		case st.LongRunning:
+			sent.lasting += heatherhub.MilliCPU(st.Tasks) * st.Reserved().CPU
+		case len(st.After) == 0:
+			sent.work += time.Duration(st.Tasks) * st.Estimate * time.Duration(st.Need.CPU) / 1000
+		}
+	}
+	s.sent[to] = sent
 }
 
-// workOf returns the processor time of a job's first steps.
-func workOf(flow *heatherhub.Workflow) time.Duration {
-	var d time.Duration
+// dataRack returns the rack that most tasks of a job have their data in, or "".
+func dataRack(flow *heatherhub.Workflow) heatherhub.Rack {
+	tasks := make(map[heatherhub.Rack]int)
+	var best heatherhub.Rack
 	for i := range flow.Steps {
-		if st := &flow.Steps[i]; len(st.After) == 0 {
-			d += time.Duration(st.Tasks) * st.Estimate * time.Duration(st.Need.CPU) / 1000
+		st := &flow.Steps[i]
+		if st.DataRack == "" {
+			continue
+		}
+		tasks[st.DataRack] += st.Tasks
+		if tasks[st.DataRack] > tasks[best] {
+			best = st.DataRack
 		}
 	}
-	return d
+	return best
 }
 
 func asError(err error) *errorx.Error {
--- a/workflow.go
+++ b/workflow.go
@@ -105,6 +105,36 @@
 	Policy QueuePolicy `msgpack:"po" json:"policy"`
 	// Shard owns the workflow.
 	Shard ShardID `msgpack:"sh" json:"shard"`
+	// Homes names the shards that run tasks of a lasting workflow in the place of its
+	// own, by the tasks' numbers over all steps.
+	Homes map[int]ShardID `msgpack:"ho,omitempty" json:"homes,omitempty"`
+}
+
+// HomeOf returns the shard that runs a task, by the task's number over all steps.
+func (w *Workflow) HomeOf(task int) ShardID {
+	if s, ok := w.Homes[task]; ok {
+		return s
+	}
+	return w.Shard
+}
+
+// IsAt reports whether a shard owns the workflow or runs tasks of it.
+func (w *Workflow) IsAt(s ShardID) bool {
+	if w.Shard == s {
+		return true
+	}
+	for _, home := range w.Homes {
+		if home == s {
+			return true
+		}
+	}
+	return false
+}
+
+// MayDivide reports whether shards may share the tasks of the workflow: nothing that
+// follows depends on their ends.
+func (w *Workflow) MayDivide() bool {
+	return len(w.Steps) == 1 && w.Steps[0].LongRunning && !w.Steps[0].Gang && w.Schedule == nil
 }
 
 // Occurrences returns how many times the steps run.
@@ -154,6 +184,18 @@
 	if total > MaxTasksPerJob {
 		return ErrInvalid.New("job %s has %d tasks: use at most %d", w.ID, total, MaxTasksPerJob)
 	}
+	return w.checkHomes(total)
+}
+
+func (w *Workflow) checkHomes(total int) error {
+	if len(w.Homes) > 0 && !w.MayDivide() {
+		return ErrInvalid.New("job %s is divided among shards: only one step of tasks that last may be", w.ID)
+	}
+	for task := range w.Homes {
+		if task < 0 || task >= total {
+			return ErrInvalid.New("job %s has no task %d that a shard could run", w.ID, task)
+		}
+	}
 	return nil
 }
 
