--- a/process/owner/move_test.go
+++ b/process/owner/move_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -85,13 +84,7 @@
 		seed := *episodeSeed + uint64(i)
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				e := &episode{
-					world: divided(t, seed, 3), rng: rand.New(rand.NewPCG(seed, 3)), watchRNG: rand.New(rand.NewPCG(seed, 4)),
-					cancelled: make(map[heatherhub.JobID]bool), hosts: [3]heatherhub.HostID{"h0", "h1", "h2"},
-				}
-				for k := range 3 {
-					e.submit(heatherhub.JobID(fmt.Sprintf("lasting%d", k)), lasting(6))
-				}
+				e := newDividedEpisode(t, seed)
 				e.play()
 				e.finishDivided()
 				moved += e.movedCount()
@@ -104,6 +97,29 @@
 	}
 }
 
+// TestDividedSeedsThatFailed plays the episodes after which a shard stayed without an
+// owner: a claim took effect after its host had given it up.
+func TestDividedSeedsThatFailed(t *testing.T) {
+	for _, seed := range []uint64{263, 555, 569, 622} {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := newDividedEpisode(t, seed)
+				e.play()
+				e.finishDivided()
+			})
+		})
+	}
+}
+
+// newDividedEpisode has more lasting tasks in the first shard than fit there.
+func newDividedEpisode(t *testing.T, seed uint64) *episode {
+	e := newEpisodeOn(divided(t, seed, 3), seed)
+	for k := range 3 {
+		e.submit(heatherhub.JobID(fmt.Sprintf("lasting%d", k)), lasting(6))
+	}
+	return e
+}
+
 // finishDivided heals everything and expects the lasting tasks to run, once each,
 // until their jobs are cancelled.
 func (e *episode) finishDivided() {
--- a/process/owner/random_test.go
+++ b/process/owner/random_test.go
@@ -102,7 +102,14 @@
 }
 
 func newEpisode(t *testing.T, seed uint64) *episode {
-	return &episode{world: site(t, seed, 3), rng: rand.New(rand.NewPCG(seed, 3)), watchRNG: rand.New(rand.NewPCG(seed, 4)), cancelled: make(map[heatherhub.JobID]bool), hosts: [3]heatherhub.HostID{"h0", "h1", "h2"}}
+	return newEpisodeOn(site(t, seed, 3), seed)
+}
+
+func newEpisodeOn(w *world, seed uint64) *episode {
+	return &episode{
+		world: w, rng: rand.New(rand.NewPCG(seed, 3)), watchRNG: rand.New(rand.NewPCG(seed, 4)),
+		cancelled: make(map[heatherhub.JobID]bool), hosts: [3]heatherhub.HostID{"h0", "h1", "h2"},
+	}
 }
 
 // play sends jobs and plays faults. It returns the number of faults.
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -80,7 +80,7 @@
 	workerWatch = 1500 * time.Millisecond
 	// workerGap lets changes of entries come together: on a site of 490 workers they
 	// were six of ten calls of the store.
-	workerGap = 200 * time.Millisecond
+	workerGap   = 200 * time.Millisecond
 	takeOverTry = 200 * time.Millisecond
 	// commitGap lets the ends of a moment go into one transaction.
 	commitGap = 40 * time.Millisecond
