Show operators the jobs, workers and hosts of the platform

The operators' commands spoke to the first design only; on the platform there was no way to ask where a job is but the logs.

Each host serves the operators' port beside its metrics (9464). Any host answers for all: it asks the owners of the shards, and names shards that did not answer. Jobs can be cancelled there; adding jobs and editing the configuration are refused with the place to go to. The wire types carry tags.

A second command line for the platform; a copy of the views in the store, which would cost writes for something that is read seldom.

--- a/command/serve/serve.go
+++ b/command/serve/serve.go
@@ -34,6 +34,8 @@
 	"heatherhub.example/heatherhub/process/owner"
 	"heatherhub.example/heatherhub/process/steady"
 	"heatherhub.example/heatherhub/request/intake"
+	"heatherhub.example/heatherhub/request/operator"
+	"heatherhub.example/heatherhub/request/overview"
 	"heatherhub.example/heatherhub/version/queues"
 )
 
@@ -43,11 +45,8 @@
 	LogLevel string `arg:"--log-level,env:HEATHERHUB_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
 }
 
-// Where the metrics are served; the deploy file names the same.
-const (
-	metricsListenPort = 9464
-	metricsPath       = "/metrics"
-)
+// Where the operators' port is, with the metrics; the deploy file names the same.
+const operatorsPort = 9464
 
 // Times of a host.
 const (
@@ -129,6 +128,7 @@
 	h.shards = intake.NewShards(intake.ShardsConfig{Store: h.store, View: h.owner.View, Random: rand.Float64, Log: log})
 	h.peerPort = peer.NewServer(peer.ServerConfig{Self: s.Host, Log: log})
 	h.peerPort.Handle(peer.MethodWorkflowState, intake.AnswerState(h.owner.State))
+	h.peerPort.Handle(peer.MethodOverview, overview.Answer(h.owner.Overview))
 	h.peers = &intake.Peers{Client: peer.NewClient(peer.ClientConfig{Self: s.Host, Log: log}), View: h.owner.View}
 	h.owner.OnView(func(v *owner.View) { h.peers.Follow(v, s.Host) })
 	h.desk = intake.New(intake.Config{
@@ -162,10 +162,10 @@
 		ReadHeaderTimeout: 5 * time.Second,
 	}
 	probes := &http.Server{Handler: h.probes(), ReadHeaderTimeout: 5 * time.Second}
-	metricsPort := &http.Server{Handler: h.metricsHandler(), ReadHeaderTimeout: 5 * time.Second}
-	metrics, err := net.Listen("tcp4", net.JoinHostPort(h.settings.IP, strconv.Itoa(metricsListenPort)))
+	operators := operator.NewServer(h.operatorHandler())
+	metrics, err := net.Listen("tcp4", net.JoinHostPort(h.settings.IP, strconv.Itoa(operatorsPort)))
 	if err != nil {
-		h.log.Warn("metrics are not served", zap.Error(err))
+		h.log.Warn("operators are not served", zap.Error(err))
 	}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -173,7 +173,7 @@
 	g.Go(func() { h.serve(front, callers) })
 	g.Go(func() { h.serve(probes, readiness) })
 	if metrics != nil {
-		g.Go(func() { h.serve(metricsPort, metrics) })
+		g.Go(func() { h.serve(operators, metrics) })
 	}
 	g.Go(func() {
 		if err := h.peerPort.Serve(peers); err != nil {
@@ -187,7 +187,7 @@
 	h.drain(front)
 	cancel()
 	_ = probes.Close()
-	_ = metricsPort.Close()
+	_ = operators.Close()
 	h.peers.Client.Close()
 	h.peerPort.Close()
 	g.Wait()
@@ -253,11 +253,17 @@
 	return r
 }
 
-// metricsHandler serves the metrics on an address of their own.
-func (h *host) metricsHandler() http.Handler {
-	r := httprouter.New()
-	r.Handler(http.MethodGet, metricsPath, promhttp.HandlerFor(h.registry, promhttp.HandlerOpts{}))
-	return r
+// operatorHandler serves the operators' port: what the site does, and the metrics.
+func (h *host) operatorHandler() http.Handler {
+	b := overview.New(overview.Config{
+		Self: h.settings.Host, Domain: h.settings.Domain, Address: net.JoinHostPort(h.settings.IP, strconv.Itoa(h.settings.FirstPort)),
+		Started: time.Now(), Local: h.owner.Overview, View: h.owner.View, Peers: h.peers.Client,
+		Cancel: h.desk.Cancel, State: h.desk.State, Tables: &h.tables, IsStale: h.isStale, IsLeaving: h.isDraining.Load, Log: h.log,
+	})
+	return operator.New(operator.Config{
+		Backend: b, Configuration: b, Log: h.log, Registerer: h.registry,
+		Metrics: promhttp.HandlerFor(h.registry, promhttp.HandlerOpts{}),
+	})
 }
 
 // followTable keeps the configuration up to date.
--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -41,6 +41,8 @@
 	MethodBeat Method = "beat"
 	// MethodWorkflowState asks the owner of a shard for the state of a workflow.
 	MethodWorkflowState Method = "workflowState"
+	// MethodOverview asks the owner of shards for what operators are shown.
+	MethodOverview Method = "overview"
 	// MethodSnapshot relays a configuration.
 	MethodSnapshot Method = "snapshot"
 )
--- a/job.go
+++ b/job.go
@@ -18,6 +18,9 @@
 	// JobParked has failed on several workers, or fits no worker even when
 	// that is empty. An operator decides.
 	JobParked JobState = "parked"
+	// JobRunning and JobFailed are shown of workflows; no job record has them.
+	JobRunning JobState = "running"
+	JobFailed  JobState = "failed"
 )
 
 // MaxTasksPerJob is the largest number of tasks in one job.
--- /dev/null
+++ b/process/dispatch/view.go
@@ -0,0 +1,116 @@
+package dispatch
+
+import (
+	"time"
+
+	"heatherhub.example/heatherhub"
+)
+
+// JobView is what operators are shown of a job.
+type JobView struct {
+	ID       heatherhub.JobID         `msgpack:"id" json:"id"`
+	Queue    heatherhub.QueueID       `msgpack:"q" json:"queue"`
+	Shard    heatherhub.ShardID       `msgpack:"sh" json:"shard"`
+	State    heatherhub.WorkflowState `msgpack:"s" json:"state"`
+	Accepted time.Time                `msgpack:"at" json:"accepted"`
+	// Tasks counts the tasks of all occurrences; Guests those that run in other
+	// shards, which are not in the counts below.
+	Tasks  int `msgpack:"n" json:"tasks"`
+	Guests int `msgpack:"g,omitempty" json:"guests,omitempty"`
+	// Running, Queued and Finished count tasks; FailedRuns counts runs.
+	Running    int `msgpack:"r,omitempty" json:"running"`
+	Queued     int `msgpack:"w,omitempty" json:"queued"`
+	Finished   int `msgpack:"f,omitempty" json:"finished"`
+	FailedRuns int `msgpack:"x,omitempty" json:"failedRuns"`
+}
+
+// WorkerView is what operators are shown of a worker.
+type WorkerView struct {
+	ID       heatherhub.WorkerID      `msgpack:"id" json:"id"`
+	Address  string                   `msgpack:"a" json:"address"`
+	Domain   heatherhub.FailureDomain `msgpack:"d" json:"domain"`
+	Rack     heatherhub.Rack          `msgpack:"k" json:"rack"`
+	Shard    heatherhub.ShardID       `msgpack:"sh" json:"shard"`
+	Capacity heatherhub.Resources     `msgpack:"c" json:"capacity"`
+	Reserved heatherhub.Resources     `msgpack:"r" json:"reserved"`
+	Tasks    []heatherhub.StepTask    `msgpack:"t,omitempty" json:"tasks,omitempty"`
+	// Draining workers leave, silent ones did not answer the last call, and
+	// quarantined ones get no tasks after failures.
+	Draining    bool `msgpack:"l,omitempty" json:"draining,omitempty"`
+	Silent      bool `msgpack:"s,omitempty" json:"silent,omitempty"`
+	Quarantined bool `msgpack:"q,omitempty" json:"quarantined,omitempty"`
+}
+
+// Job returns the view of a job that this shard owns.
+func (e *Engine) Job(id heatherhub.JobID) (JobView, bool) {
+	j := e.jobs[id]
+	if j == nil || j.isGuest {
+		return JobView{}, false
+	}
+	state, _ := e.State(id)
+	v := JobView{
+		ID: id, Queue: j.flow.Queue, Shard: j.flow.Shard, State: state, Accepted: j.flow.Accepted,
+		Guests: len(j.flow.Homes), FailedRuns: len(j.progress.Failed),
+	}
+	for i := range j.flow.Steps {
+		v.Tasks += j.flow.Steps[i].Tasks * j.flow.Occurrences()
+	}
+	if state == heatherhub.WorkflowCompleted {
+		v.Finished = v.Tasks
+		return v, true
+	}
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				v.count(t)
+			}
+		}
+	}
+	return v, true
+}
+
+func (v *JobView) count(t *task) {
+	switch {
+	case t.isForeign:
+	case t.isDone:
+		v.Finished++
+	case len(t.attempts) > 0:
+		v.Running++
+	case !t.step.occ.job.isOver():
+		v.Queued++
+	}
+}
+
+// Jobs returns the views of the jobs that this shard owns, at most limit, in no
+// particular order, and whether there are more.
+func (e *Engine) Jobs(limit int, isWanted func(JobView) bool) ([]JobView, bool) {
+	var out []JobView
+	for id := range e.jobs {
+		v, ok := e.Job(id)
+		if !ok || !isWanted(v) {
+			continue
+		}
+		if len(out) == limit {
+			return out, true
+		}
+		out = append(out, v)
+	}
+	return out, false
+}
+
+// Workers returns the views of the workers.
+func (e *Engine) Workers(now Moment) []WorkerView {
+	out := make([]WorkerView, 0, len(e.order))
+	for _, n := range e.order {
+		v := WorkerView{
+			ID: n.worker.ID, Address: n.worker.Address, Domain: n.worker.Domain, Rack: n.worker.Rack,
+			Shard: e.cfg.Shard, Capacity: n.worker.Capacity, Reserved: n.used,
+			Draining: n.worker.Draining, Silent: n.isSilent, Quarantined: n.health.isQuarantined(now.Steady),
+		}
+		for _, a := range n.sorted() {
+			v.Tasks = append(v.Tasks, a.task.id())
+		}
+		out = append(out, v)
+	}
+	return out
+}
--- a/process/owner/host.go
+++ b/process/owner/host.go
@@ -286,6 +286,59 @@
 	return "", false
 }
 
+// Overview is what a host says of the shards that it owns.
+type Overview struct {
+	Shards  []heatherhub.ShardID  `msgpack:"sh,omitempty" json:"shards"`
+	Jobs    []dispatch.JobView    `msgpack:"j,omitempty" json:"jobs"`
+	Workers []dispatch.WorkerView `msgpack:"w,omitempty" json:"workers"`
+	// HasMore says that jobs were left out.
+	HasMore bool `msgpack:"m,omitempty" json:"hasMore"`
+}
+
+// OverviewQuery says what an overview should have.
+type OverviewQuery struct {
+	// Job asks for one job; else Queue and State narrow the list if they are set.
+	Job   heatherhub.JobID         `msgpack:"id,omitempty"`
+	Queue heatherhub.QueueID       `msgpack:"q,omitempty"`
+	State heatherhub.WorkflowState `msgpack:"s,omitempty"`
+	// Jobs is the largest number of jobs; zero is none.
+	Jobs    int  `msgpack:"n,omitempty"`
+	Workers bool `msgpack:"w,omitempty"`
+}
+
+func (q *OverviewQuery) wants(v dispatch.JobView) bool {
+	return (q.Job == "" || q.Job == v.ID) && (q.Queue == "" || q.Queue == v.Queue) && (q.State == "" || q.State == v.State)
+}
+
+// Overview returns what operators are shown of this host's shards.
+func (h *Host) Overview(q OverviewQuery) Overview {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out Overview
+	for s, t := range h.terms {
+		out.Shards = append(out.Shards, s)
+		t.addTo(&out, q)
+	}
+	return out
+}
+
+func (t *term) addTo(out *Overview, q OverviewQuery) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if q.Job != "" {
+		if v, ok := t.engine.Job(q.Job); ok {
+			out.Jobs = append(out.Jobs, v)
+		}
+	} else if left := q.Jobs - len(out.Jobs); left > 0 {
+		jobs, hasMore := t.engine.Jobs(left, q.wants)
+		out.Jobs = append(out.Jobs, jobs...)
+		out.HasMore = out.HasMore || hasMore
+	}
+	if q.Workers {
+		out.Workers = append(out.Workers, t.engine.Workers(t.now())...)
+	}
+}
+
 // pause waits for d or the end of ctx.
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/workflow.go
+++ b/workflow.go
@@ -1,6 +1,7 @@
 package heatherhub
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -232,10 +233,15 @@
 
 // StepTask names one task: an index in a step of one occurrence of a workflow.
 type StepTask struct {
-	Job        JobID
-	Occurrence int
-	Step       int
-	Index      int
+	Job        JobID `msgpack:"j" json:"job"`
+	Occurrence int   `msgpack:"o,omitempty" json:"occurrence"`
+	Step       int   `msgpack:"s,omitempty" json:"step"`
+	Index      int   `msgpack:"i,omitempty" json:"index"`
+}
+
+// String names the task as logs do: job.occurrence.step.index.
+func (t StepTask) String() string {
+	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Occurrence, t.Step, t.Index)
 }
 
 // WorkflowState is what callers are told of a workflow.
