Soak real hosts on a stand-in of the users' platform

Change. platform/standin is a store and workers over HTTP with faults of their own and an audit of every start and acknowledgement. experiment/soak starts the real program as processes, each behind loopback proxies, and kills, pauses and restarts them, slows, silences and resets their ways, has the store refuse or answer nothing, drops history and owners' keys, and crashes workers. Callers hand in and cancel jobs at any host; all accepted jobs have to end. It is a test, not a command: no program of the product starts another, which the house check holds.

`heatherhub soak` as a command (would need os/exec in the product).

Clocks that misbehave are not injected.

--- /dev/null
+++ b/experiment/soak/callers_test.go
@@ -0,0 +1,201 @@
+package soak_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"heatherhub.example/heatherhub"
+)
+
+// Times of callers.
+const (
+	callTimeout = 3 * time.Second
+	// jobGap is the mean time between two jobs.
+	jobGap = 120 * time.Millisecond
+	// settleTime is the time after the faults in which all jobs have to end.
+	settleTime = 30 * time.Second
+)
+
+// job is what a caller knows of its job.
+type job struct {
+	id        heatherhub.JobID
+	accepted  bool
+	cancelled bool
+	// doubtful says that a call on it had no certain answer.
+	doubtful bool
+}
+
+// callers hand in jobs and follow them.
+type callers struct {
+	site   *site
+	client *http.Client
+	jobs   []*job
+	counts struct{ Accepted, Refused, Unknown, Cancelled int }
+	broken []string
+}
+
+func newCallers(s *site) *callers {
+	return &callers{site: s, client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 4}}}
+}
+
+// await waits until a job is accepted. It reports false if none is in time.
+func (c *callers) await(ctx context.Context) bool {
+	for limit := time.Now().Add(startTime); time.Now().Before(limit) && ctx.Err() == nil; {
+		c.submit(ctx)
+		if c.counts.Accepted > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// run hands in jobs until ctx ends.
+func (c *callers) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		c.submit(ctx)
+		if len(c.jobs) > 3 && c.roll(12) == 0 {
+			c.cancel(ctx, c.jobs[len(c.jobs)-1-c.roll(3)])
+		}
+		sleep(ctx, time.Duration(c.roll(int(2*jobGap))))
+	}
+}
+
+func (c *callers) roll(n int) int {
+	c.site.mu.Lock()
+	defer c.site.mu.Unlock()
+	return c.site.rng.IntN(n)
+}
+
+func (c *callers) url(id heatherhub.JobID) string {
+	return fmt.Sprintf("http://%s:7000/soak/%s", c.site.hosts[c.roll(len(c.site.hosts))].ip, id)
+}
+
+func (c *callers) call(ctx context.Context, method string, id heatherhub.JobID, body []byte) (int, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.url(id), bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	req.Host = queueHost
+	r, err := c.client.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer r.Body.Close()
+	data, err := io.ReadAll(r.Body)
+	return r.StatusCode, data, err
+}
+
+// submit hands in one job, and again at other hosts while the answer is missing.
+func (c *callers) submit(ctx context.Context) {
+	j := &job{id: heatherhub.JobID(fmt.Sprintf("%016x", c.site.opts.Seed<<32+uint64(len(c.jobs))))}
+	steps := []heatherhub.Step{c.step()}
+	if c.roll(2) == 0 {
+		steps = append(steps, c.step(0))
+	}
+	c.site.mu.Lock()
+	c.site.flows[j.id] = steps
+	c.site.mu.Unlock()
+	c.jobs = append(c.jobs, j)
+	body, err := json.Marshal(map[string]any{"spec": "soak", "steps": wire(steps)})
+	if err != nil {
+		c.broken = append(c.broken, err.Error())
+		return
+	}
+	for range 3 {
+		status, _, err := c.call(ctx, http.MethodPost, j.id, body)
+		switch {
+		case err == nil && status == http.StatusOK:
+			j.accepted = true
+			c.counts.Accepted++
+			return
+		case err == nil && status == http.StatusServiceUnavailable:
+			c.counts.Refused++
+		default:
+			j.doubtful = true
+			c.counts.Unknown++
+		}
+		sleep(ctx, 300*time.Millisecond)
+	}
+}
+
+func (c *callers) step(after ...int) heatherhub.Step {
+	return heatherhub.Step{
+		Tasks: 1 + c.roll(4), Need: heatherhub.Resources{CPU: 1000 + 500*heatherhub.MilliCPU(c.roll(3)), Memory: 10},
+		Estimate: time.Duration(100+c.roll(1500)) * time.Millisecond, After: after,
+	}
+}
+
+func wire(steps []heatherhub.Step) []map[string]any {
+	var out []map[string]any
+	for _, s := range steps {
+		out = append(out, map[string]any{
+			"count": s.Tasks, "cpu": int64(s.Need.CPU), "mem_mb": int64(s.Need.Memory), "estimated_ms": s.Estimate.Milliseconds(),
+			"after": append([]int{}, s.After...),
+		})
+	}
+	return out
+}
+
+func (c *callers) cancel(ctx context.Context, j *job) {
+	if j.cancelled || !j.accepted {
+		return
+	}
+	j.cancelled = true
+	c.counts.Cancelled++
+	if status, _, err := c.call(ctx, http.MethodDelete, j.id, nil); err != nil || status != http.StatusOK {
+		j.doubtful = true
+	}
+}
+
+// state returns the state of a job as a host tells it, or "".
+func (c *callers) state(ctx context.Context, j *job) (string, int) {
+	status, data, err := c.call(ctx, http.MethodGet, j.id, nil)
+	var out struct {
+		State string `json:"state"`
+	}
+	if err != nil || status != http.StatusOK || json.Unmarshal(data, &out) != nil {
+		return "", status
+	}
+	return out.State, status
+}
+
+// settle waits until all accepted jobs have ended, and names those that have not or
+// are lost.
+func (c *callers) settle(ctx context.Context) {
+	limit := time.Now().Add(settleTime)
+	for _, j := range c.jobs {
+		if !j.accepted {
+			continue
+		}
+		state, status := c.state(ctx, j)
+		for !isEnd(state) && time.Now().Before(limit) && ctx.Err() == nil {
+			sleep(ctx, 100*time.Millisecond)
+			state, status = c.state(ctx, j)
+		}
+		switch {
+		case ctx.Err() != nil:
+			return
+		case state == "completed", state == "cancelled" && j.cancelled:
+		default:
+			c.broken = append(c.broken, fmt.Sprintf("job %s was accepted and is %q (status %d) %s after the faults", j.id, state, status, settleTime))
+		}
+	}
+}
+
+func isEnd(state string) bool {
+	return state == "completed" || state == "cancelled" || state == "failed"
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/experiment/soak/site_test.go
@@ -0,0 +1,214 @@
+package soak_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/iter"
+
+	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/platform/standin"
+)
+
+// Shape of the site.
+const (
+	domains = 3
+	// workerCPU is the size of a worker in thousandths of a processor.
+	workerCPU = 8000
+	queueHost = "soak.example"
+	grace     = 6 * time.Second
+)
+
+// site is the stand-in platform with the real hosts on it.
+type site struct {
+	opts    *options
+	store   *standin.Store
+	audit   *standin.Audit
+	group   conc.WaitGroup
+	servers []*http.Server
+	// storeWays are the hosts' ways to the store, workerWays the ways to workers.
+	storeWays  []*way
+	workerWays []*way
+	workers    []*standin.Worker
+	hosts      []*process
+
+	mu    sync.Mutex
+	rng   *rand.Rand
+	flows map[heatherhub.JobID][]heatherhub.Step
+	lives int
+}
+
+func newSite(o *options) *site {
+	s := &site{opts: o, store: standin.NewStore(), rng: rand.New(rand.NewPCG(o.Seed, 1)), flows: make(map[heatherhub.JobID][]heatherhub.Step)}
+	s.audit = standin.NewAudit(s.stepsOf)
+	return s
+}
+
+func (s *site) stepsOf(id heatherhub.JobID) []heatherhub.Step {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.flows[id]
+}
+
+// need returns what a task takes and how long it runs.
+func (s *site) need(t heatherhub.StepTask) (heatherhub.MilliCPU, time.Duration) {
+	steps := s.stepsOf(t.Job)
+	if t.Step >= len(steps) {
+		return 0, 0
+	}
+	return steps[t.Step].Need.CPU, steps[t.Step].Estimate
+}
+
+// listen serves a handler on a free port of an address.
+func (s *site) listen(ip string, h http.Handler) (string, error) {
+	l, err := net.Listen("tcp4", net.JoinHostPort(ip, "0"))
+	if err != nil {
+		return "", heatherhub.ErrUnavailable.Wrap(err, "cannot listen on %s", ip)
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	s.servers = append(s.servers, server)
+	s.group.Go(func() { _ = server.Serve(l) })
+	return l.Addr().String(), nil
+}
+
+// open starts the platform and the hosts.
+func (s *site) open() error {
+	store, err := s.listen("127.0.0.1", s.store)
+	if err != nil {
+		return err
+	}
+	if err := s.store.Put("op/config", configuration()); err != nil {
+		return err
+	}
+	for i := range s.opts.Workers {
+		if err := s.addWorker(i); err != nil {
+			return err
+		}
+	}
+	for i := range s.opts.Processes {
+		w, err := newWay(&s.group, store)
+		if err != nil {
+			return err
+		}
+		s.storeWays = append(s.storeWays, w)
+		p, err := s.newProcess(i, w.address())
+		if err != nil {
+			return err
+		}
+		s.hosts = append(s.hosts, p)
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func configuration() map[string]any {
+	return map[string]any{
+		"version": 1, "limits": map[string]any{"max_body_bytes": 1 << 20},
+		"routes": []any{map[string]any{
+			"name": "soak", "host": queueHost, "prefix": "/soak/", "timeout_ms": 3000, "target_duration_ms": 1000,
+			"priority": 1, "service": "pool", "max_attempts": 3, "stretch": 2,
+		}},
+		"services": []any{map[string]any{"name": "pool"}},
+	}
+}
+
+func domainOf(i int) string {
+	return fmt.Sprintf("d%d", i%domains)
+}
+
+// addWorker starts a new life of the i-th worker.
+func (s *site) addWorker(i int) error {
+	s.mu.Lock()
+	s.lives++
+	id := heatherhub.WorkerID(fmt.Sprintf("w%d-%d", i, s.lives))
+	s.mu.Unlock()
+	w := &standin.Worker{
+		ID: id, CPU: workerCPU, Need: s.need, Audit: s.audit,
+		ForgetsEnds: s.opts.forgetsEnds,
+	}
+	w.Start()
+	s.audit.Watch(w)
+	address, err := s.listen("127.0.0.1", w)
+	if err != nil {
+		return err
+	}
+	way, err := newWay(&s.group, address)
+	if err != nil {
+		return err
+	}
+	if i < len(s.workers) {
+		s.workers[i], s.workerWays[i] = w, way
+	} else {
+		s.workers, s.workerWays = append(s.workers, w), append(s.workerWays, way)
+	}
+	return s.store.Put("servers/"+string(id), map[string]any{
+		"service": "pool", "address": way.address(), "zone": domainOf(i), "state": "ready",
+		"capacity": map[string]any{"cpu": workerCPU, "mem_mb": 100_000}, "labels": []string{"plain", "r-" + domainOf(i)},
+	})
+}
+
+// replaceWorker crashes a worker; its entry goes and another life comes.
+func (s *site) replaceWorker(i int) error {
+	s.workers[i].Crash()
+	s.workerWays[i].close()
+	s.store.Remove("servers/" + string(s.workers[i].ID))
+	return s.addWorker(i)
+}
+
+// settings writes the settings file of a host and returns its path.
+func (s *site) settings(i int, ip, store string) (string, error) {
+	lines := []string{
+		fmt.Sprintf("node_name=host-%d", i), "zone=" + domainOf(i), "ip=" + ip, "listen.front=" + ip + ":7000",
+		"listen.readiness=" + ip + ":7001", "internal_ports=7002,7009", "platform.address=" + store, "platform.ttl_min_ms=1000",
+		"bounds.max_hold_ms=6000", "heartbeat_ms=1000", fmt.Sprintf("bounds.grace_s=%g", grace.Seconds()),
+		"limits.cpu_share=0.2", "limits.cores=1", "limits.memory_mb=256",
+	}
+	path := filepath.Join(s.opts.Dir, fmt.Sprintf("host-%d.conf", i))
+	if err := os.WriteFile(path, []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
+		return "", heatherhub.ErrInvalid.Wrap(err, "cannot write %s: name a writable folder with -soak-dir", path)
+	}
+	return path, nil
+}
+
+// heal ends all faults and has every host run.
+func (s *site) heal() error {
+	s.store.SetMode(standin.Serving)
+	for _, w := range append(s.storeWays, s.workerWays...) {
+		w.set(open)
+	}
+	for _, p := range s.hosts {
+		if err := p.ensure(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// close ends the hosts in the planned way and the platform after them.
+func (s *site) close(ctx context.Context) []string {
+	var broken []string
+	for _, err := range iter.Map(s.hosts, func(p **process) error { return (*p).stop(ctx) }) {
+		if err != nil {
+			broken = append(broken, err.Error())
+		}
+	}
+	for _, w := range append(s.storeWays, s.workerWays...) {
+		w.close()
+	}
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+	s.group.Wait()
+	return broken
+}
