Let a cancel and a move of the same job exclude each other

A shard gave the waiting job away at the moment of the cancel. The other shard had passed over the cancel, which was of a job that it did not know, before the record made it the job's shard.

A move requires that there is no cancel of the job, so the cancel is either before the move, which then fails, or after it, in the watch that brings the job. A cancel that meets a move is tried again, and after four tries refused as not done. The log says `work moved` only of moves that took effect. Lasting tasks of the tests' workers report that they work, as those of the platform do.

TestCancelOutlastsMoves.

--- a/process/owner/move.go
+++ b/process/owner/move.go
@@ -178,18 +178,20 @@
 		return
 	}
 	it, err := t.writeMove(flow, recorded)
+	if it.Revision > 0 {
+		t.mu.Lock()
+		t.addJob(it, ledger.Item{}, dispatch.IsNew)
+		t.mu.Unlock()
+	}
 	if err != nil {
-		t.log.Warn("work not moved", zap.String("job", string(m.Job)), zap.Error(err))
+		t.log.Info("work not moved", zap.String("job", string(m.Job)), zap.Error(err))
 		return
 	}
-	t.mu.Lock()
-	t.addJob(it, ledger.Item{}, dispatch.IsNew)
-	t.mu.Unlock()
 	t.log.Info("work moved", zap.String("job", string(m.Job)), zap.Int("count", len(m.Tasks)), zap.Stringer("to", to), zap.Duration("waited", m.Waited))
 }
 
-// writeMove replaces the record of a job and returns it as it is then. It fails only
-// if the term ends before the outcome is known.
+// writeMove replaces the record of a job and returns it. With an error it returns the
+// record that stands instead, if that is known.
 func (t *term) writeMove(flow *heatherhub.Workflow, recorded ledger.Revision) (ledger.Item, error) {
 	value, err := record.Encode(flow)
 	if err != nil {
@@ -197,7 +199,8 @@
 	}
 	key := record.JobKey(flow.ID)
 	txn := ledger.Txn{
-		Require: []ledger.Require{t.requireOwner(), {Key: key, Revision: recorded}},
+		// A shard that learns of the job by this record has not seen an earlier cancel.
+		Require: []ledger.Require{t.requireOwner(), {Key: key, Revision: recorded}, {Key: record.CancelKey(flow.ID)}},
 		Puts:    []ledger.Put{{Key: key, Value: value}},
 	}
 	for {
@@ -215,16 +218,12 @@
 	}
 }
 
-// settleMove returns the record that stood against a move: that of an earlier try
-// whose answer was lost, or another one.
+// settleMove returns the record as it is after a failed precondition: that of an earlier
+// try whose answer was lost, or the one before.
 func (t *term) settleMove(c *ledger.ConflictError, key string) (ledger.Item, error) {
 	if c.Find(record.OwnerKey(t.shard)).Revision != t.ownerRevision {
 		t.end("another owner has the shard")
 		return ledger.Item{}, heatherhub.ErrNotOwner.New("another owner has the shard")
 	}
-	it := c.Find(key)
-	if it.Revision == 0 {
-		return it, heatherhub.ErrNotFound.New("the record is gone")
-	}
-	return it, nil
+	return c.Find(key), heatherhub.ErrConflict.New("the job was cancelled, or its record has changed")
 }
--- a/process/owner/move_test.go
+++ b/process/owner/move_test.go
@@ -76,6 +76,35 @@
 	})
 }
 
+// TestCancelMeetsAMove cancels a job at the moment at which its shard gives it away. The
+// other shard has passed over the cancel before it learns of the job, and must not run
+// it.
+func TestCancelMeetsAMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := divided(t, 1, 2)
+		defer w.check()
+		defer w.shutdown()
+		w.submit("full", lasting(10))
+		w.await("a full shard", 3*time.Second, func() bool { return w.runsOf("full") == 10 })
+		w.submit("doomed", step(2, time.Second))
+		isCancelled := false
+		w.store.mu.Lock()
+		w.store.beforePut = func(key string) {
+			if key == record.JobKey("doomed") && !isCancelled {
+				isCancelled = true
+				w.store.set(record.CancelKey("doomed"), nil)
+			}
+		}
+		w.store.mu.Unlock()
+		before := w.startCount()
+		w.await("the cancel", 6*time.Second, func() bool { return w.stateOf("doomed") == heatherhub.WorkflowCancelled })
+		time.Sleep(5 * time.Second)
+		if got := w.startCount() - before; !isCancelled || got != 0 {
+			t.Errorf("got %d starts after the cancel (met a move: %v), want none", got, isCancelled)
+		}
+	})
+}
+
 // TestRandomFaultsOfDividedSites plays the random faults on a site of three shards
 // that has more lasting tasks in one shard than fit there.
 func TestRandomFaultsOfDividedSites(t *testing.T) {
--- a/process/owner/store_test.go
+++ b/process/owner/store_test.go
@@ -32,6 +32,8 @@
 	silentPrefix string
 	// lateKey is a key whose commits take effect late and without an answer.
 	lateKey string
+	// beforePut is called before a commit that puts a key.
+	beforePut func(key string)
 	// hidden are keys that ranges leave out.
 	hidden []string
 	// hints are old answers that Hints may give again.
@@ -286,8 +288,14 @@
 	s.mu.Lock()
 	dice := s.rng.Float64()
 	share := s.lostShare
+	before := s.beforePut
 	isLate := s.lateKey != "" && slices.ContainsFunc(txn.Puts, func(p ledger.Put) bool { return p.Key == s.lateKey })
 	s.mu.Unlock()
+	for _, p := range txn.Puts {
+		if before != nil {
+			before(p.Key)
+		}
+	}
 	if isLate {
 		s.w.later(2*time.Second, func() { _, _ = s.apply(txn) })
 		wait(ctx, callTimeout)
--- a/process/owner/worker_test.go
+++ b/process/owner/worker_test.go
@@ -191,8 +191,11 @@
 		r.Ended = append(r.Ended, e.Ended)
 	}
 	for t, run := range m.running {
-		left := float64(time.Until(run.ends)) / float64(m.w.durationOf(t))
-		r.Running = append(r.Running, agent.Running{Task: t, Run: run.run, Progress: heatherhub.Percent(100 * (1 - left))})
+		row := agent.Running{Task: t, Run: run.run, Progress: 100}
+		if whole := m.w.durationOf(t); whole < lastingTime {
+			row.Progress = heatherhub.Percent(100 * (1 - float64(time.Until(run.ends))/float64(whole)))
+		}
+		r.Running = append(r.Running, row)
 	}
 	return r
 }
--- a/process/owner/world_test.go
+++ b/process/owner/world_test.go
@@ -245,12 +245,16 @@
 	return heatherhub.Step{Tasks: n, Need: heatherhub.Resources{CPU: 2000, Memory: 100}, Estimate: d, After: after}
 }
 
+// lastingTime is how long tasks that last would run. They report that they work as soon
+// as they run.
+const lastingTime = time.Hour
+
 func (w *world) durationOf(t heatherhub.StepTask) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := w.flows[t.Job].Steps[t.Step]
 	if s.LongRunning {
-		return time.Hour
+		return lastingTime
 	}
 	return s.Estimate
 }
--- a/request/intake/desk.go
+++ b/request/intake/desk.go
@@ -172,20 +172,38 @@
 	return rev, err
 }
 
+// cancelTries bounds the tries of a cancel that meets moves of its job.
+const cancelTries = 4
+
 // Cancel makes the cancel of a job durable. heatherhub.ErrNotFound says that there
 // is no such job.
 func (d *Desk) Cancel(ctx context.Context, id heatherhub.JobID) error {
+	var err error
+	for range cancelTries {
+		err = d.cancel(ctx, id)
+		var conflict *ledger.ConflictError
+		if !errors.As(err, &conflict) {
+			break
+		}
+		// The job has moved to another shard meanwhile. Nothing was done.
+		err = heatherhub.ErrUnavailable.New("job %s moved at that moment: try again", id)
+	}
+	d.cfg.Log.Info("job cancelled", zap.String("job", string(id)), zap.String("outcome", outcomeOf(err)), zap.Error(err))
+	return err
+}
+
+func (d *Desk) cancel(ctx context.Context, id heatherhub.JobID) error {
 	it, err := d.cfg.Store.Get(ctx, record.JobKey(id))
-	if err == nil && it.Revision == 0 {
-		return heatherhub.ErrNotFound.New("there is no job %s", id)
+	if err != nil {
+		return err
 	}
-	if err == nil {
-		_, err = d.cfg.Store.Commit(ctx, ledger.Txn{
-			Require: []ledger.Require{{Key: record.JobKey(id), Revision: it.Revision}},
-			Puts:    []ledger.Put{{Key: record.CancelKey(id), Value: []byte{}}},
-		})
+	if it.Revision == 0 {
+		return heatherhub.ErrNotFound.New("there is no job %s", id)
 	}
-	d.cfg.Log.Info("job cancelled", zap.String("job", string(id)), zap.String("outcome", outcomeOf(err)), zap.Error(err))
+	_, err = d.cfg.Store.Commit(ctx, ledger.Txn{
+		Require: []ledger.Require{{Key: record.JobKey(id), Revision: it.Revision}},
+		Puts:    []ledger.Put{{Key: record.CancelKey(id), Value: []byte{}}},
+	})
 	return err
 }
 
--- a/request/intake/intake_test.go
+++ b/request/intake/intake_test.go
@@ -244,3 +244,42 @@
 		}
 	}
 }
+
+// moving is a store in which a job's record changes between its read and the cancel.
+type moving struct {
+	ledger.Store
+	revision ledger.Revision
+	moves    int
+	puts     []string
+}
+
+func (m *moving) Get(_ context.Context, key string) (ledger.Item, error) {
+	return ledger.Item{Key: key, Revision: m.revision}, nil
+}
+
+func (m *moving) Commit(_ context.Context, txn ledger.Txn) (ledger.Revision, error) {
+	if m.moves > 0 {
+		m.moves--
+		m.revision++
+		return 0, &ledger.ConflictError{Items: []ledger.Item{{Key: txn.Require[0].Key, Revision: m.revision}}}
+	}
+	for _, p := range txn.Puts {
+		m.puts = append(m.puts, p.Key)
+	}
+	return m.revision, nil
+}
+
+// TestCancelOutlastsMoves cancels a job that moves to other shards meanwhile.
+func TestCancelOutlastsMoves(t *testing.T) {
+	for moves, want := range map[int]int{0: 1, 2: 1, 100: 0} {
+		m := &moving{revision: 5, moves: moves}
+		d := intake.New(intake.Config{Store: m, Clock: &testClock{}, Log: zap.NewNop()})
+		err := d.Cancel(context.Background(), "j")
+		if len(m.puts) != want || (want == 1) != (err == nil) {
+			t.Errorf("%d moves: got cancels %v, error %v, want %d", moves, m.puts, err, want)
+		}
+		if err != nil && !heatherhub.DidNotRun(err) {
+			t.Errorf("%d moves: got error %v, want one that says that nothing was done", moves, err)
+		}
+	}
+}
