--- a/command/explain/explain.go
+++ b/command/explain/explain.go
@@ -45,13 +45,13 @@
 // ranks order lines whose times differ by less than the clocks may: cause before
 // effect.
 var ranks = map[string]int{
-	"job refused": 0, "job submitted": 1, "tasks started": 2, "start refused": 3, "start unanswered": 3,
+	"job refused": 0, "job submitted": 1, "work moved": 1, "tasks started": 2, "start refused": 3, "start unanswered": 3,
 	"run stalled": 4, "run ended": 5, "job cancelled": 6, "job ended": 7,
 }
 
 // context lines concern all jobs.
 var surroundings = []string{
-	"host starts", "host drains", "host stops", "shard taken", "shard lost", "shard handed over", "worker gone",
+	"host starts", "host drains", "host stops", "shard taken", "shard lost", "shard handed over", "orphaned shard released", "worker gone",
 	"worker drains", "worker quarantined", "store lost", "store regained", "session not renewed", "configuration read",
 }
 
@@ -105,7 +105,9 @@
 			continue
 		}
 		var fields map[string]any
-		if err := json.Unmarshal([]byte(text[brace:]), &fields); err != nil {
+		d := json.NewDecoder(strings.NewReader(text[brace:]))
+		d.UseNumber() // Numbers of runs are long, and are looked for in other logs.
+		if err := d.Decode(&fields); err != nil {
 			continue
 		}
 		out = append(out, newLine(fields))
@@ -129,7 +131,7 @@
 	}
 	names := make([]string, 0, len(fields))
 	for name, v := range fields {
-		if v != "" && v != float64(0) {
+		if v != "" && v != json.Number("0") {
 			names = append(names, name)
 		}
 	}
--- a/command/explain/explain_test.go
+++ b/command/explain/explain_test.go
@@ -57,6 +57,31 @@
 	}
 }
 
+// TestStoriesOfFailedRequests tells one story of each kind from logs of played days: a
+// job that was refused in an outage of the store, one that was late after its owner was
+// cut off, and one that ran again because of a worker.
+func TestStoriesOfFailedRequests(t *testing.T) {
+	files, err := filepath.Glob(filepath.Join("testdata", "*.log"))
+	if err != nil || len(files) != 3 {
+		t.Fatalf("got logs %v, error %v, want three", files, err)
+	}
+	for _, file := range files {
+		_, id, _ := strings.Cut(strings.TrimSuffix(filepath.Base(file), ".log"), "-")
+		io, out, _ := streams.Test()
+		o := explain.Options{ID: id, Near: true, Files: []string{file}}
+		if err := o.Run(t.Context(), &factory.Factory{IO: io}); err != nil {
+			t.Fatal(err)
+		}
+		want, err := os.ReadFile(strings.TrimSuffix(file, ".log") + ".golden")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := out.String(); got != string(want) {
+			t.Errorf("%s: got\n%s\nwant\n%s", file, got, want)
+		}
+	}
+}
+
 // TestEventsAreDocumented compares the messages in the code of a host with the table
 // in docs/OPERATIONS.md.
 func TestEventsAreDocumented(t *testing.T) {
