Say once what was said in several places

Change. ledger.Pause and heatherhub.SetDefault replace their copies; isOpen has the checks that all choices of a worker share; onSite, onDividedSite and disturbed set up tests. No decision changes; the checks of a worker come in another order.

Tests of all packages that changed pass.

--- a/connection/ledger/follow.go
+++ b/connection/ledger/follow.go
@@ -39,7 +39,7 @@
 			snap, err := f.Store.Range(ctx, f.Prefix)
 			if err != nil {
 				f.note(ctx, &isLost, err)
-				sleep(ctx, retryDelay)
+				Pause(ctx, retryDelay)
 				continue
 			}
 			from = &snap
@@ -53,14 +53,14 @@
 			from = &Snapshot{Revision: changes.Revision}
 			if len(changes.Events) > 0 {
 				f.OnChanges(changes.Events)
-				sleep(ctx, f.Gap)
+				Pause(ctx, f.Gap)
 			}
 		case heatherhub.CodeOf(err) == heatherhub.CodeNotFound:
 			f.Log.Info("history lost", zap.String("prefix", f.Prefix), zap.Uint64("revision", uint64(from.Revision)))
 			from = nil
 		default:
 			f.note(ctx, &isLost, err)
-			sleep(ctx, retryDelay)
+			Pause(ctx, retryDelay)
 		}
 	}
 }
@@ -83,8 +83,8 @@
 	f.Log.Warn("store lost", zap.String("prefix", f.Prefix), zap.Error(err))
 }
 
-// sleep waits for d or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
+// Pause waits for d or the end of ctx.
+func Pause(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
 	}
--- a/connection/peer/client.go
+++ b/connection/peer/client.go
@@ -60,11 +60,11 @@
 		}
 	}
 	setParts(&cfg.Clock, &cfg.Log, &cfg.Tracer, &cfg.Metrics)
-	setDefault(&cfg.MaxFrame, DefaultMaxFrame)
-	setDefault(&cfg.DialTimeout, DefaultDialTimeout)
-	setDefault(&cfg.BusyHeartbeat, DefaultBusyHeartbeat)
-	setDefault(&cfg.IdleHeartbeat, DefaultIdleHeartbeat)
-	setDefault(&cfg.Silence, DefaultSilence)
+	heatherhub.SetDefault(&cfg.MaxFrame, DefaultMaxFrame)
+	heatherhub.SetDefault(&cfg.DialTimeout, DefaultDialTimeout)
+	heatherhub.SetDefault(&cfg.BusyHeartbeat, DefaultBusyHeartbeat)
+	heatherhub.SetDefault(&cfg.IdleHeartbeat, DefaultIdleHeartbeat)
+	heatherhub.SetDefault(&cfg.Silence, DefaultSilence)
 	return cfg
 }
 
@@ -84,13 +84,6 @@
 	}
 }
 
-func setDefault[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
-}
-
 // Client sends calls to entry hosts over one connection for each.
 type Client struct {
 	cfg ClientConfig
--- a/connection/peer/server.go
+++ b/connection/peer/server.go
@@ -50,10 +50,10 @@
 
 func (cfg ServerConfig) withDefaults() ServerConfig {
 	setParts(&cfg.Clock, &cfg.Log, &cfg.Tracer, &cfg.Metrics)
-	setDefault(&cfg.MaxFrame, DefaultMaxFrame)
-	setDefault(&cfg.MaxConnections, DefaultMaxConnections)
-	setDefault(&cfg.MaxCalls, DefaultMaxCalls)
-	setDefault(&cfg.IdleClose, DefaultIdleClose)
+	heatherhub.SetDefault(&cfg.MaxFrame, DefaultMaxFrame)
+	heatherhub.SetDefault(&cfg.MaxConnections, DefaultMaxConnections)
+	heatherhub.SetDefault(&cfg.MaxCalls, DefaultMaxCalls)
+	heatherhub.SetDefault(&cfg.IdleClose, DefaultIdleClose)
 	return cfg
 }
 
--- a/connection/platform/platform.go
+++ b/connection/platform/platform.go
@@ -70,19 +70,12 @@
 }
 
 func (cfg *Config) setDefaults() {
-	setDefault(&cfg.Protocol, ProtocolHTTP2)
-	setDefault(&cfg.DialTimeout, DefaultDialTimeout)
-	setDefault(&cfg.PingAfter, DefaultPingAfter)
-	setDefault(&cfg.PingTimeout, DefaultPingTimeout)
-	setDefault(&cfg.IdleTimeout, DefaultIdleTimeout)
-	setDefault(&cfg.MaxAnswer, DefaultMaxAnswer)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	heatherhub.SetDefault(&cfg.Protocol, ProtocolHTTP2)
+	heatherhub.SetDefault(&cfg.DialTimeout, DefaultDialTimeout)
+	heatherhub.SetDefault(&cfg.PingAfter, DefaultPingAfter)
+	heatherhub.SetDefault(&cfg.PingTimeout, DefaultPingTimeout)
+	heatherhub.SetDefault(&cfg.IdleTimeout, DefaultIdleTimeout)
+	heatherhub.SetDefault(&cfg.MaxAnswer, DefaultMaxAnswer)
 }
 
 func newTransport(cfg Config) *http.Transport {
--- a/process/dispatch/dispatch_test.go
+++ b/process/dispatch/dispatch_test.go
@@ -276,11 +276,11 @@
 	}
 }
 
-// TestMissedTargetHaltsFillers replays a target that stays missed: all fillers
-// beside the task are halted within 3 s, and none joins.
-func TestMissedTargetHaltsFillers(t *testing.T) {
+// disturbed has one worker with a serving task, whose tail the test sets, beside two
+// fillers.
+func disturbed(t *testing.T, tail *float64) *bench {
 	b := newBench(t, dispatch.Policy{}, 1)
-	b.tail = func(string, []string) float64 { return 40 }
+	b.tail = func(string, []string) float64 { return *tail }
 	s := tasks(1, 2000, time.Second)
 	s.LongRunning, s.Image, s.LatencyTarget = true, "weak", 18*time.Millisecond
 	b.add("serving", s)
@@ -288,6 +288,14 @@
 	filler.Filler, filler.Image = true, "heavy"
 	b.add("fill", filler)
 	b.decide()
+	return b
+}
+
+// TestMissedTargetHaltsFillers replays a target that stays missed: all fillers
+// beside the task are halted within 3 s, and none joins.
+func TestMissedTargetHaltsFillers(t *testing.T) {
+	tail := 40.0
+	b := disturbed(t, &tail)
 	b.play(3 * time.Second)
 	for _, r := range b.runs["w00"] {
 		if r.order.Task.Job == "fill" && r.pace != 0 {
@@ -299,16 +307,8 @@
 // TestFillersGoOnAfterAMiss replays a target that is missed for two seconds and met
 // after that, at four fifths of it: the fillers are at full speed within a second.
 func TestFillersGoOnAfterAMiss(t *testing.T) {
-	b := newBench(t, dispatch.Policy{}, 1)
 	tail := 40.0
-	b.tail = func(string, []string) float64 { return tail }
-	s := tasks(1, 2000, time.Second)
-	s.LongRunning, s.Image, s.LatencyTarget = true, "weak", 18*time.Millisecond
-	b.add("serving", s)
-	filler := tasks(2, 1000, time.Minute)
-	filler.Filler, filler.Image = true, "heavy"
-	b.add("fill", filler)
-	b.decide()
+	b := disturbed(t, &tail)
 	b.play(2200 * time.Millisecond)
 	tail = 15
 	b.play(time.Second)
--- a/process/dispatch/order.go
+++ b/process/dispatch/order.go
@@ -158,11 +158,7 @@
 	var best *node
 	var bestTension float64
 	for _, n := range e.order {
-		if n.isSilent || n.worker.Draining || n.restUntil > now.Steady || n.health.isQuarantined(now.Steady) ||
-			n.worker.Pool != s.occ.job.policy.Pool || !s.need.Fits(n.free()) {
-			continue
-		}
-		if s.spec.RequiredLabel != "" && !n.worker.HasLabel(s.spec.RequiredLabel) {
+		if !e.isOpen(now, n, s) {
 			continue
 		}
 		t := e.tension(n) + e.rise(n, s.spec.Image, float64(s.spec.Need.CPU)/float64(max(n.worker.Capacity.CPU, 1)))
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -26,23 +26,32 @@
 	return best
 }
 
-func (e *Engine) isEligible(now Moment, n *node, s *stepRun, t *task) bool {
-	if n.isSilent || n.worker.Draining || n.restUntil > now.Steady || n.worker.Pool != s.occ.job.policy.Pool {
+// isOpen reports whether a worker takes tasks of a step, as far as its processors do not
+// matter.
+func (e *Engine) isOpen(now Moment, n *node, s *stepRun) bool {
+	switch {
+	case n.isSilent, n.worker.Draining, n.restUntil > now.Steady, n.health.isQuarantined(now.Steady):
 		return false
-	}
-	if !s.need.Fits(n.free()) || (s.spec.Filler && n.spareCPU() < s.spec.Need.CPU) {
+	case n.worker.Pool != s.occ.job.policy.Pool, !s.need.Fits(n.free()):
 		return false
+	default:
+		return s.spec.RequiredLabel == "" || n.worker.HasLabel(s.spec.RequiredLabel)
 	}
-	if s.spec.RequiredLabel != "" && !n.worker.HasLabel(s.spec.RequiredLabel) {
+}
+
+func (e *Engine) isEligible(now Moment, n *node, s *stepRun, t *task) bool {
+	switch {
+	case !e.isOpen(now, n, s):
 		return false
-	}
-	if s.spec.MaxPerWorker > 0 && s.perNode[n] >= s.spec.MaxPerWorker {
+	case s.spec.Filler && n.spareCPU() < s.spec.Need.CPU:
 		return false
-	}
-	if n.health.isQuarantined(now.Steady) || (e.isSlow(now.Steady, n) && !s.spec.LongRunning) {
+	case s.spec.MaxPerWorker > 0 && s.perNode[n] >= s.spec.MaxPerWorker:
+		return false
+	case e.isSlow(now.Steady, n) && !s.spec.LongRunning:
 		return false
+	default:
+		return t.avoid != n.worker.ID || len(e.order) == 1
 	}
-	return t.avoid != n.worker.ID || len(e.order) == 1
 }
 
 // Weights of the choice of a worker, in shares of a worker's processors.
--- a/process/dispatch/tuning.go
+++ b/process/dispatch/tuning.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"heatherhub.example/heatherhub"
+)
 
 // Tuning holds the delays and thresholds of the decisions. Zero values take the
 // defaults.
@@ -28,19 +32,12 @@
 }
 
 func (t *Tuning) setDefaults() {
-	setDefault(&t.Tick, 200*time.Millisecond)
-	setDefault(&t.RetryDelay, 100*time.Millisecond)
-	setDefault(&t.StopRetry, 400*time.Millisecond)
-	setDefault(&t.RefusalRest, time.Second)
-	setDefault(&t.NoticeTime, 3*time.Second)
-	setDefault(&t.StarvedAfter, 1500*time.Millisecond)
-	setDefault(&t.MoveAfter, time.Second)
-	setDefault(&t.StallAfter, 2500*time.Millisecond)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	heatherhub.SetDefault(&t.Tick, 200*time.Millisecond)
+	heatherhub.SetDefault(&t.RetryDelay, 100*time.Millisecond)
+	heatherhub.SetDefault(&t.StopRetry, 400*time.Millisecond)
+	heatherhub.SetDefault(&t.RefusalRest, time.Second)
+	heatherhub.SetDefault(&t.NoticeTime, 3*time.Second)
+	heatherhub.SetDefault(&t.StarvedAfter, 1500*time.Millisecond)
+	heatherhub.SetDefault(&t.MoveAfter, time.Second)
+	heatherhub.SetDefault(&t.StallAfter, 2500*time.Millisecond)
 }
--- a/process/owner/commit.go
+++ b/process/owner/commit.go
@@ -30,7 +30,7 @@
 		case <-t.wakeCommit:
 		}
 		for t.ctx.Err() == nil && t.commit(t.ctx) {
-			pause(t.ctx, commitGap)
+			ledger.Pause(t.ctx, commitGap)
 		}
 		t.writeFleet(t.ctx)
 	}
@@ -57,7 +57,7 @@
 		return true
 	}
 	t.log.Warn("progress not written", zap.Int("jobs", len(changes)), zap.Error(err))
-	pause(ctx, takeOverTry)
+	ledger.Pause(ctx, takeOverTry)
 	return true
 }
 
@@ -150,7 +150,7 @@
 		t.end("another owner has the shard")
 	default:
 		t.log.Debug("load not published", zap.Error(err))
-		pause(t.ctx, takeOverTry)
+		ledger.Pause(t.ctx, takeOverTry)
 	}
 }
 
--- a/process/owner/host.go
+++ b/process/owner/host.go
@@ -77,19 +77,12 @@
 )
 
 func (l *Limits) setDefaults() {
-	setDefault(&l.SessionTTL, DefaultSessionTTL)
-	setDefault(&l.WorkerLease, DefaultWorkerLease)
-	setDefault(&l.WorkerHeartbeat, defaultWorkerHeartbeat)
-	setDefault(&l.ActWithoutStore, defaultActWithoutStore)
-	setDefault(&l.WorkersPerShard, defaultWorkersPerShard)
-	setDefault(&l.KeepEnded, defaultKeepEnded)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	heatherhub.SetDefault(&l.SessionTTL, DefaultSessionTTL)
+	heatherhub.SetDefault(&l.WorkerLease, DefaultWorkerLease)
+	heatherhub.SetDefault(&l.WorkerHeartbeat, defaultWorkerHeartbeat)
+	heatherhub.SetDefault(&l.ActWithoutStore, defaultActWithoutStore)
+	heatherhub.SetDefault(&l.WorkersPerShard, defaultWorkersPerShard)
+	heatherhub.SetDefault(&l.KeepEnded, defaultKeepEnded)
 }
 
 // Host runs the shards of this host.
@@ -341,13 +334,3 @@
 		out.Workers = append(out.Workers, t.engine.Workers(t.now())...)
 	}
 }
-
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/process/owner/lookup.go
+++ b/process/owner/lookup.go
@@ -19,7 +19,7 @@
 		case <-t.wakeLookup:
 		}
 		for t.ctx.Err() == nil && !t.lookUp() {
-			pause(t.ctx, takeOverTry)
+			ledger.Pause(t.ctx, takeOverTry)
 		}
 	}
 }
--- a/process/owner/move.go
+++ b/process/owner/move.go
@@ -30,7 +30,7 @@
 // moveLoop offers waiting work to shards with more room.
 func (t *term) moveLoop() {
 	for t.ctx.Err() == nil {
-		pause(t.ctx, moveInterval)
+		ledger.Pause(t.ctx, moveInterval)
 		if len(t.host.View().Layout.Shards) < 2 || t.isHandingOver.Load() || !t.mayAct(t.now().Steady) {
 			continue
 		}
@@ -214,7 +214,7 @@
 		case errors.As(err, &conflict):
 			return t.settleMove(conflict, key)
 		}
-		pause(t.ctx, takeOverTry)
+		ledger.Pause(t.ctx, takeOverTry)
 	}
 }
 
--- a/process/owner/move_test.go
+++ b/process/owner/move_test.go
@@ -37,10 +37,7 @@
 // for. The others have room: all tasks run within the 3 s for which one may rest, and
 // all end with their job.
 func TestLastingTasksLeaveAFullShard(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := divided(t, 1, 2)
-		defer w.check()
-		defer w.shutdown()
+	onDividedSite(t, 2, func(w *world) {
 		w.submit("wide", lasting(24))
 		took := w.await("all tasks", 3*time.Second, func() bool { return w.runsOf("wide") == 24 })
 		t.Logf("all tasks run after %s", took)
@@ -54,10 +51,7 @@
 
 // TestJobsLeaveAFullShard gives one shard far more short work than the others have.
 func TestJobsLeaveAFullShard(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := divided(t, 1, 2)
-		defer w.check()
-		defer w.shutdown()
+	onDividedSite(t, 2, func(w *world) {
 		var ids []heatherhub.JobID
 		for i := range 12 {
 			id := heatherhub.JobID(fmt.Sprintf("j%d", i))
@@ -80,10 +74,7 @@
 // other shard has passed over the cancel before it learns of the job, and must not run
 // it.
 func TestCancelMeetsAMove(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := divided(t, 1, 2)
-		defer w.check()
-		defer w.shutdown()
+	onDividedSite(t, 2, func(w *world) {
 		w.submit("full", lasting(10))
 		w.await("a full shard", 3*time.Second, func() bool { return w.runsOf("full") == 10 })
 		w.submit("doomed", step(2, time.Second))
--- a/process/owner/owner_test.go
+++ b/process/owner/owner_test.go
@@ -38,16 +38,32 @@
 	return w
 }
 
+// onSite plays a test on a site and expects that no promise is broken.
+func onSite(t *testing.T, workersPerDomain int, play func(*world)) {
+	onWorld(t, func(t *testing.T) *world { return site(t, 1, workersPerDomain) }, play)
+}
+
+// onDividedSite is onSite with a shard for each failure domain.
+func onDividedSite(t *testing.T, workersPerDomain int, play func(*world)) {
+	onWorld(t, func(t *testing.T) *world { return divided(t, 1, workersPerDomain) }, play)
+}
+
+func onWorld(t *testing.T, create func(*testing.T) *world, play func(*world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := create(t)
+		defer w.check()
+		defer w.shutdown()
+		play(w)
+	})
+}
+
 // domainOf returns the number of a host's failure domain.
 func domainOf(id heatherhub.HostID) int {
 	return int(id[1] - '0')
 }
 
 func TestStepsRunInOrderAndOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := site(t, 1, 2)
-		defer w.check()
-		defer w.shutdown()
+	onSite(t, 2, func(w *world) {
 		w.submit("chain", step(5, 300*time.Millisecond), step(8, 200*time.Millisecond, 0), step(1, 100*time.Millisecond, 0, 1))
 		w.await("the chain", 5*time.Second, func() bool { return w.isCompleted("chain") })
 		if got, want := w.startCount(), 1+5+8+1; got != want {
@@ -59,10 +75,7 @@
 // TestFirstStartAfterOwnersDeath measures a takeover on virtual time. A task whose
 // turn has come may rest for 3 s, so a new owner has to start tasks in about 2 s.
 func TestFirstStartAfterOwnersDeath(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := site(t, 1, 4)
-		defer w.check()
-		defer w.shutdown()
+	onSite(t, 4, func(w *world) {
 		w.submit("running", step(10, 8*time.Second))
 		time.Sleep(time.Second)
 		w.kill(w.owner())
@@ -83,10 +96,7 @@
 // and the other domains, long enough for the leases that it gave to end. Another
 // host renews them meanwhile.
 func TestCutOffOwnerRestartsNothing(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := site(t, 1, 4)
-		defer w.check()
-		defer w.shutdown()
+	onSite(t, 4, func(w *world) {
 		w.submit("long", step(30, 20*time.Second))
 		time.Sleep(2 * time.Second)
 		former := w.owner()
@@ -124,10 +134,7 @@
 // TestDepartedWorkersTasksStartElsewhere takes a worker away without a word. Its
 // tasks start elsewhere when its lease is over, not later.
 func TestDepartedWorkersTasksStartElsewhere(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := site(t, 1, 2)
-		defer w.check()
-		defer w.shutdown()
+	onSite(t, 2, func(w *world) {
 		lasting := step(6, time.Second)
 		lasting.LongRunning = true
 		w.submit("lasting", lasting)
@@ -146,10 +153,7 @@
 // TestNewOwnerKeepsRunsOfUnreadJobs lets an owner start a job that the next owner
 // has not read: its key is revoked and the news of the job reaches it late.
 func TestRevokedOwnerIsFollowedWithoutDoubles(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := site(t, 1, 3)
-		defer w.check()
-		defer w.shutdown()
+	onSite(t, 3, func(w *world) {
 		for i := range 20 {
 			w.submit(heatherhub.JobID(fmt.Sprintf("j%d", i)), step(3, 700*time.Millisecond))
 			if i%5 == 4 {
@@ -171,10 +175,7 @@
 // TestCancelledWorkIsGoneInTime checks that runs of a cancelled job end, also under
 // an owner that took over after the cancel.
 func TestCancelledWorkIsGoneInTime(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := site(t, 1, 2)
-		defer w.check()
-		defer w.shutdown()
+	onSite(t, 2, func(w *world) {
 		w.submit("doomed", step(4, 30*time.Second))
 		time.Sleep(time.Second)
 		w.kill(w.owner())
@@ -215,10 +216,7 @@
 // TestWorkerThatLeftIsNotWaitedOut takes a draining worker away in the planned way:
 // its entry goes while it still answers. Its lasting tasks start elsewhere at once.
 func TestWorkerThatLeftIsNotWaitedOut(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := site(t, 1, 2)
-		defer w.check()
-		defer w.shutdown()
+	onSite(t, 2, func(w *world) {
 		lasting := step(6, time.Second)
 		lasting.LongRunning = true
 		w.submit("lasting", lasting)
@@ -241,10 +239,7 @@
 // entry goes two heartbeats after its last answer, while its tasks run on until their
 // lease is over.
 func TestCutOffWorkerHasNotLeft(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := site(t, 1, 2)
-		defer w.check()
-		defer w.shutdown()
+	onSite(t, 2, func(w *world) {
 		lasting := step(6, time.Second)
 		lasting.LongRunning = true
 		w.submit("lasting", lasting)
@@ -263,10 +258,7 @@
 // has not brought yet: they were accepted after its first read of the jobs, started by
 // the old owner and done before the watch answers.
 func TestUnreadJobRunsOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := site(t, 1, 2)
-		defer w.check()
-		defer w.shutdown()
+	onSite(t, 2, func(w *world) {
 		old := w.owner()
 		w.submit("short", step(2, 300*time.Millisecond))
 		w.submit("long", step(2, 4*time.Second))
@@ -296,10 +288,7 @@
 // host has given it up. The host's lease lives on, and the key with it: the shard
 // must not stay without an owner.
 func TestLateClaimIsNotOrphaned(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := site(t, 1, 2)
-		defer w.check()
-		defer w.shutdown()
+	onSite(t, 2, func(w *world) {
 		w.store.setLate(record.OwnerKey(w.home))
 		w.kill(w.owner())
 		w.submit("waiting", step(1, 100*time.Millisecond))
--- a/process/owner/session.go
+++ b/process/owner/session.go
@@ -69,7 +69,7 @@
 	every := s.host.cfg.SessionTTL / 3
 	isLost := false
 	for ctx.Err() == nil {
-		pause(ctx, every)
+		ledger.Pause(ctx, every)
 		id := s.current()
 		if id == 0 {
 			continue
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -162,7 +162,7 @@
 			return s, true
 		}
 		t.log.Warn("takeover not finished", zap.Error(err))
-		pause(t.ctx, takeOverTry)
+		ledger.Pause(t.ctx, takeOverTry)
 	}
 	return start{}, false
 }
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -11,6 +11,7 @@
 
 	"heatherhub.example/heatherhub"
 	"heatherhub.example/heatherhub/connection/agent"
+	"heatherhub.example/heatherhub/connection/ledger"
 	"heatherhub.example/heatherhub/process/dispatch"
 )
 
@@ -185,11 +186,11 @@
 	defer w.client.Close()
 	for w.ctx.Err() == nil {
 		if !w.term.mayAct(w.term.now().Steady) {
-			pause(w.ctx, pollRetry)
+			ledger.Pause(w.ctx, pollRetry)
 			continue
 		}
 		if !w.poll() {
-			pause(w.ctx, pollRetry)
+			ledger.Pause(w.ctx, pollRetry)
 			continue
 		}
 		w.awaitCommit()
@@ -257,7 +258,7 @@
 	isUp := w.isUp
 	t.mu.Unlock()
 	if !isUp && !t.writeFleet(w.ctx) {
-		pause(w.ctx, pollRetry)
+		ledger.Pause(w.ctx, pollRetry)
 		return
 	}
 	t.mu.Lock()
--- a/process/placement/config.go
+++ b/process/placement/config.go
@@ -83,19 +83,12 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.MaxStarts, DefaultMaxStarts)
-	setDefault(&c.CoolDown, DefaultCoolDown)
-	setDefault(&c.MaxPatience, DefaultMaxPatience)
-	setDefault(&c.ParkGrace, DefaultParkGrace)
-	setDefault(&c.HotShare, DefaultHotShare)
-	setDefault(&c.CalmShare, DefaultCalmShare)
-	setDefault(&c.ChangingShare, DefaultChangingShare)
+	heatherhub.SetDefault(&c.MaxStarts, DefaultMaxStarts)
+	heatherhub.SetDefault(&c.CoolDown, DefaultCoolDown)
+	heatherhub.SetDefault(&c.MaxPatience, DefaultMaxPatience)
+	heatherhub.SetDefault(&c.ParkGrace, DefaultParkGrace)
+	heatherhub.SetDefault(&c.HotShare, DefaultHotShare)
+	heatherhub.SetDefault(&c.CalmShare, DefaultCalmShare)
+	heatherhub.SetDefault(&c.ChangingShare, DefaultChangingShare)
 	return c
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/process/shard/core/config.go
+++ b/process/shard/core/config.go
@@ -81,18 +81,11 @@
 }
 
 func (c *Config) setDefaults() {
-	setDefault(&c.SessionTTL, DefaultSessionTTL)
-	setDefault(&c.Margin, DefaultMargin)
-	setDefault(&c.PollInterval, DefaultPollInterval)
-	setDefault(&c.SettleSession, DefaultSettleSession)
-	setDefault(&c.CommitRate, DefaultCommitRate)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	heatherhub.SetDefault(&c.SessionTTL, DefaultSessionTTL)
+	heatherhub.SetDefault(&c.Margin, DefaultMargin)
+	heatherhub.SetDefault(&c.PollInterval, DefaultPollInterval)
+	heatherhub.SetDefault(&c.SettleSession, DefaultSettleSession)
+	heatherhub.SetDefault(&c.CommitRate, DefaultCommitRate)
 }
 
 // leaseWait is the time after the end of a predecessor's validity after which no
--- a/request/endpoint/pool.go
+++ b/request/endpoint/pool.go
@@ -59,22 +59,15 @@
 	if cfg.NewBreaker == nil {
 		cfg.NewBreaker = func() Breaker { return &RatioBreaker{} }
 	}
-	setDefault(&cfg.MaxQueue, DefaultMaxQueue)
-	setDefault(&cfg.SlowStart, DefaultSlowStart)
-	setDefault(&cfg.Linger, DefaultLinger)
-	setDefault(&cfg.EjectBase, DefaultEjectBase)
-	setDefault(&cfg.EjectMax, DefaultEjectMax)
-	setDefault(&cfg.MaxEjected, DefaultMaxEjected)
+	heatherhub.SetDefault(&cfg.MaxQueue, DefaultMaxQueue)
+	heatherhub.SetDefault(&cfg.SlowStart, DefaultSlowStart)
+	heatherhub.SetDefault(&cfg.Linger, DefaultLinger)
+	heatherhub.SetDefault(&cfg.EjectBase, DefaultEjectBase)
+	heatherhub.SetDefault(&cfg.EjectMax, DefaultEjectMax)
+	heatherhub.SetDefault(&cfg.MaxEjected, DefaultMaxEjected)
 	return cfg
 }
 
-func setDefault[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
-}
-
 // run is a started request.
 type run struct {
 	replica  *Replica
--- a/units.go
+++ b/units.go
@@ -76,3 +76,11 @@
 	*r = Resources(w)
 	return nil
 }
+
+// SetDefault gives a setting that is zero its default.
+func SetDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
