Hand what an owner has learnt of interference on to the next

A new owner knew nothing of which fillers disturb which serving tasks.

Asking the former owner: it is dead or cut off as a rule.

An unreadable record is a log line.

--- a/process/owner/commit.go
+++ b/process/owner/commit.go
@@ -130,6 +130,10 @@
 	}
 }
 
+// learntEvery is how many publications come between two of what was learnt: it changes
+// within tens of seconds.
+const learntEvery = 4
+
 func (t *term) publish() {
 	value, expired, err := t.summary()
 	if err != nil {
@@ -140,6 +144,9 @@
 	for _, id := range expired {
 		txn.Deletes = append(txn.Deletes, record.JobKey(id), record.CancelKey(id), record.ProgressKey(id))
 	}
+	if t.publications++; t.publications%learntEvery == 0 {
+		txn.Puts = append(txn.Puts, t.learnt()...)
+	}
 	sentAt := t.now().Steady
 	_, err = t.host.cfg.Store.Commit(t.ctx, txn)
 	var conflict *ledger.ConflictError
@@ -154,6 +161,33 @@
 	}
 }
 
+// learnt returns the write of what was learnt.
+func (t *term) learnt() []ledger.Put {
+	t.mu.Lock()
+	l := t.engine.Learnt()
+	t.mu.Unlock()
+	value, err := record.Encode(l)
+	if err != nil {
+		t.log.Error("learnt not encoded", zap.Error(err))
+		return nil
+	}
+	return []ledger.Put{{Key: record.LearntKey(t.shard), Value: value}}
+}
+
+// restore takes over what an earlier owner had learnt. An unreadable record is left
+// alone: it is a hint. The caller has the lock.
+func (t *term) restore(it ledger.Item) {
+	if it.Revision == 0 {
+		return
+	}
+	var l dispatch.Learnt
+	if err := heatherhub.Unmarshal(it.Value, &l); err != nil {
+		t.log.Warn("learnt unreadable", zap.Error(err))
+		return
+	}
+	t.engine.Restore(l)
+}
+
 // expiredPerCommit bounds the jobs that are deleted at once: three keys each.
 const expiredPerCommit = 8
 
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -49,6 +49,8 @@
 	wakeLookup chan struct{}
 	// given is what the move loop has moved in the last seconds.
 	given []gift
+	// publications counts those of the publish loop.
+	publications int
 	// commitTurn orders the writes of the term. It is held during calls of the
 	// store, which a mutex should not be.
 	commitTurn chan struct{}
@@ -148,6 +150,7 @@
 	workers  ledger.Snapshot
 	progress ledger.Snapshot
 	fleet    ledger.Item
+	learnt   ledger.Item
 }
 
 // takeOver reads what lasts and begins to ask the workers. It reports false if
@@ -170,12 +173,13 @@
 // read reads jobs before progress, so that no progress is missed.
 func (t *term) read() (start, error) {
 	var s start
-	var errs [4]error
+	var errs [5]error
 	var g conc.WaitGroup
 	g.Go(func() { s.jobs, errs[0] = t.host.cfg.Store.Range(t.ctx, record.JobPrefix) })
 	g.Go(func() { s.workers, errs[1] = t.host.cfg.Store.Range(t.ctx, t.host.cfg.WorkerPrefix) })
 	g.Go(func() { s.progress, errs[2] = t.host.cfg.Store.Range(t.ctx, record.ProgressPrefix) })
 	g.Go(func() { s.fleet, errs[3] = t.host.cfg.Store.Get(t.ctx, record.FleetKey(t.shard)) })
+	g.Go(func() { s.learnt, errs[4] = t.host.cfg.Store.Get(t.ctx, record.LearntKey(t.shard)) })
 	g.Wait()
 	return s, errors.Join(errs[:]...)
 }
@@ -196,6 +200,7 @@
 		t.engine.Unresolved(w.ID)
 	}
 	t.loadJobs(s)
+	t.restore(s.learnt)
 	t.mu.Unlock()
 	t.resetWorkers(s.workers)
 	t.mu.Lock()
--- a/process/record/record.go
+++ b/process/record/record.go
@@ -17,7 +17,7 @@
 //     owner, to let another shard run what waits; its key and the record are unchanged.
 //   - job/ID/cancel: any host.
 //   - progress/ID: the owner; its key and the record are unchanged.
-//   - load/SHARD: the owner; its key is unchanged.
+//   - load/SHARD, learnt/SHARD: the owner; its key is unchanged.
 package record
 
 import (
@@ -38,6 +38,7 @@
 	JobPrefix      = "job/"
 	ProgressPrefix = "progress/"
 	LoadPrefix     = "load/"
+	LearntPrefix   = "learnt/"
 	cancelSuffix   = "/cancel"
 )
 
@@ -50,6 +51,9 @@
 // LoadKey returns the key of a shard's load.
 func LoadKey(s heatherhub.ShardID) string { return LoadPrefix + s.String() }
 
+// LearntKey returns the key of what a shard's owners have learnt.
+func LearntKey(s heatherhub.ShardID) string { return LearntPrefix + s.String() }
+
 // JobKey returns the key of a job.
 func JobKey(id heatherhub.JobID) string { return JobPrefix + string(id) }
 
