--- a/process/dispatch/load.go
+++ b/process/dispatch/load.go
@@ -37,17 +37,20 @@
 	return l
 }
 
-// Holes returns the free room of the emptiest workers, the largest first.
-func (e *Engine) Holes(now Moment, limit int) []heatherhub.Resources {
-	var out []heatherhub.Resources
+// Holes returns the free room of the emptiest workers of each pool, the largest first.
+func (e *Engine) Holes(now Moment, limit int) map[heatherhub.PoolID][]heatherhub.Resources {
+	out := make(map[heatherhub.PoolID][]heatherhub.Resources)
 	for _, n := range e.order {
 		if n.worker.Draining || n.isSilent || n.restUntil > now.Steady || n.health.isQuarantined(now.Steady) {
 			continue
 		}
-		out = append(out, n.free())
+		out[n.worker.Pool] = append(out[n.worker.Pool], n.free())
 	}
-	slices.SortFunc(out, func(a, b heatherhub.Resources) int { return cmp.Compare(b.CPU, a.CPU) })
-	return out[:min(limit, len(out))]
+	for pool, holes := range out {
+		slices.SortFunc(holes, func(a, b heatherhub.Resources) int { return cmp.Compare(b.CPU, a.CPU) })
+		out[pool] = holes[:min(limit, len(holes))]
+	}
+	return out
 }
 
 // Racks returns the racks of the workers.
--- a/process/dispatch/move.go
+++ b/process/dispatch/move.go
@@ -22,8 +22,9 @@
 	// Tasks are the tasks that would move, by their numbers over all steps; nil is
 	// the whole job.
 	Tasks []int
-	// Need is what one task reserves.
+	// Need is what one task reserves on a worker of Pool.
 	Need   heatherhub.Resources
+	Pool   heatherhub.PoolID
 	Filler bool
 	Rack   heatherhub.Rack
 	Waited time.Duration
@@ -37,7 +38,7 @@
 		if waited < e.cfg.MoveAfter || !e.mayMove(now, s) {
 			continue
 		}
-		m := Move{Job: s.occ.job.flow.ID, Need: s.need, Filler: s.spec.Filler, Rack: s.spec.DataRack, Waited: waited}
+		m := Move{Job: s.occ.job.flow.ID, Need: s.need, Pool: s.occ.job.policy.Pool, Filler: s.spec.Filler, Rack: s.spec.DataRack, Waited: waited}
 		if s.occ.job.flow.MayDivide() {
 			for _, t := range s.pending {
 				if !t.isLeaving && t.notBefore <= now.Steady {
--- a/process/dispatch/move_test.go
+++ b/process/dispatch/move_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/connection/agent"
 	"heatherhub.example/heatherhub/connection/ledger"
 	"heatherhub.example/heatherhub/process/dispatch"
 )
@@ -130,3 +131,16 @@
 		t.Error("got no job after its record came back")
 	}
 }
+
+// TestHolesAreOfAPool: work may only move to where workers of its pool have room.
+func TestHolesAreOfAPool(t *testing.T) {
+	b := full(t)
+	b.e.WorkerUp(b.now, agent.Worker{ID: "other", Pool: "gpu", Capacity: heatherhub.Resources{CPU: 9000}}, &agent.Report{Clock: 1})
+	holes := b.e.Holes(b.now, 4)
+	if len(holes[pool]) != 1 || holes[pool][0].CPU != 0 || len(holes["gpu"]) != 1 || holes["gpu"][0].CPU != 9000 {
+		t.Errorf("got holes %v, want none left in %s and 9000 in gpu", holes, pool)
+	}
+	if moves := b.e.Movable(b.now, 4); len(moves) != 1 || moves[0].Pool != pool {
+		t.Errorf("got moves %+v, want one of %s", moves, pool)
+	}
+}
--- a/process/owner/move.go
+++ b/process/owner/move.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -78,7 +79,7 @@
 	m := mover{own: t.shard, owners: t.host.View().Owners, loads: loads}
 	t.given = slices.DeleteFunc(t.given, func(g gift) bool { return t.now().Steady-g.at > giftTime })
 	for _, g := range t.given {
-		m.take(g.to, g.need, g.tasks)
+		m.take(g.to, g.pool, g.need, g.tasks)
 	}
 	for _, move := range moves {
 		for {
@@ -86,7 +87,7 @@
 			if !ok {
 				break
 			}
-			t.given = append(t.given, gift{to: to, need: part.Need, tasks: max(len(part.Tasks), 1), at: t.now().Steady})
+			t.given = append(t.given, gift{to: to, pool: part.Pool, need: part.Need, tasks: max(len(part.Tasks), 1), at: t.now().Steady})
 			t.move(part, to)
 			if len(part.Tasks) == len(move.Tasks) {
 				break
@@ -99,6 +100,7 @@
 // gift is work that was moved and that the loads may not show yet.
 type gift struct {
 	to    heatherhub.ShardID
+	pool  heatherhub.PoolID
 	need  heatherhub.Resources
 	tasks int
 	at    time.Duration
@@ -115,9 +117,9 @@
 }
 
 // take takes room for n tasks in a shard, and returns for how many there was room.
-func (m *mover) take(id heatherhub.ShardID, need heatherhub.Resources, n int) int {
+func (m *mover) take(id heatherhub.ShardID, pool heatherhub.PoolID, need heatherhub.Resources, n int) int {
 	l := m.loads[id]
-	taken := takeHoles(&l, need, n)
+	taken := takeHoles(&l, pool, need, n)
 	m.loads[id] = l
 	return taken
 }
@@ -137,7 +139,7 @@
 	if math.IsInf(bestPressure, 1) {
 		return best, move, false
 	}
-	n := m.take(best, move.Need, max(len(move.Tasks), 1))
+	n := m.take(best, move.Pool, move.Need, max(len(move.Tasks), 1))
 	if move.Tasks != nil {
 		move.Tasks = move.Tasks[:n]
 	}
@@ -146,7 +148,7 @@
 
 // suits reports whether a shard has room for a task that waits here.
 func (m *mover) suits(move dispatch.Move, l record.Load) bool {
-	hasHole := slices.ContainsFunc(l.Holes, move.Need.Fits)
+	hasHole := slices.ContainsFunc(l.Holes[move.Pool], move.Need.Fits)
 	if move.Tasks != nil {
 		return hasHole
 	}
@@ -155,14 +157,19 @@
 }
 
 // takeHoles takes room for n tasks, and returns for how many there was room.
-func takeHoles(l *record.Load, need heatherhub.Resources, n int) int {
-	l.Holes = slices.Clone(l.Holes)
+func takeHoles(l *record.Load, pool heatherhub.PoolID, need heatherhub.Resources, n int) int {
+	holes := slices.Clone(l.Holes[pool])
+	l.Holes = maps.Clone(l.Holes)
+	if l.Holes == nil {
+		return 0
+	}
+	l.Holes[pool] = holes
 	for k := range n {
-		at := slices.IndexFunc(l.Holes, need.Fits)
+		at := slices.IndexFunc(holes, need.Fits)
 		if at < 0 {
 			return k
 		}
-		l.Holes[at] = l.Holes[at].Sub(need)
+		holes[at] = holes[at].Sub(need)
 		l.Reserved += need.CPU
 	}
 	return n
--- a/process/record/load.go
+++ b/process/record/load.go
@@ -15,12 +15,12 @@
 	Waiting  map[heatherhub.QueueID]int `msgpack:"w,omitempty" json:"waiting,omitempty"`
 	// Racks are those of the shard's workers.
 	Racks []heatherhub.Rack `msgpack:"k,omitempty" json:"racks,omitempty"`
-	// Holes is the free room of the emptiest workers.
-	Holes []heatherhub.Resources `msgpack:"o,omitempty" json:"holes,omitempty"`
-	At    time.Time              `msgpack:"at" json:"at"`
+	// Holes is the free room of the emptiest workers of each pool.
+	Holes map[heatherhub.PoolID][]heatherhub.Resources `msgpack:"o,omitempty" json:"holes,omitempty"`
+	At    time.Time                                    `msgpack:"at" json:"at"`
 }
 
-// MaxHoles is how many of the emptiest workers an owner tells of. More than these
+// MaxHoles is how many of the emptiest workers of a pool an owner tells of. More than these
 // fill up within the second for which a load holds.
 const MaxHoles = 8
 
