Take out what nothing uses and say twice-said things once

Read again: learnt run times were kept and never used (expected returns the caller's estimate), the objective of an occurrence was set twice, a move named a rack and a kind that nobody read, absent jobs stayed in the list of jobs to look up, which each report walks through, and the load of a shard was summed up at each decision also where no job starved. Asking all hosts, the share of a worker's processors, pauses and lasting steps of tests stood in two places each.

Merging the jobs that left a shard with the absent ones: a record that moves back would be told apart no more. One type for dispatch.Load and record.Load: the wire record has more fields, and the decisions should not know the store's records.

The dead code is gone. Absent jobs have a list of their own, which forgets after the time for which ended jobs are kept; a run that is still listed then is looked up again. peer.AskAll serves entry and overview (whose questions now go out side by side, within one bound), shareOf and attempt.share, isStarved, term.wake and ledger.Pause their callers. The comment of term.read said that jobs are read before progress; they are not, and need not be.

--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 
+	"github.com/sourcegraph/conc/iter"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"heatherhub.example/heatherhub"
@@ -72,6 +73,21 @@
 	return out, nil
 }
 
+// ReplyOf is the reply of one host.
+type ReplyOf[T any] struct {
+	From  heatherhub.HostID
+	Reply T
+	Err   error
+}
+
+// AskAll asks hosts at the same time and returns the reply of each, in their order.
+func AskAll[Out, In any](ctx context.Context, c Caller, to []heatherhub.HostID, m Method, in In) []ReplyOf[Out] {
+	return iter.Map(to, func(id *heatherhub.HostID) ReplyOf[Out] {
+		reply, err := Ask[Out](ctx, c, *id, m, in)
+		return ReplyOf[Out]{From: *id, Reply: reply, Err: err}
+	})
+}
+
 // Answer makes a Handler of a typed function.
 func Answer[In, Out any](f func(ctx context.Context, from heatherhub.HostID, in In) (Out, error)) Handler {
 	return func(ctx context.Context, from heatherhub.HostID, body []byte) ([]byte, error) {
--- a/experiment/soak/callers_test.go
+++ b/experiment/soak/callers_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/connection/ledger"
 )
 
 // Times of callers.
@@ -61,7 +62,7 @@
 		if len(c.jobs) > 3 && c.roll(12) == 0 {
 			c.cancel(ctx, c.jobs[len(c.jobs)-1-c.roll(3)])
 		}
-		sleep(ctx, time.Duration(c.roll(int(2*jobGap))))
+		ledger.Pause(ctx, time.Duration(c.roll(int(2*jobGap))))
 	}
 }
 
@@ -119,7 +120,7 @@
 			j.doubtful = true
 			c.counts.Unknown++
 		}
-		sleep(ctx, 300*time.Millisecond)
+		ledger.Pause(ctx, 300*time.Millisecond)
 	}
 }
 
@@ -174,7 +175,7 @@
 		}
 		state, status := c.state(ctx, j)
 		for !isEnd(state) && time.Now().Before(limit) && ctx.Err() == nil {
-			sleep(ctx, 100*time.Millisecond)
+			ledger.Pause(ctx, 100*time.Millisecond)
 			state, status = c.state(ctx, j)
 		}
 		switch {
@@ -190,12 +191,3 @@
 func isEnd(state string) bool {
 	return state == "completed" || state == "cancelled" || state == "failed"
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/process/dispatch/interference.go
+++ b/process/dispatch/interference.go
@@ -166,7 +166,7 @@
 		t := e.model.baseOf(v.image, v.target) - math.Log(float64(v.target.Milliseconds()))
 		for _, a := range n.attempts {
 			if s := a.task.step.spec; s.Filler {
-				t += e.model.of(v.image, s.Image) * float64(s.Need.CPU) * float64(a.pace) / 100 / float64(n.worker.Capacity.CPU)
+				t += e.model.of(v.image, s.Image) * a.share()
 			}
 		}
 		worst = max(worst, t)
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -99,7 +99,7 @@
 		j.state = heatherhub.WorkflowRunning
 	}
 	for k := range flow.Occurrences() {
-		o := e.newOccurrence(now, j, k)
+		o := e.newOccurrence(j, k)
 		j.occurrences = append(j.occurrences, o)
 	}
 	e.restoreFailures(j)
@@ -113,7 +113,7 @@
 	e.finishIfDone(now, j)
 }
 
-func (e *Engine) newOccurrence(now Moment, j *job, k int) *occurrence {
+func (e *Engine) newOccurrence(j *job, k int) *occurrence {
 	o := &occurrence{job: j, index: k}
 	flat := 0
 	for i := range j.flow.Steps {
@@ -141,10 +141,6 @@
 		}
 	}
 	e.estimateTails(o)
-	o.objective = j.arrived
-	if j.flow.Schedule != nil {
-		o.objective = now.Steady + j.flow.Due(k).Sub(now.Wall)
-	}
 	e.setObjective(o)
 	return o
 }
@@ -317,6 +313,7 @@
 	}
 	clear(e.finished[len(kept):])
 	e.finished = kept
+	maps.DeleteFunc(e.absent, func(_ heatherhub.JobID, at time.Duration) bool { return now.Steady-at > keep })
 	maps.DeleteFunc(e.left, func(_ heatherhub.JobID, d departed) bool { return now.Steady-d.at > keep })
 	return out
 }
--- a/process/dispatch/move.go
+++ b/process/dispatch/move.go
@@ -25,8 +25,6 @@
 	// Need is what one task reserves on a worker of Pool.
 	Need   heatherhub.Resources
 	Pool   heatherhub.PoolID
-	Filler bool
-	Rack   heatherhub.Rack
 	Waited time.Duration
 }
 
@@ -38,7 +36,7 @@
 		if waited < e.cfg.MoveAfter || !e.mayMove(now, s) {
 			continue
 		}
-		m := Move{Job: s.occ.job.flow.ID, Need: s.need, Pool: s.occ.job.policy.Pool, Filler: s.spec.Filler, Rack: s.spec.DataRack, Waited: waited}
+		m := Move{Job: s.occ.job.flow.ID, Need: s.need, Pool: s.occ.job.policy.Pool, Waited: waited}
 		if s.occ.job.flow.MayDivide() {
 			for _, t := range s.pending {
 				if !t.isLeaving && t.notBefore <= now.Steady {
@@ -110,12 +108,14 @@
 	if len(j.occurrences) == 0 {
 		return nil
 	}
+	o := j.occurrences[0]
 	var out []*task
-	for _, s := range j.occurrences[0].steps {
-		for _, t := range s.tasks {
-			if numbers == nil || slices.Contains(numbers, t.flat()) {
-				out = append(out, t)
-			}
+	for _, k := range numbers {
+		out = append(out, o.byFlat(k))
+	}
+	if numbers == nil {
+		for _, s := range o.steps {
+			out = append(out, s.tasks...)
 		}
 	}
 	return out
@@ -130,12 +130,11 @@
 		j.isInherited = true
 	}
 	j.flow, j.recorded = r.Flow, r.Recorded
-	isGuest := r.Flow.Shard != e.cfg.Shard
 	if !r.Flow.IsAt(e.cfg.Shard) && j.open == 0 && !j.isOver() {
 		e.leave(now, j)
 		return
 	}
-	j.isGuest = isGuest
+	j.isGuest = r.Flow.Shard != e.cfg.Shard
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			s.spec = &j.flow.Steps[s.index]
--- a/process/dispatch/order.go
+++ b/process/dispatch/order.go
@@ -130,13 +130,17 @@
 // workers are half empty. Fillers then go where they disturb least, and the pace
 // keeps them in check.
 func (e *Engine) startStarved(now Moment, waiting []candidate) {
-	waiting = slices.DeleteFunc(waiting, func(c candidate) bool { return len(c.step.pending) == 0 })
-	if l := e.Load(); len(waiting) == 0 || float64(l.Reserved) > starvedLoad*float64(l.Capacity) {
+	waiting = slices.DeleteFunc(waiting, func(c candidate) bool { return !e.isStarved(now, c.step) })
+	if len(waiting) == 0 {
+		return
+	}
+	if l := e.Load(); float64(l.Reserved) > starvedLoad*float64(l.Capacity) {
 		return
 	}
 	for _, c := range waiting {
 		s := c.step
-		if !s.spec.Filler || s.occ.job.open > 0 || now.Steady-s.readySince < e.cfg.StarvedAfter {
+		if !e.isStarved(now, s) {
+			// Another step of the job has a task running by now.
 			continue
 		}
 		t := s.pending[0]
@@ -148,6 +152,11 @@
 	}
 }
 
+// isStarved reports whether a job of fillers has waited long with nothing running.
+func (e *Engine) isStarved(now Moment, s *stepRun) bool {
+	return s.spec.Filler && len(s.pending) > 0 && s.occ.job.open == 0 && now.Steady-s.readySince >= e.cfg.StarvedAfter
+}
+
 // starvedLoad is the share of the processors that others reserve below which no job
 // may wait without a running task.
 const starvedLoad = 0.6
@@ -161,7 +170,7 @@
 		if !e.isOpen(now, n, s) {
 			continue
 		}
-		t := e.tension(n) + e.rise(n, s.spec.Image, float64(s.spec.Need.CPU)/float64(max(n.worker.Capacity.CPU, 1)))
+		t := e.tension(n) + e.rise(n, s.spec.Image, n.shareOf(s.spec.Need.CPU))
 		if best == nil || t < bestTension {
 			best, bestTension = n, t
 		}
--- a/process/dispatch/pace.go
+++ b/process/dispatch/pace.go
@@ -81,7 +81,7 @@
 // worker at full speed.
 func (e *Engine) mayDisturb(n *node, filler *attempt) bool {
 	s := filler.task.step.spec
-	return e.rise(n, s.Image, float64(s.Need.CPU)/float64(n.worker.Capacity.CPU)) > noticeable
+	return e.rise(n, s.Image, n.shareOf(s.Need.CPU)) > noticeable
 }
 
 // isMissing reports whether a target was missed lately.
@@ -113,7 +113,7 @@
 		switch {
 		case isAllHalted, isHalted && e.mayDisturb(n, a):
 			next = 0
-		case e.isResponsible(n, a, missed):
+		case e.isResponsible(a, missed):
 			next = lowered(a.pace)
 		case !n.pacer.isMissing():
 			next = fullPace
@@ -147,9 +147,14 @@
 	return out
 }
 
+// share returns what a filler takes of its worker's processors at its pace.
+func (a *attempt) share() float64 {
+	return float64(a.task.step.spec.Need.CPU) * float64(a.pace) / 100 / float64(a.node.worker.Capacity.CPU)
+}
+
 // isResponsible reports whether a filler noticeably disturbs one of the attempts.
-func (e *Engine) isResponsible(n *node, filler *attempt, missed []*attempt) bool {
-	x := float64(filler.task.step.spec.Need.CPU) * float64(filler.pace) / 100 / float64(n.worker.Capacity.CPU)
+func (e *Engine) isResponsible(filler *attempt, missed []*attempt) bool {
+	x := filler.share()
 	for _, m := range missed {
 		if e.model.of(m.task.step.spec.Image, filler.task.step.spec.Image)*x > noticeable {
 			return true
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -100,7 +100,12 @@
 }
 
 func (n *node) spareShare() float64 {
-	return float64(n.spareCPU()) / float64(max(n.worker.Capacity.CPU, 1))
+	return n.shareOf(n.spareCPU())
+}
+
+// shareOf returns a number of processors as a share of the worker's.
+func (n *node) shareOf(cpu heatherhub.MilliCPU) float64 {
+	return float64(cpu) / float64(max(n.worker.Capacity.CPU, 1))
 }
 
 // scoreFiller prefers workers with spare processors on whose serving tasks the
@@ -109,8 +114,7 @@
 	if n.serving == 0 {
 		return n.spareShare() - emptyWeight, true
 	}
-	x := float64(s.spec.Need.CPU) / float64(max(n.worker.Capacity.CPU, 1))
-	rise := e.rise(n, s.spec.Image, x)
+	rise := e.rise(n, s.spec.Image, n.shareOf(s.spec.Need.CPU))
 	if rise > noticeable {
 		if n.pacer.isMissing() || e.tension(n)+rise > tensionLimit {
 			return 0, false
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -147,7 +147,7 @@
 	if j.isOver() && j.occurrences == nil {
 		// What still runs of a job that is over holds room until it is stopped.
 		for k := range j.flow.Occurrences() {
-			j.occurrences = append(j.occurrences, e.newOccurrence(Moment{}, j, k))
+			j.occurrences = append(j.occurrences, e.newOccurrence(j, k))
 		}
 	}
 	if id.Occurrence >= len(j.occurrences) {
@@ -218,7 +218,6 @@
 	switch end.Kind {
 	case agent.EndDone:
 		e.Stats.Done++
-		e.learn(now, t, a)
 		n.health.succeeded()
 		e.taskDone(now, t)
 	case agent.EndFailed:
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -45,8 +45,10 @@
 	order []*node
 	// unresolved are workers on which runs of an earlier owner may go on.
 	unresolved map[heatherhub.WorkerID]struct{}
-	// unread are jobs that workers list and this owner has not read.
+	// unread are jobs that workers list and this owner has to look up; absent are
+	// those that were looked up and are not of this shard, with the time of that.
 	unread map[heatherhub.JobID]*unreadJob
+	absent map[heatherhub.JobID]time.Duration
 	// left has the revisions at which records of jobs were found to be those of
 	// other shards. Older ones may still be on their way.
 	left map[heatherhub.JobID]departed
@@ -62,7 +64,6 @@
 	orders       []Order
 	notes        []Note
 	nextRun      heatherhub.RunID
-	durations    map[string]*estimate
 	model        *interference
 	finished     []*job
 	// watchedAt is when the progress of all runs was last looked at.
@@ -88,8 +89,8 @@
 		nodes:      make(map[heatherhub.WorkerID]*node),
 		unresolved: make(map[heatherhub.WorkerID]struct{}),
 		unread:     make(map[heatherhub.JobID]*unreadJob),
+		absent:     make(map[heatherhub.JobID]time.Duration),
 		left:       make(map[heatherhub.JobID]departed),
-		durations:  make(map[string]*estimate),
 		model:      newInterference(),
 		nextRun:    heatherhub.RunID(cfg.Token) * runsPerToken,
 	}
--- a/process/dispatch/unread.go
+++ b/process/dispatch/unread.go
@@ -1,7 +1,7 @@
 package dispatch
 
 import (
-	"cmp"
+	"maps"
 	"slices"
 
 	"heatherhub.example/heatherhub"
@@ -18,8 +18,6 @@
 type unreadJob struct {
 	runs []unreadRun
 	ends []unreadEnd
-	// isAbsent says that the store has no such job for this shard.
-	isAbsent bool
 }
 
 type unreadRun struct {
@@ -35,24 +33,12 @@
 
 // Unread returns the jobs that workers have listed and that have to be looked up.
 func (e *Engine) Unread() []heatherhub.JobID {
-	var out []heatherhub.JobID
-	for id, u := range e.unread {
-		if !u.isAbsent {
-			out = append(out, id)
-		}
-	}
-	slices.SortFunc(out, func(a, b heatherhub.JobID) int { return cmp.Compare(a, b) })
-	return out
+	return slices.Sorted(maps.Keys(e.unread))
 }
 
 // HasUnread reports whether a job has to be looked up.
 func (e *Engine) HasUnread() bool {
-	for _, u := range e.unread {
-		if !u.isAbsent {
-			return true
-		}
-	}
-	return false
+	return len(e.unread) > 0
 }
 
 // Has reports whether the engine knows a job.
@@ -70,12 +56,12 @@
 	if u == nil {
 		return
 	}
-	u.isAbsent, u.runs = true, nil
+	delete(e.unread, id)
+	e.absent[id] = now.Steady
 	for _, end := range u.ends {
 		end.ack.isUnread = false
 		end.node.advance()
 	}
-	u.ends = nil
 }
 
 func (e *Engine) unreadOf(id heatherhub.JobID) *unreadJob {
@@ -90,11 +76,11 @@
 // noteUnreadRun keeps a run of an unread job in mind, or stops it if there is no
 // such job.
 func (e *Engine) noteUnreadRun(n *node, r *agent.Running) {
-	u := e.unreadOf(r.Task.Job)
-	if u.isAbsent {
+	if _, isAbsent := e.absent[r.Task.Job]; isAbsent {
 		e.orders = append(e.orders, Order{Worker: n.worker.ID, Kind: StopTask, Task: r.Task, Run: r.Run})
 		return
 	}
+	u := e.unreadOf(r.Task.Job)
 	isSame := func(o unreadRun) bool { return o.node == n && o.run.Task == r.Task && o.run.Run == r.Run }
 	if !slices.ContainsFunc(u.runs, isSame) {
 		u.runs = append(u.runs, unreadRun{node: n, run: *r})
@@ -103,16 +89,17 @@
 
 // noteUnreadEnd keeps an end of an unread job in mind.
 func (e *Engine) noteUnreadEnd(n *node, end *agent.Ended, ack *pendingAck) {
-	u := e.unreadOf(end.Task.Job)
-	if u.isAbsent {
+	if _, isAbsent := e.absent[end.Task.Job]; isAbsent {
 		return
 	}
 	ack.isUnread = true
+	u := e.unreadOf(end.Task.Job)
 	u.ends = append(u.ends, unreadEnd{node: n, end: *end, ack: ack})
 }
 
 // adoptUnread takes in what workers have listed of a job that is read now.
 func (e *Engine) adoptUnread(now Moment, id heatherhub.JobID) {
+	delete(e.absent, id)
 	u := e.unread[id]
 	if u == nil {
 		return
--- a/process/entry/ask.go
+++ b/process/entry/ask.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
-	"github.com/sourcegraph/conc/iter"
-
-	"heatherhub.example/heatherhub"
 	"heatherhub.example/heatherhub/connection/peer"
 	"heatherhub.example/heatherhub/version/config"
 )
@@ -20,30 +18,14 @@
 	ownerRetry = time.Second
 )
 
-// replyOf is the reply of one host.
-type replyOf[T any] struct {
-	from  heatherhub.HostID
-	reply T
-	err   error
-}
-
 // askAll asks this host and every listed entry host, and returns the replies of
 // those that answered.
-func askAll[Out, In any](ctx context.Context, e *Entry, m peer.Method, in In) []replyOf[Out] {
+func askAll[Out, In any](ctx context.Context, e *Entry, m peer.Method, in In) []peer.ReplyOf[Out] {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	ids := append(e.hosts.others(e.cfg.Self), e.cfg.Self)
-	all := iter.Map(ids, func(id *heatherhub.HostID) replyOf[Out] {
-		reply, err := peer.Ask[Out](ctx, e.peers, *id, m, in)
-		return replyOf[Out]{from: *id, reply: reply, err: err}
-	})
-	answered := all[:0]
-	for _, r := range all {
-		if r.err == nil {
-			answered = append(answered, r)
-		}
-	}
-	return answered
+	all := peer.AskAll[Out](ctx, e.peers, ids, m, in)
+	return slices.DeleteFunc(all, func(r peer.ReplyOf[Out]) bool { return r.Err != nil })
 }
 
 // storeAnswers reports whether the store answers a read now.
--- a/process/entry/backend.go
+++ b/process/entry/backend.go
@@ -121,9 +121,9 @@
 	var list operatorapi.JobList
 	var answered []heatherhub.ShardID
 	for _, r := range replies {
-		answered = append(answered, r.reply.Shards...)
-		list.Truncated = list.Truncated || r.reply.Truncated
-		for _, v := range r.reply.Jobs {
+		answered = append(answered, r.Reply.Shards...)
+		list.Truncated = list.Truncated || r.Reply.Truncated
+		for _, v := range r.Reply.Jobs {
 			list.Jobs = append(list.Jobs, operatorapi.JobView(v))
 		}
 	}
@@ -157,8 +157,8 @@
 	var list operatorapi.WorkerList
 	var answered []heatherhub.ShardID
 	for _, r := range replies {
-		answered = append(answered, r.reply.Shards...)
-		for _, v := range r.reply.Workers {
+		answered = append(answered, r.Reply.Shards...)
+		for _, v := range r.Reply.Workers {
 			list.Workers = append(list.Workers, workerView(v))
 		}
 	}
@@ -178,7 +178,7 @@
 func (b backend) Hosts(ctx context.Context) (operatorapi.HostList, error) {
 	byID := make(map[heatherhub.HostID]statusReply)
 	for _, r := range askAll[statusReply](ctx, b.Entry, peer.MethodStatus, empty{}) {
-		byID[r.from] = r.reply
+		byID[r.From] = r.Reply
 	}
 	var list operatorapi.HostList
 	for _, h := range b.hosts.entries() {
@@ -212,12 +212,12 @@
 	}
 	owned := make(map[heatherhub.ShardID]bool)
 	for _, r := range askAll[statusReply](ctx, b.Entry, peer.MethodStatus, empty{}) {
-		for _, id := range r.reply.Shards {
+		for _, id := range r.Reply.Shards {
 			owned[id] = true
 		}
-		s.JobsQueued += r.reply.JobsQueued
-		s.JobsParked += r.reply.JobsParked
-		s.TasksRunning += r.reply.TasksRunning
+		s.JobsQueued += r.Reply.JobsQueued
+		s.JobsParked += r.Reply.JobsParked
+		s.TasksRunning += r.Reply.TasksRunning
 	}
 	for _, id := range b.cfg.Layout.All() {
 		s.Shards++
--- a/process/owner/lookup.go
+++ b/process/owner/lookup.go
@@ -52,8 +52,5 @@
 	if !isKnown {
 		t.engine.Absent(t.now(), id, it.Revision)
 	}
-	signal(t.wakeDecide)
-	if t.engine.HasChanges() {
-		signal(t.wakeCommit)
-	}
+	t.wake()
 }
--- a/process/owner/owner_test.go
+++ b/process/owner/owner_test.go
@@ -135,9 +135,7 @@
 // tasks start elsewhere when its lease is over, not later.
 func TestDepartedWorkersTasksStartElsewhere(t *testing.T) {
 	onSite(t, 2, func(w *world) {
-		lasting := step(6, time.Second)
-		lasting.LongRunning = true
-		w.submit("lasting", lasting)
+		w.submit("lasting", lasting(6))
 		time.Sleep(2 * time.Second)
 		gone := w.busyWorker()
 		gone.mu.Lock()
@@ -217,9 +215,7 @@
 // its entry goes while it still answers. Its lasting tasks start elsewhere at once.
 func TestWorkerThatLeftIsNotWaitedOut(t *testing.T) {
 	onSite(t, 2, func(w *world) {
-		lasting := step(6, time.Second)
-		lasting.LongRunning = true
-		w.submit("lasting", lasting)
+		w.submit("lasting", lasting(6))
 		time.Sleep(2 * time.Second)
 		gone := w.busyWorker()
 		gone.entry.Draining = true
@@ -240,9 +236,7 @@
 // lease is over.
 func TestCutOffWorkerHasNotLeft(t *testing.T) {
 	onSite(t, 2, func(w *world) {
-		lasting := step(6, time.Second)
-		lasting.LongRunning = true
-		w.submit("lasting", lasting)
+		w.submit("lasting", lasting(6))
 		time.Sleep(2 * time.Second)
 		cut := w.busyWorker()
 		for h := range 3 {
--- a/process/owner/store_test.go
+++ b/process/owner/store_test.go
@@ -180,10 +180,10 @@
 		return heatherhub.ErrUnavailable.New("the host is dead")
 	}
 	if isDown || s.w.isCut(string(s.host), storeName) {
-		wait(ctx, callTimeout)
+		ledger.Pause(ctx, callTimeout)
 		return heatherhub.ErrUnknown.New("no answer of the store")
 	}
-	wait(ctx, answerTime)
+	ledger.Pause(ctx, answerTime)
 	return ctx.Err()
 }
 
@@ -253,7 +253,7 @@
 		s.mu.Lock()
 		if s.silentPrefix != "" && strings.HasPrefix(prefix, s.silentPrefix) {
 			s.mu.Unlock()
-			wait(ctx, time.Until(until)+callTimeout)
+			ledger.Pause(ctx, time.Until(until)+callTimeout)
 			return ledger.Changes{}, heatherhub.ErrUnknown.New("no answer to the watch")
 		}
 		s.expire()
@@ -298,17 +298,17 @@
 	}
 	if isLate {
 		s.w.later(2*time.Second, func() { _, _ = s.apply(txn) })
-		wait(ctx, callTimeout)
+		ledger.Pause(ctx, callTimeout)
 		return 0, heatherhub.ErrUnknown.New("the answer was lost")
 	}
 	if dice < share/2 {
 		s.w.later(time.Duration(1+4*dice/share)*time.Second, func() { _, _ = s.apply(txn) })
-		wait(ctx, callTimeout)
+		ledger.Pause(ctx, callTimeout)
 		return 0, heatherhub.ErrUnknown.New("the answer was lost")
 	}
 	rev, err := s.apply(txn)
 	if dice < share {
-		wait(ctx, callTimeout)
+		ledger.Pause(ctx, callTimeout)
 		return 0, heatherhub.ErrUnknown.New("the answer was lost")
 	}
 	return rev, err
@@ -349,11 +349,3 @@
 	s.drop(id)
 	return nil
 }
-
-// wait waits for d or the end of ctx.
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -170,7 +170,8 @@
 	return start{}, false
 }
 
-// read reads jobs before progress, so that no progress is missed.
+// read reads what lasts, in any order: since this owner has the key, the earlier one
+// writes no progress, and jobs that come later are in the watch.
 func (t *term) read() (start, error) {
 	var s start
 	var errs [5]error
@@ -350,6 +351,18 @@
 	}
 }
 
+// wake has the loops look at what a report or a lookup has changed. The caller has the
+// lock.
+func (t *term) wake() {
+	signal(t.wakeDecide)
+	if t.engine.HasChanges() {
+		signal(t.wakeCommit)
+	}
+	if t.engine.HasUnread() {
+		signal(t.wakeLookup)
+	}
+}
+
 func signal(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -271,13 +271,7 @@
 		t.engine.WorkerUp(now, w.entry, r)
 		t.log.Info("worker up", zap.String("worker", string(w.entry.ID)), zap.Int("running", len(r.Running)), zap.Int("ended", len(r.Ended)))
 	}
-	signal(t.wakeDecide)
-	if t.engine.HasChanges() {
-		signal(t.wakeCommit)
-	}
-	if t.engine.HasUnread() {
-		signal(t.wakeLookup)
-	}
+	t.wake()
 }
 
 func (w *workerLoop) pollFailed(now dispatch.Moment, err error) {
--- a/process/owner/worker_test.go
+++ b/process/owner/worker_test.go
@@ -7,6 +7,7 @@
 
 	"heatherhub.example/heatherhub"
 	"heatherhub.example/heatherhub/connection/agent"
+	"heatherhub.example/heatherhub/connection/ledger"
 )
 
 // memoryWorker is one life of a worker. It kills everything when its lease is over
@@ -216,10 +217,10 @@
 	}
 	m := a.w.worker(a.worker)
 	if m == nil || a.w.isCut(string(a.host), string(a.worker)) {
-		wait(ctx, callTimeout)
+		ledger.Pause(ctx, callTimeout)
 		return nil, heatherhub.ErrUnknown.New("no answer of the worker")
 	}
-	wait(ctx, time.Millisecond)
+	ledger.Pause(ctx, time.Millisecond)
 	return m, nil
 }
 
@@ -232,7 +233,7 @@
 	}
 	if delay, isLate := a.w.lateOrder(); isLate {
 		a.w.later(delay, func() { _, _ = do(m) })
-		wait(ctx, callTimeout)
+		ledger.Pause(ctx, callTimeout)
 		return 0, a.w.noAnswer()
 	}
 	c, err := do(m)
--- a/request/overview/overview.go
+++ b/request/overview/overview.go
@@ -30,7 +30,7 @@
 	"heatherhub.example/heatherhub/version/queues"
 )
 
-// askTimeout bounds the question to one owner. An operator waits 10 s at most.
+// askTimeout bounds the question to all owners. An operator waits 10 s at most.
 const askTimeout = 2 * time.Second
 
 // Config is what a backend needs.
@@ -85,20 +85,25 @@
 // ask asks all owners, this host included. Those that do not answer are left out.
 func (b *Backend) ask(ctx context.Context, q owner.OverviewQuery) []reply {
 	out := []reply{{host: b.cfg.Self, Overview: b.cfg.Local(q)}}
-	asked := map[heatherhub.HostID]struct{}{b.cfg.Self: {}}
-	for _, o := range b.cfg.View().Owners {
-		if _, ok := asked[o.Host]; ok {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	for _, r := range peer.AskAll[owner.Overview](ctx, b.cfg.Peers, b.otherOwners(), peer.MethodOverview, q) {
+		if r.Err != nil {
+			b.cfg.Log.Warn("owner not asked", zap.String("peer", string(r.From)), zap.Error(r.Err))
 			continue
 		}
-		asked[o.Host] = struct{}{}
-		one, cancel := context.WithTimeout(ctx, askTimeout)
-		answer, err := peer.Ask[owner.Overview](one, b.cfg.Peers, o.Host, peer.MethodOverview, q)
-		cancel()
-		if err != nil {
-			b.cfg.Log.Warn("owner not asked", zap.String("peer", string(o.Host)), zap.Error(err))
-			continue
+		out = append(out, reply{host: r.From, Overview: r.Reply})
+	}
+	return out
+}
+
+// otherOwners returns the other hosts that own shards.
+func (b *Backend) otherOwners() []heatherhub.HostID {
+	var out []heatherhub.HostID
+	for _, o := range b.cfg.View().Owners {
+		if o.Host != b.cfg.Self && !slices.Contains(out, o.Host) {
+			out = append(out, o.Host)
 		}
-		out = append(out, reply{host: o.Host, Overview: answer})
 	}
 	return out
 }
