Log what a queue length was added up from

Callers saw a queue length of 2 while 10 jobs waited.

The count itself is unchanged.

go test of process/dispatch, process/owner and request/intake passes.

--- a/process/dispatch/decide.go
+++ b/process/dispatch/decide.go
@@ -127,7 +127,7 @@
 func (e *Engine) handleStartResult(now Moment, a *attempt, result Outcome) {
 	if result == Confirmed {
 		if a.state != running {
-			a.state, a.stateSince = running, now.Steady
+			a.confirm(now)
 		}
 		return
 	}
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -100,7 +100,7 @@
 		return
 	}
 	if len(r.Progress.Done) > 0 {
-		j.state = heatherhub.WorkflowRunning
+		j.state, j.hasBegun = heatherhub.WorkflowRunning, true
 	}
 	for k := range workflow.Occurrences() {
 		o := e.newOccurrence(j, k)
@@ -337,6 +337,18 @@
 	return out
 }
 
+// UnconfirmedJobs returns, by queue, the number of jobs without a schedule for which a
+// start was ordered but no run has been confirmed yet.
+func (e *Engine) UnconfirmedJobs() map[heatherhub.QueueID]int {
+	out := make(map[heatherhub.QueueID]int)
+	for _, j := range e.jobs {
+		if j.state == heatherhub.WorkflowRunning && !j.hasBegun && j.workflow.Schedule == nil && !j.isOwnedElsewhere {
+			out[j.workflow.Queue]++
+		}
+	}
+	return out
+}
+
 // MarkUnresolved marks a worker on which runs of a previous owner may still be active.
 // Jobs that such an owner may have started wait until all marked workers have reported
 // or are gone.
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -102,7 +102,7 @@
 		return
 	}
 	if a.state != running {
-		a.state, a.stateSince = running, now.Steady
+		a.confirm(now)
 	}
 	if r.Progress != a.progress || a.progressAt == 0 {
 		a.progress, a.progressAt = r.Progress, now.Steady
@@ -134,6 +134,7 @@
 		a.stop = stopPending
 	}
 	e.attach(a)
+	j.hasBegun = true
 	if j.state == heatherhub.WorkflowQueued {
 		j.state = heatherhub.WorkflowRunning
 	}
@@ -211,6 +212,7 @@
 		e.release(a)
 	}
 	if t != nil {
+		t.step.occ.job.hasBegun = true
 		e.applyEnd(now, n, t, a, end)
 	}
 	ack.job = e.jobs[end.Task.Job]
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -109,6 +109,8 @@
 	// isInherited means that a previous owner may have started tasks of the job.
 	isInherited bool
 	occurrences []*occurrence
+	// hasBegun means that a worker has confirmed or reported a run of the job.
+	hasBegun bool
 	// openAttempts counts the attempts that are not known to be over.
 	openAttempts int
 	// undoneTasks counts the tasks that are not done.
@@ -235,6 +237,12 @@
 	speedSampleProgress heatherhub.Percent
 }
 
+// confirm records that the task of the attempt runs.
+func (a *attempt) confirm(now Moment) {
+	a.state, a.stateSince = running, now.Steady
+	a.task.step.occ.job.hasBegun = true
+}
+
 // stopState is the progress of stopping an attempt.
 type stopState int
 
--- a/request/intake/shards.go
+++ b/request/intake/shards.go
@@ -94,19 +94,36 @@
 }
 
 // QueuedJobs returns the number of waiting jobs of a queue in all shards, from loads that
-// it reads anew.
+// it reads anew. It logs the part and age of each shard.
 func (s *ShardSelector) QueuedJobs(ctx context.Context, queue heatherhub.QueueID) (int, error) {
 	loads, err := s.refresh(ctx)
 	if err != nil {
 		return 0, err
 	}
 	n := 0
-	for _, l := range loads {
+	now := time.Now()
+	parts := make([]queuePart, 0, len(loads))
+	for id, l := range loads {
 		n += l.Waiting[queue]
+		parts = append(parts, queuePart{Shard: id.String(), Waiting: l.Waiting[queue], AgeMS: now.Sub(l.At).Milliseconds()})
 	}
+	var missing []string
+	for _, size := range s.view().Layout.Shards {
+		if _, ok := loads[size.Shard]; !ok {
+			missing = append(missing, size.Shard.String())
+		}
+	}
+	s.log.Info("queue length read", zap.String("queue", string(queue)), zap.Int("waiting", n), zap.Any("parts", parts), zap.Strings("missing", missing))
 	return n, nil
 }
 
+// queuePart is what one shard adds to the length of a queue, as logged.
+type queuePart struct {
+	Shard   string `json:"shard"`
+	Waiting int    `json:"waiting"`
+	AgeMS   int64  `json:"ageMs"`
+}
+
 // Choose returns the shard with the lowest cost for a new job: the one that has the rack
 // of its data, unless that shard is much busier, otherwise the least loaded one. Jobs
 // with long-running tasks go to the shard with the lowest share of reserved processors.
