Show that a queue length leaves moved jobs out

TestQueueLengthCountsJobsMovedToACutOffShard plays it on virtual time: three full shards, eight jobs that wait in one, another shard that is freed and whose owner is cut off from the store just after the load record that says so. The jobs move there. Every host in touch is asked each 50 ms, and a number under half of the jobs that have waited for 5 s is a failure, as is an error while every shard has had an owner in touch for 6 s.

--- /dev/null
+++ b/process/owner/queue_length_test.go
@@ -0,0 +1,431 @@
+package owner_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/process/owner"
+	"heatherhub.example/heatherhub/process/record"
+	"heatherhub.example/heatherhub/request/intake"
+)
+
+// What a queue length has to keep.
+const (
+	// askInterval is the time between two questions to a host.
+	askInterval = 50 * time.Millisecond
+	// countedAfter is the age from which a waiting job has to be in an answer.
+	countedAfter = 5 * time.Second
+	// inTouchTime is how long a host has to reach the store before its answers count.
+	inTouchTime = 4 * time.Second
+	// ownedTime is how long all shards need owners in touch until a question has to be
+	// answered with a number. It covers a takeover and the first load record after it.
+	ownedTime = 6 * time.Second
+)
+
+// newSelector returns what a host answers questions about queues from. It logs to log.
+func (site *simSite) newSelector(id heatherhub.HostID, h *owner.Host, log *zap.Logger) *intake.ShardSelector {
+	return intake.NewShardSelector(intake.ShardSelectorConfig{
+		Store: &hostStore{fakeStore: site.store, site: site, host: id}, View: h.View, Random: func() float64 { return 0 }, Log: log,
+	})
+}
+
+// queueAsker asks the hosts of a site for the length of testQueue and checks the answers
+// of those in touch against the jobs that the test has submitted.
+type queueAsker struct {
+	site *simSite
+
+	mu    sync.Mutex
+	hosts map[heatherhub.HostID]*askedHost
+	// notOwnedAt is the last time at which a shard had no owner in touch, or another one
+	// than before.
+	notOwnedAt time.Time
+	owners     map[heatherhub.ShardID]heatherhub.HostID
+	isStopped  bool
+	stats      askStats
+	// faults describes the answers that were wrong.
+	faults []string
+}
+
+// askStats counts the questions to hosts in touch.
+type askStats struct {
+	// asked counts all of them, answered those answered with a number, checked those at
+	// which jobs had waited for countedAfter, and owned those that had to be answered
+	// with a number.
+	asked, answered, checked, owned int
+	// wrong counts the numbers that are too low, refused the wrong errors.
+	wrong, refused int
+}
+
+// askedHost is a host as seen by queueAsker.
+type askedHost struct {
+	selector *intake.ShardSelector
+	log      *lastLine
+	isBusy   bool
+	// outOfTouchAt is the last time at which the host did not reach the store.
+	outOfTouchAt time.Time
+}
+
+// lastLine keeps the last line that was logged.
+type lastLine struct {
+	mu   sync.Mutex
+	line string
+}
+
+func (l *lastLine) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.line = string(bytes.TrimSpace(p))
+	return len(p), nil
+}
+
+func (l *lastLine) get() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.line
+}
+
+// startAsking asks all hosts of a site every askInterval until stop is called or the site
+// is shut down. Hosts that start later are asked too.
+func startAsking(site *simSite) *queueAsker {
+	a := &queueAsker{
+		site: site, hosts: make(map[heatherhub.HostID]*askedHost), notOwnedAt: time.Now(),
+		owners: make(map[heatherhub.ShardID]heatherhub.HostID),
+	}
+	site.tasks.Go(func() {
+		for a.step() {
+			time.Sleep(askInterval)
+		}
+	})
+	return a
+}
+
+// step asks each host that is alive and has answered the last question. It reports false
+// once the asker has been stopped.
+func (a *queueAsker) step() bool {
+	hosts := a.site.liveHosts()
+	inTouch := a.site.hostsInTouch()
+	owners := a.site.shardOwners()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.isStopped || hosts == nil {
+		return false
+	}
+	now := time.Now()
+	for id, h := range hosts {
+		if a.hosts[id] == nil {
+			log := &lastLine{}
+			core := zapcore.NewCore(zapcore.NewJSONEncoder(zapcore.EncoderConfig{}), zapcore.AddSync(log), zapcore.InfoLevel)
+			a.hosts[id] = &askedHost{selector: a.site.newSelector(id, h, zap.New(core)), log: log, outOfTouchAt: now}
+		}
+	}
+	for id, h := range a.hosts {
+		if !inTouch[id] {
+			h.outOfTouchAt = now
+		}
+		if hosts[id] != nil && !h.isBusy {
+			h.isBusy = true
+			a.site.tasks.Go(func() { a.ask(id, h) })
+		}
+	}
+	for shard, o := range owners {
+		if o == "" || !inTouch[o] || a.owners[shard] != o {
+			a.notOwnedAt = now
+		}
+	}
+	a.owners = owners
+	return true
+}
+
+// stop ends the questions and returns what they counted. It fails the test for each wrong
+// answer, with details of the first ones.
+func (a *queueAsker) stop() askStats {
+	a.site.t.Helper()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.isStopped = true
+	for _, f := range a.faults {
+		a.site.t.Error(f)
+	}
+	if s := a.stats; s.wrong+s.refused > 0 {
+		a.site.t.Errorf("got %d numbers that are too low and %d wrong errors for %d questions, want none", s.wrong, s.refused, s.asked)
+	}
+	return a.stats
+}
+
+// maxFaultsShown bounds the wrong answers that are shown in full.
+const maxFaultsShown = 3
+
+// ask asks a host once and checks its answer if the host was in touch all the time.
+func (a *queueAsker) ask(id heatherhub.HostID, h *askedHost) {
+	asked := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	got, err := h.selector.QueuedJobs(ctx, testQueue)
+	waiting := a.site.jobsWaitingSince(asked.Add(-countedAfter))
+	isInTouch := a.site.hostsInTouch()[id]
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	h.isBusy = false
+	if a.isStopped || !isInTouch || asked.Sub(h.outOfTouchAt) < inTouchTime {
+		return
+	}
+	isOwned := asked.Sub(a.notOwnedAt) >= ownedTime
+	a.stats.asked++
+	if isOwned {
+		a.stats.owned++
+	}
+	switch {
+	case err != nil && (isOwned || heatherhub.CodeOf(err) != heatherhub.CodeUnavailable):
+		a.stats.refused++
+		a.addFault("got error %v from %s, want a number (all shards owned: %v)", err, id, isOwned)
+	case err != nil:
+	default:
+		a.stats.answered++
+		if len(waiting) > 0 {
+			a.stats.checked++
+		}
+		if 2*got < len(waiting) {
+			a.stats.wrong++
+			a.addFault("got %d from %s, want at least half of the %d jobs that have waited for %s\n%s\n%s", got, id, len(waiting), countedAfter, h.log.get(), a.site.explain(waiting))
+		}
+	}
+}
+
+// addFault records a wrong answer. The caller holds a.mu.
+func (a *queueAsker) addFault(format string, args ...any) {
+	if len(a.faults) < maxFaultsShown {
+		a.faults = append(a.faults, time.Now().Format("05.000: ")+fmt.Sprintf(format, args...))
+	}
+}
+
+// liveHosts returns the hosts that run, or nil once the site is shut down.
+func (site *simSite) liveHosts() map[heatherhub.HostID]*owner.Host {
+	site.mu.Lock()
+	defer site.mu.Unlock()
+	if site.isShutDown {
+		return nil
+	}
+	out := make(map[heatherhub.HostID]*owner.Host)
+	for id, h := range site.hosts {
+		if !site.dead[id] {
+			out[id] = h
+		}
+	}
+	return out
+}
+
+// hostsInTouch returns the hosts that run and reach the store.
+func (site *simSite) hostsInTouch() map[heatherhub.HostID]bool {
+	site.store.mu.Lock()
+	isDown := site.store.isDown
+	site.store.mu.Unlock()
+	site.mu.Lock()
+	defer site.mu.Unlock()
+	out := make(map[heatherhub.HostID]bool)
+	for id := range site.hosts {
+		isFrozen := false
+		if unfrozen := site.unfrozen[id]; unfrozen != nil {
+			select {
+			case <-unfrozen:
+			default:
+				isFrozen = true
+			}
+		}
+		out[id] = !isDown && !isFrozen && !site.dead[id] && !site.partitions[[2]string{string(id), storeName}]
+	}
+	return out
+}
+
+// shards returns the shards of the layout, or none if there is no layout yet.
+func (site *simSite) shards() []heatherhub.ShardID {
+	site.store.mu.Lock()
+	defer site.store.mu.Unlock()
+	it := site.store.items[record.LayoutKey]
+	if it.Revision == 0 {
+		return nil
+	}
+	var l record.Layout
+	if err := heatherhub.Unmarshal(it.Value, &l); err != nil {
+		site.t.Error(err)
+	}
+	var out []heatherhub.ShardID
+	for _, s := range l.Shards {
+		out = append(out, s.Shard)
+	}
+	return out
+}
+
+// shardOwners returns the owner of each shard, or "" for a shard without one.
+func (site *simSite) shardOwners() map[heatherhub.ShardID]heatherhub.HostID {
+	out := make(map[heatherhub.ShardID]heatherhub.HostID)
+	for _, s := range site.shards() {
+		out[s] = site.ownerOf(s)
+	}
+	return out
+}
+
+// jobsWaitingSince returns the jobs that were accepted up to a time, have begun on no
+// worker and are not cancelled, sorted by id.
+func (site *simSite) jobsWaitingSince(at time.Time) []heatherhub.JobID {
+	site.mu.Lock()
+	begun := make(map[heatherhub.JobID]bool)
+	for t := range site.starts {
+		begun[t.Job] = true
+	}
+	var out []heatherhub.JobID
+	for id, flow := range site.jobs {
+		if !begun[id] && !flow.Accepted.After(at) {
+			out = append(out, id)
+		}
+	}
+	site.mu.Unlock()
+	site.store.mu.Lock()
+	defer site.store.mu.Unlock()
+	out = slices.DeleteFunc(out, func(id heatherhub.JobID) bool {
+		return site.store.items[record.JobKey(id)].Revision == 0 || site.store.items[record.CancelKey(id)].Revision > 0
+	})
+	slices.Sort(out)
+	return out
+}
+
+// storedLoad returns the load record of a shard, if there is one.
+func (site *simSite) storedLoad(shard heatherhub.ShardID) (record.Load, bool) {
+	site.store.mu.Lock()
+	defer site.store.mu.Unlock()
+	var l record.Load
+	it := site.store.items[record.LoadKey(shard)]
+	if it.Revision == 0 {
+		return l, false
+	}
+	if err := heatherhub.Unmarshal(it.Value, &l); err != nil {
+		site.t.Error(err)
+	}
+	return l, true
+}
+
+// storedJob returns the job record in the store.
+func (site *simSite) storedJob(id heatherhub.JobID) heatherhub.Workflow {
+	site.store.mu.Lock()
+	defer site.store.mu.Unlock()
+	var flow heatherhub.Workflow
+	if err := heatherhub.Unmarshal(site.store.items[record.JobKey(id)].Value, &flow); err != nil {
+		site.t.Error(err)
+	}
+	return flow
+}
+
+// explain describes the stored load records and, for each job, its shard and what the
+// owner of that shard knows of it.
+func (site *simSite) explain(ids []heatherhub.JobID) string {
+	var b strings.Builder
+	for _, shard := range site.shards() {
+		l, ok := site.storedLoad(shard)
+		o := site.ownerOf(shard)
+		fmt.Fprintf(&b, "  shard %v: owner %q, in touch %v, load stored %v, %d waiting, %s old\n", shard, o, site.hostsInTouch()[o], ok, l.Waiting[testQueue], time.Since(l.At))
+	}
+	for _, id := range ids {
+		flow := site.storedJob(id)
+		o := site.ownerOf(flow.Shard)
+		site.mu.Lock()
+		h := site.hosts[o]
+		accepted := site.jobs[id]
+		site.mu.Unlock()
+		known := "no owner"
+		if h != nil {
+			known = "unknown to the owner"
+			for _, v := range h.Overview(owner.OverviewQuery{Job: id}).Jobs {
+				if v.Shard == flow.Shard {
+					known = fmt.Sprintf("%s with %d running", v.State, v.Running)
+				}
+			}
+		}
+		fmt.Fprintf(&b, "  job %s: accepted %s ago to %v, now of %v, %s\n", id, time.Since(accepted.Accepted), accepted.Shard, flow.Shard, known)
+	}
+	return b.String()
+}
+
+// shardOf returns the shard of a failure domain.
+func shardOf(domain heatherhub.FailureDomain) heatherhub.ShardID {
+	return heatherhub.ShardID{Domain: domain}
+}
+
+// fillShards submits long-running tasks that fill all shards of a site with two workers
+// each, and waits until they run.
+func (site *simSite) fillShards() {
+	for d := range 3 {
+		id := heatherhub.JobID(fmt.Sprintf("full%d", d))
+		site.submitTo(shardOf(heatherhub.FailureDomain(fmt.Sprintf("d%d", d))), id, newLongRunningStep(10))
+		site.await(string(id), 5*time.Second, func() bool { return site.runningTasks(id) == 10 })
+	}
+}
+
+// submitWaiting submits n jobs of one task to a full shard and returns their ids.
+func (site *simSite) submitWaiting(shard heatherhub.ShardID, n int) []heatherhub.JobID {
+	var ids []heatherhub.JobID
+	for i := range n {
+		id := heatherhub.JobID(fmt.Sprintf("waiting%d", i))
+		ids = append(ids, id)
+		site.submitTo(shard, id, newStep(1, time.Second))
+	}
+	return ids
+}
+
+// freeShard cancels the long-running tasks of a shard and waits until its load record says
+// that it has room. Stale reads of the store are up to date then.
+func (site *simSite) freeShard(domain heatherhub.FailureDomain) {
+	site.store.set(record.CancelKey(heatherhub.JobID("full"+string(domain[1:]))), nil)
+	site.await("a load record with room", 5*time.Second, func() bool {
+		l, _ := site.storedLoad(shardOf(domain))
+		return len(l.LargestFree[testPool]) == 2 && l.Reserved == 0
+	})
+	site.store.mu.Lock()
+	clear(site.store.staleSnapshots)
+	site.store.mu.Unlock()
+}
+
+// jobsIn counts the jobs whose record names a shard.
+func (site *simSite) jobsIn(shard heatherhub.ShardID, ids []heatherhub.JobID) int {
+	n := 0
+	for _, id := range ids {
+		if site.storedJob(id).Shard == shard {
+			n++
+		}
+	}
+	return n
+}
+
+// TestQueueLengthCountsJobsMovedToACutOffShard cuts the owner of a shard off just after its
+// load record said that it has room. The jobs that wait elsewhere move there and have to
+// stay counted until a new owner counts them.
+func TestQueueLengthCountsJobsMovedToACutOffShard(t *testing.T) {
+	testOnShardedSite(t, 2, func(site *simSite) {
+		site.fillShards()
+		ids := site.submitWaiting(shardOf("d0"), 8)
+		asker := startAsking(site)
+		time.Sleep(8 * time.Second)
+		site.freeShard("d1")
+		cut := site.ownerOf(shardOf("d1"))
+		site.setPartitioned(string(cut), storeName, true)
+		time.Sleep(2 * time.Second)
+		if got := site.jobsIn(shardOf("d1"), ids); got == 0 {
+			t.Error("got no job moved to the shard of the cut-off owner, want at least one")
+		}
+		site.await("the starts of all jobs", 20*time.Second, func() bool { return len(site.jobsWaitingSince(time.Now())) == 0 })
+		time.Sleep(ownedTime)
+		stats := asker.stop()
+		t.Logf("%+v", stats)
+		if stats.checked == 0 || stats.owned == 0 {
+			t.Errorf("got %+v, want questions at which jobs wait and all shards are owned", stats)
+		}
+	})
+}
--- a/process/owner/world_test.go
+++ b/process/owner/world_test.go
@@ -45,6 +45,7 @@
 	dead         map[heatherhub.HostID]bool
 	unfrozen     map[heatherhub.HostID]chan struct{}
 	cancelHosts  map[heatherhub.HostID]context.CancelFunc
+	hosts        map[heatherhub.HostID]*owner.Host
 	jobs         map[heatherhub.JobID]*heatherhub.Workflow
 	completed    map[heatherhub.StepTask]bool
 	acknowledged map[heatherhub.StepTask]bool
@@ -73,7 +74,7 @@
 		t: t, store: newFakeStore(rand.New(rand.NewPCG(seed, 2))), delayRNG: rand.New(rand.NewPCG(seed, 1)),
 		workers: make(map[heatherhub.WorkerID]*fakeWorker), partitions: make(map[[2]string]bool),
 		dead: make(map[heatherhub.HostID]bool), unfrozen: make(map[heatherhub.HostID]chan struct{}),
-		cancelHosts: make(map[heatherhub.HostID]context.CancelFunc), jobs: make(map[heatherhub.JobID]*heatherhub.Workflow),
+		cancelHosts: make(map[heatherhub.HostID]context.CancelFunc), hosts: make(map[heatherhub.HostID]*owner.Host), jobs: make(map[heatherhub.JobID]*heatherhub.Workflow),
 		completed: make(map[heatherhub.StepTask]bool), acknowledged: make(map[heatherhub.StepTask]bool),
 		starts: make(map[heatherhub.StepTask]int), jobShard: heatherhub.ShardID{Domain: record.SiteDomain},
 	}
@@ -134,6 +135,7 @@
 	}
 	site.dead[id] = false
 	site.cancelHosts[id] = cancel
+	site.hosts[id] = h
 	site.mu.Unlock()
 	site.tasks.Go(func() { h.Run(ctx) })
 	return h
@@ -234,10 +236,12 @@
 // submit writes the record of a job with steps to the store, as a host does when it
 // accepts a job.
 func (site *simSite) submit(id heatherhub.JobID, steps ...heatherhub.Step) {
-	flow := &heatherhub.Workflow{
-		ID: id, Queue: testQueue, Steps: steps, Accepted: time.Now(),
-		Shard: site.jobShard,
-	}
+	site.submitTo(site.jobShard, id, steps...)
+}
+
+// submitTo is submit with the shard that the job is given to.
+func (site *simSite) submitTo(shard heatherhub.ShardID, id heatherhub.JobID, steps ...heatherhub.Step) {
+	flow := &heatherhub.Workflow{ID: id, Queue: testQueue, Steps: steps, Accepted: time.Now(), Shard: shard}
 	value, err := record.Encode(flow)
 	if err != nil {
 		site.t.Error(err)
@@ -382,11 +386,16 @@
 
 // currentOwner returns the host that owns jobShard, or "".
 func (site *simSite) currentOwner() heatherhub.HostID {
+	return site.ownerOf(site.jobShard)
+}
+
+// ownerOf returns the host that owns a shard, or "".
+func (site *simSite) ownerOf(shard heatherhub.ShardID) heatherhub.HostID {
 	site.store.mu.Lock()
 	defer site.store.mu.Unlock()
 	site.store.expire()
 	var o record.Owner
-	it := site.store.items[record.OwnerKey(site.jobShard)]
+	it := site.store.items[record.OwnerKey(shard)]
 	if it.Revision == 0 {
 		return ""
 	}
