Count a moved job until its new owner has read the move

Cause: the length of a queue is a sum of parts that the owners of the shards publish on their own, once a second. A waiting job left the part of its old shard when the move was written, and entered that of its new shard when the new owner published. In between nobody counted it: for about a second at each move, and until a takeover if the new owner was cut off. A part that was missing counted as zero, and no part was ever too old.

Change: an owner goes on listing a waiting job that it has moved, for 5 s, with the revision of the move, and publishes up to which revision it has read the job records. The host that answers counts a listed job until the new owner has read that revision, so the two parts never leave it out. The list outlives its owner: the next one takes it over from the load record. A sum without a part, with a part older than 2 s, or with the part of an owner that gets no answers about the job records is refused with a 503 and Retry-After, which says that the count is not known, and the log line names the part. Ages are taken on the steady clock of the host that answers. Loads are read up to date for an answer, where a stale read could be seconds old.

Before: TestQueueLengthCountsJobsMovedToACutOffShard got 0 for 8 jobs in 16 of 332 checked answers.

A job that moves may count twice until its old owner publishes again. A move in the last second before its owner dies is listed nowhere if the new owner of the other shard is lost at the same moment; then that part is too old.

--- a/command/serve/serve.go
+++ b/command/serve/serve.go
@@ -135,13 +135,14 @@
 		Tables: &h.tables, Clock: h.clock, Log: log, Registry: h.registry, Limits: limits,
 	})
 	h.shards = intake.NewShardSelector(intake.ShardSelectorConfig{Store: h.store, View: h.owner.View, Random: rand.Float64, Log: log})
+	queueCounter := intake.NewQueueCounter(intake.QueueCounterConfig{Store: h.store, View: h.owner.View, Clock: h.clock, Log: log, Registry: registry})
 	h.peerServer = peer.NewServer(peer.ServerConfig{Self: s.Host, Log: log})
 	h.peerServer.Handle(peer.MethodWorkflowState, intake.StateHandler(h.owner.JobState))
 	h.peerServer.Handle(peer.MethodOverview, overview.Handler(h.owner.Overview))
 	h.stateClient = &intake.StateClient{Client: peer.NewClient(peer.ClientConfig{Self: s.Host, Log: log}), View: h.owner.View}
 	h.owner.OnView(func(v *owner.View) { h.stateClient.SetOwners(v, s.Host) })
 	h.jobAPI = intake.New(intake.Config{
-		Store: h.store, TableKey: platform.TableKey, Shards: h.shards, LocalState: h.owner.JobState, PeerState: h.stateClient.State,
+		Store: h.store, TableKey: platform.TableKey, Shards: h.shards, Queues: queueCounter, LocalState: h.owner.JobState, PeerState: h.stateClient.State,
 		Clock: h.clock, Log: log,
 	})
 	return h
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -93,6 +93,7 @@
 	age := max(now.Wall.Sub(workflow.Accepted), 0)
 	j.arrived = now.Steady - age
 	e.jobs[workflow.ID] = j
+	e.dropMovedWaiting(workflow.ID)
 	if p := r.Progress; p.State.IsFinal() {
 		j.state, j.endedAt = p.State, now.Steady
 		e.finished = append(e.finished, j)
@@ -330,7 +331,7 @@
 func (e *Engine) QueuedJobs() map[heatherhub.QueueID]int {
 	out := make(map[heatherhub.QueueID]int)
 	for _, j := range e.jobs {
-		if j.state == heatherhub.WorkflowQueued && j.workflow.Schedule == nil && !j.isOwnedElsewhere {
+		if j.isWaiting() {
 			out[j.workflow.Queue]++
 		}
 	}
--- a/process/dispatch/move.go
+++ b/process/dispatch/move.go
@@ -132,6 +132,9 @@
 	if j.recordRevision > 0 && !e.isWatchCurrent() {
 		j.isInherited = true
 	}
+	if j.isWaiting() && r.Workflow.Shard != e.cfg.Shard {
+		e.movedWaiting = append(e.movedWaiting, movedJob{id: r.Workflow.ID, queue: r.Workflow.Queue, to: r.Workflow.Shard, recordRevision: r.RecordRevision, at: now.Steady})
+	}
 	j.workflow, j.recordRevision = r.Workflow, r.RecordRevision
 	if !r.Workflow.InvolvesShard(e.cfg.Shard) && j.openAttempts == 0 && !j.isOver() {
 		e.removeMovedJob(now, j)
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -54,6 +54,9 @@
 	// movedAway has the record revisions at which jobs were found to belong to other
 	// shards. Records with older revisions may still arrive and are ignored.
 	movedAway map[heatherhub.JobID]moveRecord
+	// movedWaiting has the jobs that waited when they were moved to other shards, in the
+	// order of the moves.
+	movedWaiting []movedJob
 	// inheritUntil is the time by which the previous owner has certainly noticed that
 	// it was replaced. It may have started any job accepted before then.
 	inheritUntil time.Duration
@@ -136,6 +139,11 @@
 	return j.state.IsFinal()
 }
 
+// isWaiting reports whether the job adds to the length of its queue in this shard.
+func (j *job) isWaiting() bool {
+	return j.state == heatherhub.WorkflowQueued && j.workflow.Schedule == nil && !j.isOwnedElsewhere
+}
+
 // occurrence is one repetition of a job's steps.
 type occurrence struct {
 	job   *job
--- a/process/owner/commit.go
+++ b/process/owner/commit.go
@@ -195,6 +195,21 @@
 	t.engine.RestoreInterference(snapshot)
 }
 
+// restoreMovedJobs takes over the list of moved jobs from the load record of the earlier
+// owner. The list only matters while another shard is slow to read the moves, so an
+// unreadable record is logged and ignored. The caller holds t.mu.
+func (t *term) restoreMovedJobs(it ledger.Item) {
+	if it.Revision == 0 {
+		return
+	}
+	var l record.Load
+	if err := heatherhub.Unmarshal(it.Value, &l); err != nil {
+		t.log.Warn("load unreadable", zap.String("key", it.Key), zap.Error(err))
+		return
+	}
+	t.engine.RestoreMovedJobs(t.now(), l.MovedJobs)
+}
+
 // maxExpiredPerCommit bounds the jobs deleted in one transaction; each has three keys.
 const maxExpiredPerCommit = 8
 
@@ -209,9 +224,11 @@
 	waiting := t.engine.QueuedJobs()
 	t.log.Info("load", zap.Int64("capacity", int64(l.Capacity)), zap.Int64("reserved", int64(l.Reserved)), zap.Int64("filling", int64(l.FillerDemand)), zap.Duration("backlog", l.Backlog),
 		zap.Any("waiting", waiting), zap.Any("unconfirmed", t.engine.UnconfirmedJobs()), zap.Any("stats", t.engine.Stats))
+	now := t.now()
 	value, err := record.Encode(record.Load{
 		Capacity: l.Capacity, Reserved: l.Reserved, FillerDemand: l.FillerDemand, Backlog: l.Backlog,
-		Waiting: waiting, Racks: t.engine.Racks(), LargestFree: t.engine.LargestFree(t.now(), record.MaxLargestFree), At: t.now().Wall,
+		Waiting: waiting, MovedJobs: t.engine.MovedJobs(now), JobsRead: t.jobsRead, JobsReadAge: now.Steady - t.jobsAnsweredAt,
+		Racks: t.engine.Racks(), LargestFree: t.engine.LargestFree(now, record.MaxLargestFree), At: now.Wall,
 	})
-	return value, t.engine.RemoveExpired(t.now(), t.host.cfg.EndedRetention, maxExpiredPerCommit), err
+	return value, t.engine.RemoveExpired(now, t.host.cfg.EndedRetention, maxExpiredPerCommit), err
 }
--- a/process/owner/move.go
+++ b/process/owner/move.go
@@ -43,7 +43,7 @@
 		if len(moves) == 0 {
 			continue
 		}
-		loads, err := ReadLoads(t.ctx, t.host.cfg.Store, t.log)
+		loads, err := ReadLoads(t.ctx, t.host.cfg.Store.RangeStale, t.log)
 		if err != nil {
 			t.log.Info("loads not read", zap.Error(err))
 			continue
@@ -52,10 +52,13 @@
 	}
 }
 
-// ReadLoads reads the load records that the owners publish, by shard. They may be some
-// seconds old. Records that cannot be decoded are logged and left out.
-func ReadLoads(ctx context.Context, store ledger.Store, log *zap.Logger) (map[heatherhub.ShardID]record.Load, error) {
-	snap, err := store.RangeStale(ctx, record.LoadPrefix)
+// RangeReader is ledger.Store.Range, or RangeStale if the loads may be some seconds old.
+type RangeReader func(ctx context.Context, prefix string) (ledger.Snapshot, error)
+
+// ReadLoads reads the load records that the owners publish, by shard. Records that cannot
+// be decoded are logged and left out.
+func ReadLoads(ctx context.Context, read RangeReader, log *zap.Logger) (map[heatherhub.ShardID]record.Load, error) {
+	snap, err := read(ctx, record.LoadPrefix)
 	if err != nil {
 		return nil, err
 	}
@@ -70,6 +73,7 @@
 			log.Warn("load unreadable", zap.String("key", it.Key), zap.Error(err))
 			continue
 		}
+		l.Revision = it.Revision
 		loads[id] = l
 	}
 	return loads, nil
--- a/process/owner/queue_length_test.go
+++ b/process/owner/queue_length_test.go
@@ -32,10 +32,10 @@
 	ownedTime = 6 * time.Second
 )
 
-// newSelector returns what a host answers questions about queues from. It logs to log.
-func (site *simSite) newSelector(id heatherhub.HostID, h *owner.Host, log *zap.Logger) *intake.ShardSelector {
-	return intake.NewShardSelector(intake.ShardSelectorConfig{
-		Store: &hostStore{fakeStore: site.store, site: site, host: id}, View: h.View, Random: func() float64 { return 0 }, Log: log,
+// newCounter returns what a host answers questions about queues from. It logs to log.
+func (site *simSite) newCounter(id heatherhub.HostID, h *owner.Host, log *zap.Logger) *intake.QueueCounter {
+	return intake.NewQueueCounter(intake.QueueCounterConfig{
+		Store: &hostStore{fakeStore: site.store, site: site, host: id}, View: h.View, Clock: testClock{start: time.Now()}, Log: log,
 	})
 }
 
@@ -68,9 +68,9 @@
 
 // askedHost is a host as seen by queueAsker.
 type askedHost struct {
-	selector *intake.ShardSelector
-	log      *lastLine
-	isBusy   bool
+	counter *intake.QueueCounter
+	log     *lastLine
+	isBusy  bool
 	// outOfTouchAt is the last time at which the host did not reach the store.
 	outOfTouchAt time.Time
 }
@@ -125,7 +125,7 @@
 		if a.hosts[id] == nil {
 			log := &lastLine{}
 			core := zapcore.NewCore(zapcore.NewJSONEncoder(zapcore.EncoderConfig{}), zapcore.AddSync(log), zapcore.InfoLevel)
-			a.hosts[id] = &askedHost{selector: a.site.newSelector(id, h, zap.New(core)), log: log, outOfTouchAt: now}
+			a.hosts[id] = &askedHost{counter: a.site.newCounter(id, h, zap.New(core)), log: log, outOfTouchAt: now}
 		}
 	}
 	for id, h := range a.hosts {
@@ -170,7 +170,7 @@
 	asked := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	got, err := h.selector.QueuedJobs(ctx, testQueue)
+	got, err := h.counter.Count(ctx, testQueue)
 	waiting := a.site.jobsWaitingSince(asked.Add(-countedAfter))
 	isInTouch := a.site.hostsInTouch()[id]
 	a.mu.Lock()
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -38,12 +38,17 @@
 	confirmedAt atomic.Int64
 	wakePublish chan struct{}
 
-	// mu guards the engine, workers, fleet, policyVersion and committed.
+	// mu guards the engine, workers, fleet, policyVersion, jobsRead, jobsAnsweredAt and
+	// committed.
 	mu            sync.Mutex
 	engine        *dispatch.Engine
 	workers       map[heatherhub.WorkerID]*workerLoop
 	fleet         fleet
 	policyVersion heatherhub.Version
+	// jobsRead is the revision up to which the engine has the job records, and
+	// jobsAnsweredAt the steady time of the store's last answer about them.
+	jobsRead       ledger.Revision
+	jobsAnsweredAt time.Duration
 
 	// committed is closed, and replaced, at the next successful commit of progress.
 	committed  chan struct{}
@@ -159,6 +164,7 @@
 	progress     ledger.Snapshot
 	fleet        ledger.Item
 	interference ledger.Item
+	load         ledger.Item
 }
 
 // takeOver reads the stored state of the shard and starts the loops that poll the
@@ -183,13 +189,14 @@
 // brings jobs that are accepted after the read.
 func (t *term) readTakeoverState() (takeoverState, error) {
 	var s takeoverState
-	var errs [5]error
+	var errs [6]error
 	var g conc.WaitGroup
 	g.Go(func() { s.jobs, errs[0] = t.host.cfg.Store.Range(t.ctx, record.JobPrefix) })
 	g.Go(func() { s.workers, errs[1] = t.host.cfg.Store.Range(t.ctx, t.host.cfg.WorkerPrefix) })
 	g.Go(func() { s.progress, errs[2] = t.host.cfg.Store.Range(t.ctx, record.ProgressPrefix) })
 	g.Go(func() { s.fleet, errs[3] = t.host.cfg.Store.Get(t.ctx, record.FleetKey(t.shard)) })
 	g.Go(func() { s.interference, errs[4] = t.host.cfg.Store.Get(t.ctx, record.InterferenceKey(t.shard)) })
+	g.Go(func() { s.load, errs[5] = t.host.cfg.Store.Get(t.ctx, record.LoadKey(t.shard)) })
 	g.Wait()
 	return s, errors.Join(errs[:]...)
 }
@@ -211,7 +218,9 @@
 		t.engine.MarkUnresolved(w.ID)
 	}
 	t.loadJobs(s)
+	t.jobsRead, t.jobsAnsweredAt = s.jobs.Revision, t.now().Steady
 	t.restoreInterference(s.interference)
+	t.restoreMovedJobs(s.load)
 	t.mu.Unlock()
 	t.applyWorkerSnapshot(s.workers)
 	t.mu.Lock()
@@ -271,6 +280,9 @@
 		events = append(events, ledger.Event{Item: it})
 	}
 	t.applyJobChanges(events)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.jobsRead = max(t.jobsRead, s.Revision)
 }
 
 // recordJobsContact records an answer of the jobs watch.
@@ -278,6 +290,7 @@
 	t.host.session.recordContact()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.jobsAnsweredAt = t.now().Steady
 	t.engine.JobWatchReplied(t.now())
 }
 
@@ -287,6 +300,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, e := range events {
+		t.jobsRead = max(t.jobsRead, e.Revision)
 		id, isCancel := record.ParseJobKey(e.Key)
 		switch {
 		case e.Deleted:
--- a/process/record/load.go
+++ b/process/record/load.go
@@ -4,21 +4,34 @@
 	"time"
 
 	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/connection/ledger"
+	"heatherhub.example/heatherhub/process/dispatch"
 )
 
 // Load is the summary of a shard's load that its owner publishes.
 type Load struct {
-	Capacity     heatherhub.MilliCPU        `msgpack:"c" json:"capacityMilli"`
-	Reserved     heatherhub.MilliCPU        `msgpack:"r" json:"reservedMilli"`
-	FillerDemand heatherhub.MilliCPU        `msgpack:"f" json:"fillingMilli"`
-	Backlog      time.Duration              `msgpack:"b" json:"backlog"`
-	Waiting      map[heatherhub.QueueID]int `msgpack:"w,omitempty" json:"waiting,omitempty"`
+	Capacity     heatherhub.MilliCPU `msgpack:"c" json:"capacityMilli"`
+	Reserved     heatherhub.MilliCPU `msgpack:"r" json:"reservedMilli"`
+	FillerDemand heatherhub.MilliCPU `msgpack:"f" json:"fillingMilli"`
+	Backlog      time.Duration       `msgpack:"b" json:"backlog"`
+	// Waiting counts, by queue, the jobs of the shard that have started no task.
+	Waiting map[heatherhub.QueueID]int `msgpack:"w,omitempty" json:"waiting,omitempty"`
+	// MovedJobs are waiting jobs that this shard has moved to others lately. They are
+	// part of a queue's length until the owner of their new shard has read the move.
+	MovedJobs []dispatch.MovedJobs `msgpack:"m,omitempty" json:"movedJobs,omitempty"`
+	// JobsRead is the revision up to which the owner has read the job records, and
+	// JobsReadAge the time since the store last answered its watch of them.
+	JobsRead    ledger.Revision `msgpack:"jr" json:"jobsRead"`
+	JobsReadAge time.Duration   `msgpack:"ja" json:"jobsReadAge"`
 	// Racks are the racks of the shard's workers.
 	Racks []heatherhub.Rack `msgpack:"k,omitempty" json:"racks,omitempty"`
 	// LargestFree has, by pool, the free resources of the workers with the most free
 	// processors, the largest first.
 	LargestFree map[heatherhub.PoolID][]heatherhub.Resources `msgpack:"o,omitempty" json:"holes,omitempty"`
-	At          time.Time                                    `msgpack:"at" json:"at"`
+	// At is the time at which the load was taken, on the owner's wall clock.
+	At time.Time `msgpack:"at" json:"at"`
+	// Revision is the revision of the record that a load was read from.
+	Revision ledger.Revision `msgpack:"-" json:"revision"`
 }
 
 // MaxLargestFree is the maximum number of workers per pool in Load.LargestFree. A load is
--- a/request/intake/intake_test.go
+++ b/request/intake/intake_test.go
@@ -199,7 +199,7 @@
 	s := intake.NewShardSelector(intake.ShardSelectorConfig{
 		Store: &loadStore{loads: loads}, View: func() *owner.View { return view }, Random: func() float64 { return 0 }, Log: zap.NewNop(),
 	})
-	if _, err := s.QueuedJobs(context.Background(), "q"); err != nil {
+	if err := s.Refresh(context.Background()); err != nil {
 		t.Fatal(err)
 	}
 	return s
--- a/request/intake/jobs.go
+++ b/request/intake/jobs.go
@@ -41,6 +41,7 @@
 	// TableKey is the store key of the configuration.
 	TableKey string
 	Shards   *ShardSelector
+	Queues   *QueueCounter
 	// LocalState returns the state of a job in a shard that this host owns, and
 	// false for any other job.
 	LocalState func(heatherhub.JobID) (heatherhub.WorkflowState, bool)
@@ -254,9 +255,10 @@
 	return heatherhub.WorkflowQueued, nil
 }
 
-// QueuedJobs returns the number of jobs in a queue that wait for their first task to start.
+// QueuedJobs returns the number of jobs in a queue that wait for their first task to
+// start. It returns heatherhub.ErrUnavailable if the number is not known in full.
 func (a *JobAPI) QueuedJobs(ctx context.Context, queue heatherhub.QueueID) (int, error) {
-	return a.cfg.Shards.QueuedJobs(ctx, queue)
+	return a.cfg.Queues.Count(ctx, queue)
 }
 
 // outcomeOf returns the outcome field of the log events.
--- a/request/intake/shards.go
+++ b/request/intake/shards.go
@@ -49,7 +49,7 @@
 	Log    *zap.Logger
 }
 
-// NewShardSelector returns a selector without loads. Run and QueuedJobs read them.
+// NewShardSelector returns a selector without loads. Run and Refresh read them.
 func NewShardSelector(cfg ShardSelectorConfig) *ShardSelector {
 	return &ShardSelector{
 		store: cfg.Store, view: cfg.View, log: cfg.Log,
@@ -68,7 +68,7 @@
 	defer t.Stop()
 	for {
 		if len(s.view().Layout.Shards) > 1 {
-			if _, err := s.refresh(ctx); err != nil && ctx.Err() == nil {
+			if err := s.Refresh(ctx); err != nil && ctx.Err() == nil {
 				s.log.Debug("loads not read", zap.Error(err))
 			}
 		}
@@ -80,48 +80,18 @@
 	}
 }
 
-// refresh reads the loads and clears the unreported ones.
-func (s *ShardSelector) refresh(ctx context.Context) (map[heatherhub.ShardID]record.Load, error) {
-	loads, err := owner.ReadLoads(ctx, s.store, s.log)
+// Refresh reads the loads that Choose uses, and forgets the load of the jobs that this host
+// has submitted since the last read. It returns the errors of the store.
+func (s *ShardSelector) Refresh(ctx context.Context) error {
+	loads, err := owner.ReadLoads(ctx, s.store.RangeStale, s.log)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.loads = loads
 	clear(s.unreported)
-	return loads, nil
-}
-
-// QueuedJobs returns the number of waiting jobs of a queue in all shards, from loads that
-// it reads anew. It logs the part and age of each shard.
-func (s *ShardSelector) QueuedJobs(ctx context.Context, queue heatherhub.QueueID) (int, error) {
-	loads, err := s.refresh(ctx)
-	if err != nil {
-		return 0, err
-	}
-	n := 0
-	now := time.Now()
-	parts := make([]queuePart, 0, len(loads))
-	for id, l := range loads {
-		n += l.Waiting[queue]
-		parts = append(parts, queuePart{Shard: id.String(), Waiting: l.Waiting[queue], AgeMS: now.Sub(l.At).Milliseconds()})
-	}
-	var missing []string
-	for _, size := range s.view().Layout.Shards {
-		if _, ok := loads[size.Shard]; !ok {
-			missing = append(missing, size.Shard.String())
-		}
-	}
-	s.log.Info("queue length read", zap.String("queue", string(queue)), zap.Int("waiting", n), zap.Any("parts", parts), zap.Strings("missing", missing))
-	return n, nil
-}
-
-// queuePart is what one shard adds to the length of a queue, as logged.
-type queuePart struct {
-	Shard   string `json:"shard"`
-	Waiting int    `json:"waiting"`
-	AgeMS   int64  `json:"ageMs"`
+	return nil
 }
 
 // Choose returns the shard with the lowest cost for a new job: the one that has the rack
