Count the shards that did not answer in an operator's status

Operators saw counts of jobs, workers and tasks that left out a shard, with unownedShards 0 beside them, if the owner of the shard did not answer: the field counted shards without an owner's key, although its documentation promises shards without an owner that answered. Lists of jobs and workers already name such shards.

The status now counts the shards that are in no reply. TestUnreachableOwnerIsReported failed before with "UnownedShards:0" and passes; go test ./request/overview ./command/... passes.

--- a/request/overview/overview.go
+++ b/request/overview/overview.go
@@ -278,22 +278,24 @@
 	return list, nil
 }
 
-// Status returns a summary of the site. Shards whose owner did not reply add nothing to
-// the counts of jobs, workers and tasks, and each host counts at most
+// Status returns a summary of the site. Shards whose owner did not reply count as unowned
+// and add nothing to the counts of jobs, workers and tasks. Each host counts at most
 // operatorapi.MaxListedJobs queued jobs.
 func (b *Backend) Status(ctx context.Context) (operatorapi.Status, error) {
 	v := b.cfg.View()
 	out := operatorapi.Status{
 		Host: b.cfg.Self, Domain: b.cfg.Domain, Started: b.cfg.Started, Version: b.Current().Version,
 		StoreReachable: !b.cfg.IsStale(), Leaving: b.cfg.IsLeaving(),
-		Shards: len(v.Layout.Shards), UnownedShards: len(v.Layout.Shards) - len(v.Owners),
+		Shards: len(v.Layout.Shards),
 	}
 	hosts := map[heatherhub.HostID]struct{}{b.cfg.Self: {}}
 	for _, o := range v.Owners {
 		hosts[o.Host] = struct{}{}
 	}
 	out.Hosts = len(hosts)
-	for _, r := range b.queryOwners(ctx, owner.OverviewQuery{Workers: true, State: heatherhub.WorkflowQueued, MaxJobs: operatorapi.MaxListedJobs}) {
+	replies := b.queryOwners(ctx, owner.OverviewQuery{Workers: true, State: heatherhub.WorkflowQueued, MaxJobs: operatorapi.MaxListedJobs})
+	out.UnownedShards = len(b.missingShards(replies))
+	for _, r := range replies {
 		out.JobsQueued += len(r.Jobs)
 		out.Workers += len(r.Workers)
 		for i := range r.Workers {
--- a/request/overview/overview_test.go
+++ b/request/overview/overview_test.go
@@ -125,6 +125,10 @@
 	if err != nil || len(jobs.Jobs) != 1 || !slices.Equal(jobs.MissingShards, []heatherhub.ShardID{south}) {
 		t.Errorf("got jobs %+v, error %v, want one job and %s missing", jobs, err, south)
 	}
+	status, err := c.Status(t.Context())
+	if err != nil || status.UnownedShards != 1 || status.Workers != 1 {
+		t.Errorf("got status %+v, error %v, want the workers of one shard and one shard without an answer", status, err)
+	}
 	v, err := c.Job(t.Context(), "far")
 	if err != nil || v.Job.State != heatherhub.JobQueued || v.Job.Reason == "" {
 		t.Errorf("got job %+v, error %v, want its durable state and a reason", v, err)
