List a shard as answered only once its owner has read the jobs

Operators got lists of jobs that were short and named no missing shard while a new owner was taking over: a host reported each shard that it had claimed, also before it had read the jobs.

An owner now reports a shard once the jobs are read; until then the shard is listed as missing. TestShardWithoutItsJobsIsNotListed failed before with "got overview {Shards:[site/0] Jobs:[] ...} before the jobs were read" and passes; go test ./process/owner ./request/overview passes.

--- a/process/owner/host.go
+++ b/process/owner/host.go
@@ -301,6 +301,7 @@
 
 // Overview is the operator's view of the shards that a host owns.
 type Overview struct {
+	// Shards are the shards whose jobs and workers are included.
 	Shards  []heatherhub.ShardID  `msgpack:"sh,omitempty" json:"shards"`
 	Jobs    []dispatch.JobView    `msgpack:"j,omitempty" json:"jobs"`
 	Workers []dispatch.WorkerView `msgpack:"w,omitempty" json:"workers"`
@@ -329,17 +330,21 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var out Overview
-	for s, t := range h.terms {
-		out.Shards = append(out.Shards, s)
+	for _, t := range h.terms {
 		t.appendOverview(&out, q)
 	}
 	return out
 }
 
-// appendOverview appends the jobs and workers of the term that q selects to out.
+// appendOverview appends the shard of the term, and its jobs and workers that q selects, to
+// out. It appends nothing before the term has read the jobs.
 func (t *term) appendOverview(out *Overview, q OverviewQuery) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !t.hasJobs {
+		return
+	}
+	out.Shards = append(out.Shards, t.shard)
 	if q.Job != "" {
 		if v, ok := t.engine.Job(q.Job); ok {
 			out.Jobs = append(out.Jobs, v)
--- a/process/owner/owner_test.go
+++ b/process/owner/owner_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/process/owner"
 	"heatherhub.example/heatherhub/process/record"
 )
 
@@ -321,3 +322,33 @@
 		site.await("the job", 3*time.Second, func() bool { return site.isCompleted("waiting") })
 	})
 }
+
+// TestShardWithoutItsJobsIsNotListed guards against a list of jobs that counts a shard as
+// answered although its new owner has not read the jobs yet.
+func TestShardWithoutItsJobsIsNotListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := newSimSite(t, 1)
+		defer site.checkViolations()
+		defer site.shutdown()
+		site.addWorker("w0", "d0")
+		site.submit("waiting", newStep(1, time.Second))
+		site.store.mu.Lock()
+		site.store.beforePut = func(key string) {
+			if key == record.OwnerKey(site.jobShard) {
+				site.store.setDown(true)
+			}
+		}
+		site.store.mu.Unlock()
+		h := site.startHost("h0", "d0")
+		site.await("the claim", 5*time.Second, func() bool { return site.currentOwner() == "h0" })
+		time.Sleep(100 * time.Millisecond)
+		if got := h.Overview(owner.OverviewQuery{MaxJobs: 9}); len(got.Shards) != 0 {
+			t.Errorf("got overview %+v before the jobs were read, want no shard", got)
+		}
+		site.store.setDown(false)
+		site.await("the job", 3*time.Second, func() bool {
+			got := h.Overview(owner.OverviewQuery{MaxJobs: 9})
+			return len(got.Shards) == 1 && len(got.Jobs) == 1
+		})
+	})
+}
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -38,13 +38,15 @@
 	confirmedAt atomic.Int64
 	wakePublish chan struct{}
 
-	// mu guards the engine, workers, fleet, policyVersion, jobsRead, jobsAnsweredAt and
-	// committed.
+	// mu guards the engine, workers, fleet, policyVersion, hasJobs, jobsRead,
+	// jobsAnsweredAt and committed.
 	mu            sync.Mutex
 	engine        *dispatch.Engine
 	workers       map[heatherhub.WorkerID]*workerLoop
 	fleet         fleet
 	policyVersion heatherhub.Version
+	// hasJobs is set once the engine has the jobs of the shard.
+	hasJobs bool
 	// jobsRead is the revision up to which the engine has the job records, and
 	// jobsAnsweredAt the steady time of the store's last answer about them.
 	jobsRead       ledger.Revision
@@ -218,6 +220,7 @@
 		t.engine.MarkUnresolved(w.ID)
 	}
 	t.loadJobs(s)
+	t.hasJobs = true
 	t.jobsRead, t.jobsAnsweredAt = s.jobs.Revision, t.now().Steady
 	t.restoreInterference(s.interference)
 	t.restoreMovedJobs(s.load)
