Publish the first load of a new owner once its workers have reported

Callers got 503 for the length of a queue for up to 1.2 s after the death of an owner, since a part is used for 2 s and a new owner published its first one a second after it had taken over.

Cause: the first load waited for the interval between loads. Publishing it right after the jobs are read was ruled out: until the workers of the former owner have reported, jobs that run there would count as waiting.

A new owner now publishes as soon as each of these workers has reported or is gone, and after the interval at the latest.

--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -356,3 +356,8 @@
 func (e *Engine) MarkUnresolved(id heatherhub.WorkerID) {
 	e.unresolved[id] = struct{}{}
 }
+
+// HasUnresolved reports whether any marked worker has neither reported nor gone.
+func (e *Engine) HasUnresolved() bool {
+	return len(e.unresolved) > 0
+}
--- a/process/owner/commit.go
+++ b/process/owner/commit.go
@@ -135,6 +135,16 @@
 	}
 }
 
+// publishOnceResolved publishes the first load ahead of time, as soon as it is known what
+// runs on the workers of the previous owner. Before that, running jobs would count as
+// waiting. The caller holds t.mu.
+func (t *term) publishOnceResolved() {
+	if !t.isResolved && !t.engine.HasUnresolved() {
+		t.isResolved = true
+		signal(t.wakePublish)
+	}
+}
+
 // publicationsPerSnapshot is the number of load publications for each write of the learnt
 // interference estimates, which change within tens of seconds.
 const publicationsPerSnapshot = 4
--- a/process/owner/queue_length_test.go
+++ b/process/owner/queue_length_test.go
@@ -429,3 +429,38 @@
 		}
 	})
 }
+
+// TestTakeoverRefusesQueueLengthsBriefly kills the owner at different times after its last
+// load. A new owner has to take over within 2 s, and a load is used for 2 s, so lengths may
+// be refused for a second.
+func TestTakeoverRefusesQueueLengthsBriefly(t *testing.T) {
+	for _, after := range []time.Duration{0, 300 * time.Millisecond, 600 * time.Millisecond, 900 * time.Millisecond} {
+		testOnSite(t, 4, func(site *simSite) {
+			site.submit("running", newStep(10, 8*time.Second))
+			time.Sleep(2 * time.Second)
+			l, _ := site.storedLoad(site.jobShard)
+			site.await("the next load", 2*time.Second, func() bool {
+				next, _ := site.storedLoad(site.jobShard)
+				return next.At.After(l.At)
+			})
+			time.Sleep(after)
+			killed := site.currentOwner()
+			site.kill(killed)
+			var asked heatherhub.HostID
+			for id := range site.liveHosts() {
+				asked = max(asked, id)
+			}
+			counter := site.newCounter(asked, site.liveHosts()[asked], zap.NewNop())
+			refused := time.Duration(0)
+			for start := time.Now(); time.Since(start) < 5*time.Second; time.Sleep(askInterval) {
+				if _, err := counter.Count(context.Background(), testQueue); err != nil {
+					refused += askInterval
+				}
+			}
+			t.Logf("killed %s after a load: refused for %s", after, refused)
+			if limit := time.Second; refused > limit {
+				t.Errorf("killed %s after a load: got lengths refused for %s, want at most %s", after, refused, limit)
+			}
+		})
+	}
+}
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -38,7 +38,7 @@
 	confirmedAt atomic.Int64
 	wakePublish chan struct{}
 
-	// mu guards the engine, workers, fleet, policyVersion, hasJobs, jobsRead,
+	// mu guards the engine, workers, fleet, policyVersion, hasJobs, isResolved, jobsRead,
 	// jobsAnsweredAt and committed.
 	mu            sync.Mutex
 	engine        *dispatch.Engine
@@ -47,6 +47,8 @@
 	policyVersion heatherhub.Version
 	// hasJobs is set once the engine has the jobs of the shard.
 	hasJobs bool
+	// isResolved is set once the workers of the previous owner have reported or are gone.
+	isResolved bool
 	// jobsRead is the revision up to which the engine has the job records, and
 	// jobsAnsweredAt the steady time of the store's last answer about them.
 	jobsRead       ledger.Revision
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -287,6 +287,7 @@
 	} else {
 		w.isUp, w.isGone = true, false
 		t.engine.WorkerUp(now, w.entry, r)
+		t.publishOnceResolved()
 		t.log.Info("worker up", zap.String("worker", string(w.entry.ID)), zap.Int("running", len(r.Running)), zap.Int("ended", len(r.Ended)))
 	}
 	t.wakeLoops()
@@ -319,6 +320,7 @@
 	w.isGone = true
 	t.log.Warn("worker gone", zap.String("worker", string(id)), zap.Bool("over", hasEnded), zap.Bool("listed", w.isListed), zap.Error(err))
 	t.engine.WorkerGone(now, id)
+	t.publishOnceResolved()
 	w.isUp = false
 	if hasEnded || !w.isListed {
 		t.dropWorker(w)
