Count a job as waiting until a run of it is known to have begun

Cause: Engine.start set the state to running when a start was ordered. (1) If the worker refused, was not reached or never answered, the job waited again but its state stayed running. (2) When a gang did not fit, its partial placement was taken back without a single order, but the state stayed running as well. QueuedJobs and isMovable go by the state.

Now the state leaves queued when a run is known to have begun: a start is confirmed, a run is reported or adopted, or the end of a run is reported. One change mends both, so hasBegun goes again. UnconfirmedJobs are the queued jobs with an open attempt, so they are part of `waiting` now; a job whose start was refused is no longer among them.

The readers of the state, one by one: isMovable and PrepareMove require that no attempt is open, which holds a job with an unanswered start until a stop has burnt that run and a later report doesn't list it. A refused, unsent or outdated start is released at once and cannot run. A job that had an unconfirmed start on a lost worker waits again but does not move, as before (mayHaveBegun): a worker that returns may report the end of the run, and the owner would acknowledge an end of a job of another shard without recording it. finishIfDone and hasPendingStart go by attempts, not by the state. JobView counts a task as running once its start is confirmed, so that no queued job shows running tasks. request/intake and request/overview only pass the state on. A new owner still learns of its predecessor's runs from stored progress and from the workers' reports; until then the job is queued and, while a worker is unresolved, it neither starts nor moves.

The adopted run of an inherited job was right before.

--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -101,7 +101,7 @@
 		return
 	}
 	if len(r.Progress.Done) > 0 {
-		j.state, j.hasBegun = heatherhub.WorkflowRunning, true
+		j.begin()
 	}
 	for k := range workflow.Occurrences() {
 		o := e.newOccurrence(j, k)
@@ -326,8 +326,8 @@
 	return out
 }
 
-// QueuedJobs returns, by queue, the number of jobs without a schedule that have started
-// no task.
+// QueuedJobs returns, by queue, the number of jobs without a schedule of which no run is
+// known to have begun.
 func (e *Engine) QueuedJobs() map[heatherhub.QueueID]int {
 	out := make(map[heatherhub.QueueID]int)
 	for _, j := range e.jobs {
@@ -338,12 +338,12 @@
 	return out
 }
 
-// UnconfirmedJobs returns, by queue, the number of jobs without a schedule for which a
-// start was ordered but no run has been confirmed yet.
+// UnconfirmedJobs returns, by queue, how many of the QueuedJobs have an ordered start
+// that is not known to have failed.
 func (e *Engine) UnconfirmedJobs() map[heatherhub.QueueID]int {
 	out := make(map[heatherhub.QueueID]int)
 	for _, j := range e.jobs {
-		if j.state == heatherhub.WorkflowRunning && !j.hasBegun && j.workflow.Schedule == nil && !j.isOwnedElsewhere {
+		if j.isWaiting() && j.openAttempts > 0 {
 			out[j.workflow.Queue]++
 		}
 	}
--- a/process/dispatch/move.go
+++ b/process/dispatch/move.go
@@ -62,7 +62,7 @@
 	if j.workflow.CanSplit() {
 		return true
 	}
-	isUntouched := j.state == heatherhub.WorkflowQueued && j.changed == 0 && j.progressRevision == 0 && j.openAttempts == 0
+	isUntouched := j.state == heatherhub.WorkflowQueued && j.changed == 0 && j.progressRevision == 0 && j.openAttempts == 0 && !j.mayHaveBegun
 	return isUntouched && j.workflow.Schedule == nil && !j.workflow.IsLongRunning() && !s.pending[0].isMoving && s.pending[0].notBefore <= now.Steady
 }
 
--- a/process/dispatch/order.go
+++ b/process/dispatch/order.go
@@ -268,14 +268,10 @@
 		checkpoint: t.checkpoint, speedLimit: fullSpeed,
 	}
 	e.attach(a)
-	j := t.step.occ.job
-	if j.state == heatherhub.WorkflowQueued {
-		j.state = heatherhub.WorkflowRunning
-	}
 	e.Stats.Starts++
 	e.orders = append(e.orders, Order{
 		Worker: n.worker.ID, Kind: StartTask, Task: t.id(), Run: run,
-		Payload: j.workflow.Payload, Checkpoint: t.checkpoint,
+		Payload: t.step.occ.job.workflow.Payload, Checkpoint: t.checkpoint,
 	})
 	return a
 }
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -50,6 +50,9 @@
 	for _, a := range n.attemptsByRun() {
 		e.Stats.Lost++
 		e.recordTaskEvent(EventRunEnded, a, "worker gone")
+		if a.state != running {
+			a.task.step.occ.job.mayHaveBegun = true
+		}
 		e.release(a)
 		e.requeue(now, a)
 	}
@@ -134,10 +137,7 @@
 		a.stop = stopPending
 	}
 	e.attach(a)
-	j.hasBegun = true
-	if j.state == heatherhub.WorkflowQueued {
-		j.state = heatherhub.WorkflowRunning
-	}
+	j.begin()
 }
 
 // findTask returns a task of a job that this shard knows, or nil.
@@ -212,7 +212,7 @@
 		e.release(a)
 	}
 	if t != nil {
-		t.step.occ.job.hasBegun = true
+		t.step.occ.job.begin()
 		e.applyEnd(now, n, t, a, end)
 	}
 	ack.job = e.jobs[end.Task.Job]
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -108,12 +108,15 @@
 	policy   Policy
 	// arrived is the steady time at which the job was accepted.
 	arrived time.Duration
-	state   heatherhub.WorkflowState
+	// state is WorkflowQueued until a run of the job is known to have begun. An ordered
+	// start may be refused or lost.
+	state heatherhub.WorkflowState
 	// isInherited means that a previous owner may have started tasks of the job.
 	isInherited bool
 	occurrences []*occurrence
-	// hasBegun means that a worker has confirmed or reported a run of the job.
-	hasBegun bool
+	// mayHaveBegun means that a worker was lost while it had an unconfirmed start. If the
+	// worker returns, it may report the end of that run.
+	mayHaveBegun bool
 	// openAttempts counts the attempts that are not known to be over.
 	openAttempts int
 	// undoneTasks counts the tasks that are not done.
@@ -144,6 +147,13 @@
 	return j.state == heatherhub.WorkflowQueued && j.workflow.Schedule == nil && !j.isOwnedElsewhere
 }
 
+// begin records that a run of the job is known to have begun.
+func (j *job) begin() {
+	if j.state == heatherhub.WorkflowQueued {
+		j.state = heatherhub.WorkflowRunning
+	}
+}
+
 // occurrence is one repetition of a job's steps.
 type occurrence struct {
 	job   *job
@@ -248,7 +258,7 @@
 // confirm records that the task of the attempt runs.
 func (a *attempt) confirm(now Moment) {
 	a.state, a.stateSince = running, now.Steady
-	a.task.step.occ.job.hasBegun = true
+	a.task.step.occ.job.begin()
 }
 
 // stopState is the progress of stopping an attempt.
--- a/process/dispatch/view.go
+++ b/process/dispatch/view.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"heatherhub.example/heatherhub"
@@ -17,7 +18,8 @@
 	// shards, which the counts below leave out.
 	Tasks  int `msgpack:"n" json:"tasks"`
 	Guests int `msgpack:"g,omitempty" json:"guests,omitempty"`
-	// Running, Queued and Finished count tasks; FailedRuns counts runs.
+	// Running, Queued and Finished count tasks; FailedRuns counts runs. A task with an
+	// unconfirmed start counts as queued.
 	Running    int `msgpack:"r,omitempty" json:"running"`
 	Queued     int `msgpack:"w,omitempty" json:"queued"`
 	Finished   int `msgpack:"f,omitempty" json:"finished"`
@@ -74,7 +76,7 @@
 	case t.isRemote:
 	case t.isDone:
 		v.Finished++
-	case len(t.attempts) > 0:
+	case slices.ContainsFunc(t.attempts, func(a *attempt) bool { return a.state == running }):
 		v.Running++
 	case !t.step.occ.job.isOver():
 		v.Queued++
