Read a stored failed run as the beginning of a job

A new owner counted a job as waiting, and showed it as queued, although its stored progress had a failed run: AddJob looked at the done tasks only. A host without an owner's answer already showed such a job as running (JobAPI.State).

Stored progress of either kind is written only after the end of a run was reported, so both now set the state to running. The job did not move before either, since it has a progress record.

TestInheritedJobWithAFailedRunIsStillWaiting failed before ("got queue length 1, want 0", "got state "queued", want "running""). go test ./process/dispatch passes.

--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -100,7 +100,7 @@
 		e.adoptUnknown(now, workflow.ID)
 		return
 	}
-	if len(r.Progress.Done) > 0 {
+	if len(r.Progress.Done)+len(r.Progress.Failed) > 0 {
 		j.begin()
 	}
 	for k := range workflow.Occurrences() {
--- a/process/dispatch/waiting_test.go
+++ b/process/dispatch/waiting_test.go
@@ -188,3 +188,15 @@
 		b.checkWaiting(false, false)
 	}
 }
+
+// TestInheritedJobWithAFailedRunIsStillWaiting guards against a job that is counted as
+// waiting although its stored progress has a run that failed.
+func TestInheritedJobWithAFailedRunIsStillWaiting(t *testing.T) {
+	b := newSimulation(t, dispatch.Policy{}, 0)
+	flow := &heatherhub.Workflow{ID: waitingJob, Queue: queue, Steps: []heatherhub.Step{tasks(2, 6000, time.Second)}, Accepted: b.now.Wall}
+	b.e.AddJob(b.now, dispatch.JobRecord{
+		Workflow: flow, RecordRevision: 1, ProgressRevision: 2, Origin: dispatch.OriginPreviousOwner,
+		Progress: dispatch.Progress{Failed: []dispatch.FailedRun{{Run: 3}}},
+	})
+	b.checkWaiting(false, false)
+}
