Check that a job is untouched when its move is prepared

A whole job could be moved to another shard after a task of it had run and failed. The owner chooses the moves, then reads the load records of all shards from the store and only then prepares each move. MovableWork required that the job was queued and without progress; PrepareMove, by then, only that no attempt was open. A job whose task had started, failed and waited again in between was moved without its progress, and its new owner counted it as waiting.

Both now ask isUntouched.

TestBegunJobMoves failed before ("got a move of a job that has begun, want none"). go test ./process/dispatch passes.

--- a/process/dispatch/move.go
+++ b/process/dispatch/move.go
@@ -62,8 +62,13 @@
 	if j.workflow.CanSplit() {
 		return true
 	}
-	isUntouched := j.state == heatherhub.WorkflowQueued && j.changed == 0 && j.progressRevision == 0 && j.openAttempts == 0 && !j.mayHaveBegun
-	return isUntouched && j.workflow.Schedule == nil && !j.workflow.IsLongRunning() && !s.pending[0].isMoving && s.pending[0].notBefore <= now.Steady
+	return j.isUntouched() && j.workflow.Schedule == nil && !j.workflow.IsLongRunning() && !s.pending[0].isMoving && s.pending[0].notBefore <= now.Steady
+}
+
+// isUntouched reports whether no run of the job has begun or may still begin or be
+// reported, so that the whole job may move.
+func (j *job) isUntouched() bool {
+	return j.state == heatherhub.WorkflowQueued && j.changed == 0 && j.progressRevision == 0 && j.openAttempts == 0 && !j.mayHaveBegun
 }
 
 // PrepareMove holds back the tasks of a move so that they do not start here. It returns
@@ -78,7 +83,7 @@
 	if slices.ContainsFunc(tasks, func(t *task) bool { return !t.isPending && !t.isBlocked() }) {
 		return nil, 0, false
 	}
-	if m.Tasks == nil && j.openAttempts > 0 {
+	if m.Tasks == nil && !j.isUntouched() {
 		return nil, 0, false
 	}
 	workflow := *j.workflow
--- a/process/dispatch/move_test.go
+++ b/process/dispatch/move_test.go
@@ -133,6 +133,33 @@
 	}
 }
 
+// TestBegunJobMoves guards against a job that moves although a task of it ran and failed
+// after it was chosen: its stored progress would stay behind.
+func TestBegunJobMoves(t *testing.T) {
+	b := newFullWorker(t)
+	b.ends = func(heatherhub.WorkerID, heatherhub.StepTask) agent.EndKind { return agent.EndFailed }
+	b.add("short", tasks(1, 2500, time.Second))
+	b.advance(2 * time.Second)
+	moves := b.e.MovableWork(b.now, 10)
+	at := slices.IndexFunc(moves, func(m dispatch.Move) bool { return m.Job == "short" })
+	if at < 0 {
+		t.Fatalf("got moves %+v, want one of the whole job", moves)
+	}
+	b.growWorker(3)
+	for range 20 {
+		b.step(100 * time.Millisecond)
+		if v, _ := b.e.Job("short"); v.FailedRuns > 0 && v.Running == 0 {
+			break
+		}
+	}
+	if v, _ := b.e.Job("short"); v.FailedRuns != 1 || v.Queued != 1 {
+		t.Fatalf("got %+v, want a failed run and its task queued", v)
+	}
+	if _, _, ok := b.e.PrepareMove(moves[at], otherShard); ok {
+		t.Error("got a move of a job that has begun, want none")
+	}
+}
+
 // TestFreeCapacityIsPerPool checks that free capacity and moves name their pool, since
 // work may move only to workers of its own pool.
 func TestFreeCapacityIsPerPool(t *testing.T) {
