Hand over the list of moved jobs with the shard

Callers could be told that 0 jobs of a queue waited while 8 had waited for more than 5 s, if a shard was handed over within a second of moving them to a shard whose owner was cut off.

Cause: the next owner takes the list of moved jobs from the last load record, and a hand-over published none, so moves since the last load were listed nowhere.

A hand-over now ends with a load, after a round of moves that is under way. Writes of the load are serialized for that, so an older one cannot follow.

--- a/process/owner/commit.go
+++ b/process/owner/commit.go
@@ -131,7 +131,7 @@
 		case <-timer.C:
 		}
 		timer.Stop()
-		t.publish()
+		t.publish(t.ctx)
 	}
 }
 
@@ -151,7 +151,11 @@
 
 // publish writes one load record, deletes expired jobs and, every
 // publicationsPerSnapshot times, writes the learnt interference estimates.
-func (t *term) publish() {
+func (t *term) publish(ctx context.Context) {
+	if !acquire(ctx, t.publishSem) {
+		return
+	}
+	defer release(t.publishSem)
 	value, expired, err := t.encodeLoad()
 	if err != nil {
 		t.log.Error("load not encoded", zap.Error(err))
@@ -165,7 +169,7 @@
 		txn.Puts = append(txn.Puts, t.interferencePuts()...)
 	}
 	sentAt := t.now().Steady
-	_, err = t.host.cfg.Store.Commit(t.ctx, txn)
+	_, err = t.host.cfg.Store.Commit(ctx, txn)
 	var conflict *ledger.ConflictError
 	switch {
 	case err == nil:
@@ -174,7 +178,7 @@
 		t.end("another owner has the shard")
 	default:
 		t.log.Debug("load not published", zap.Error(err))
-		ledger.Sleep(t.ctx, storeRetryDelay)
+		ledger.Sleep(ctx, storeRetryDelay)
 	}
 }
 
--- a/process/owner/move.go
+++ b/process/owner/move.go
@@ -48,7 +48,10 @@
 			t.log.Info("loads not read", zap.Error(err))
 			continue
 		}
-		t.moveAll(moves, loads)
+		if acquire(t.ctx, t.moveSem) {
+			t.moveAll(moves, loads)
+			release(t.moveSem)
+		}
 	}
 }
 
@@ -88,7 +91,7 @@
 		m.reserve(r.to, r.pool, r.need, r.tasks)
 	}
 	for _, move := range moves {
-		for {
+		for !t.isHandingOver.Load() {
 			to, part, ok := m.chooseTarget(move)
 			if !ok {
 				break
--- a/process/owner/queue_length_test.go
+++ b/process/owner/queue_length_test.go
@@ -464,3 +464,30 @@
 		})
 	}
 }
+
+// TestHandOverKeepsMovedJobsCounted hands a shard over right after jobs moved from there to one
+// whose owner is cut off. The next owner has to go on counting them.
+func TestHandOverKeepsMovedJobsCounted(t *testing.T) {
+	for _, delay := range []time.Duration{0, 100 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond} {
+		testOnShardedSite(t, 2, func(site *simSite) {
+			site.startHost("h3", "d0")
+			site.fillShards()
+			ids := site.submitWaiting(shardOf("d0"), 8)
+			asker := startAsking(site)
+			time.Sleep(8 * time.Second)
+			site.freeShard("d1")
+			site.setPartitioned(string(site.ownerOf(shardOf("d1"))), storeName, true)
+			site.await("the moves", 2*time.Second, func() bool { return site.jobsIn(shardOf("d1"), ids) == len(ids) })
+			time.Sleep(delay)
+			former := site.ownerOf(shardOf("d0"))
+			site.mu.Lock()
+			stop := site.cancelHosts[former]
+			site.mu.Unlock()
+			stop()
+			site.await("the starts of all jobs", 30*time.Second, func() bool { return len(site.jobsWaitingSince(time.Now())) == 0 })
+			if stats := asker.stop(); stats.checked == 0 {
+				t.Errorf("got %+v, want questions at which jobs wait", stats)
+			}
+		})
+	}
+}
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -63,9 +63,10 @@
 	recentMoves []recentMove
 	// publishCount counts the publications. Only the publish loop uses it.
 	publishCount int
-	// writeSem serializes the writes of progress and of the fleet. It is a channel
-	// because it is held during store calls.
-	writeSem chan struct{}
+	// writeSem serializes the writes of progress and of the fleet, publishSem those of the
+	// load, and moveSem the rounds of moves. They are channels because they are held
+	// during store calls.
+	writeSem, publishSem, moveSem chan struct{}
 }
 
 // newTerm returns a term for the claim that created the owner key at revision rev.
@@ -79,6 +80,7 @@
 		workers: make(map[heatherhub.WorkerID]*workerLoop), fleet: fleet{workers: make(map[heatherhub.WorkerID]string)},
 		committed: make(chan struct{}), wakeDecide: make(chan struct{}, 1), wakeCommit: make(chan struct{}, 1),
 		wakePublish: make(chan struct{}, 1), wakeLookup: make(chan struct{}, 1), writeSem: make(chan struct{}, 1),
+		publishSem: make(chan struct{}, 1), moveSem: make(chan struct{}, 1),
 	}
 	t.confirmedAt.Store(int64(t.startedAt))
 	return t
@@ -147,7 +149,8 @@
 	t.cancel()
 }
 
-// handOver commits the pending changes, within handOverTimeout, and ends the term.
+// handOver commits the pending changes, within handOverTimeout, and ends the term. It ends
+// with a load, since the next owner learns from it which waiting jobs were moved.
 func (t *term) handOver() {
 	t.isHandingOver.Store(true)
 	ctx, cancel := context.WithTimeout(t.ctx, handOverTimeout)
@@ -157,6 +160,10 @@
 			break
 		}
 	}
+	if acquire(ctx, t.moveSem) {
+		t.publish(ctx)
+		release(t.moveSem)
+	}
 	t.log.Info("shard handed over")
 	t.cancel()
 }
@@ -399,6 +406,22 @@
 	}
 }
 
+// acquire enters a section that c, which has a buffer of one, makes exclusive. It reports
+// false if ctx ends first.
+func acquire(ctx context.Context, c chan struct{}) bool {
+	select {
+	case c <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// release leaves the section that acquire entered.
+func release(c chan struct{}) {
+	<-c
+}
+
 // signal wakes the receiver of c, which has a buffer of one. It does not block.
 func signal(c chan struct{}) {
 	select {
