Keep a late write of a load from replacing a newer one

Callers could get the length of a queue from an old load after a newer one had been published.

Cause: the store may carry out a write whose answer is lost seconds later, if its precondition still holds, and a load was written under the owner's key alone, which stays as it is. Progress and the fleet already name the revision that they replace.

A load now names the revision of the record that it replaces; the owner reads it at the takeover and learns it from its writes and conflicts.

--- a/process/owner/commit.go
+++ b/process/owner/commit.go
@@ -161,7 +161,12 @@
 		t.log.Error("load not encoded", zap.Error(err))
 		return
 	}
-	txn := ledger.Txn{Preconditions: []ledger.Precondition{t.ownerCondition()}, Puts: []ledger.Put{{Key: record.LoadKey(t.shard), Value: value}}}
+	key := record.LoadKey(t.shard)
+	txn := ledger.Txn{
+		// The revision keeps a write without an answer from taking effect after a later one.
+		Preconditions: []ledger.Precondition{t.ownerCondition(), {Key: key, Revision: t.loadRevision}},
+		Puts:          []ledger.Put{{Key: key, Value: value}},
+	}
 	for _, id := range expired {
 		txn.Deletes = append(txn.Deletes, record.JobKey(id), record.CancelKey(id), record.ProgressKey(id))
 	}
@@ -169,16 +174,21 @@
 		txn.Puts = append(txn.Puts, t.interferencePuts()...)
 	}
 	sentAt := t.now().Steady
-	_, err = t.host.cfg.Store.Commit(ctx, txn)
+	rev, err := t.host.cfg.Store.Commit(ctx, txn)
 	var conflict *ledger.ConflictError
 	switch {
 	case err == nil:
+		t.loadRevision = rev
 		t.confirmOwnership(sentAt)
-	case errors.As(err, &conflict):
+	case errors.As(err, &conflict) && conflict.Find(record.OwnerKey(t.shard)).Revision != t.ownerRevision:
 		t.end("another owner has the shard")
+	case conflict != nil:
+		t.loadRevision = conflict.Find(key).Revision
+		signal(t.wakePublish)
 	default:
 		t.log.Debug("load not published", zap.Error(err))
 		ledger.Sleep(ctx, storeRetryDelay)
+		signal(t.wakePublish)
 	}
 }
 
--- a/process/owner/owner_test.go
+++ b/process/owner/owner_test.go
@@ -352,3 +352,27 @@
 		})
 	})
 }
+
+// TestLateWriteOfALoadIsDropped guards against an old load that replaces a newer one: the store
+// may carry out a write without an answer seconds later.
+func TestLateWriteOfALoadIsDropped(t *testing.T) {
+	testOnSite(t, 2, func(site *simSite) {
+		key := record.LoadKey(site.jobShard)
+		site.store.setDelayedKey(key)
+		time.Sleep(1500 * time.Millisecond)
+		site.store.setDelayedKey("")
+		last, start := time.Time{}, time.Now()
+		for time.Since(start) < 12*time.Second {
+			l, _ := site.storedLoad(site.jobShard)
+			if l.At.Before(last) {
+				t.Errorf("got a load taken at %s after one taken at %s", l.At, last)
+				break
+			}
+			last = l.At
+			time.Sleep(5 * time.Millisecond)
+		}
+		if age := time.Since(last); age > 2*time.Second {
+			t.Errorf("got a load that is %s old, want at most 2 s", age)
+		}
+	})
+}
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -49,6 +49,9 @@
 	hasJobs bool
 	// isResolved is set once the workers of the previous owner have reported or are gone.
 	isResolved bool
+	// loadRevision is the revision of the shard's load record. Only publish uses it, once
+	// the shard is taken over.
+	loadRevision ledger.Revision
 	// jobsRead is the revision up to which the engine has the job records, and
 	// jobsAnsweredAt the steady time of the store's last answer about them.
 	jobsRead       ledger.Revision
@@ -233,6 +236,7 @@
 	t.jobsRead, t.jobsAnsweredAt = s.jobs.Revision, t.now().Steady
 	t.restoreInterference(s.interference)
 	t.restoreMovedJobs(s.load)
+	t.loadRevision = s.load.Revision
 	t.mu.Unlock()
 	t.applyWorkerSnapshot(s.workers)
 	t.mu.Lock()
