Take the age of a part from when its load was taken

Callers could get the length of a queue from parts whose content was over 2 s old. Found by the review of the count of moved jobs, on a scripted store.

Cause: the age counted from the write of a load, as soon as a read without it and one with it bounded that; the write may follow its content by 1.2 s and more. And where a host is asked seldom, only the wall clock of the owner told the age of a load, so an owner that was gone looked alive if its clock had been ahead.

The bound from reads now allows 1.5 s for the write. Hosts note the loads that they read each second for the choice of shards, now on sites with one shard too (a stale read, a tenth of the price). A moved job is listed for 8 s, which covers the sum of the limits, and stays listed if it comes back only as another shard's job.

TestLoadWrittenLateIsNotTakenAsRecent ("got length 0") and TestDeadOwnerWithAFastClockIsNoticed ("got length 2" from a load that was not replaced for 4 s) failed before and pass; go test -race ./request/... ./process/owner ./process/dispatch ./command/serve passes.

--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -93,7 +93,9 @@
 	age := max(now.Wall.Sub(workflow.Accepted), 0)
 	j.arrived = now.Steady - age
 	e.jobs[workflow.ID] = j
-	e.dropMovedWaiting(workflow.ID)
+	if j.isWaiting() {
+		e.dropMovedWaiting(workflow.ID)
+	}
 	if p := r.Progress; p.State.IsFinal() {
 		j.state, j.endedAt = p.State, now.Steady
 		e.finished = append(e.finished, j)
--- a/process/dispatch/moved.go
+++ b/process/dispatch/moved.go
@@ -14,8 +14,9 @@
 // the length of a queue counts it as long as the new owner has not read that revision.
 
 // movedJobTTL is how long a moved job is listed. It exceeds the time by which a load that
-// is recent enough to be used can lag behind the job records.
-const movedJobTTL = 5 * time.Second
+// is recent enough to be used can lag behind the job records: 2 s for the load, 2 s for the
+// watch of the records and 1.5 s for its write.
+const movedJobTTL = 8 * time.Second
 
 // MovedJobs are jobs of one queue that waited when they were moved to another shard.
 type MovedJobs struct {
--- a/process/dispatch/moved_test.go
+++ b/process/dispatch/moved_test.go
@@ -50,9 +50,13 @@
 	if got := next.e.MovedJobs(next.now); len(got) != 1 || !slices.Equal(got[0].Revisions, listed[0].Revisions) {
 		t.Errorf("got moved jobs %+v of the next owner, want %+v", got, listed)
 	}
-	b.advance(6 * time.Second)
+	b.advance(5500 * time.Millisecond)
+	if got := b.e.MovedJobs(b.now); len(got) != 1 {
+		t.Errorf("got moved jobs %+v after 5.5 s, want one", got)
+	}
+	b.advance(5 * time.Second)
 	if got := b.e.MovedJobs(b.now); len(got) != 0 {
-		t.Errorf("got moved jobs %+v after 6 s, want none", got)
+		t.Errorf("got moved jobs %+v after 10.5 s, want none", got)
 	}
 }
 
--- a/request/intake/queue_length.go
+++ b/request/intake/queue_length.go
@@ -24,6 +24,9 @@
 	// maxPartAge is the age up to which a part may be used. Callers may be given queue
 	// lengths that are up to two seconds old.
 	maxPartAge = 2 * time.Second
+	// maxWriteDelay is the time from which on a load that an owner has taken is not written
+	// any more: a write takes at most 1.2 s, and a later load replaces it.
+	maxWriteDelay = 1500 * time.Millisecond
 	// maxJobsReadAge is the time without an answer about the job records after which an
 	// owner may not know new jobs. Its watch is answered at least every 1.5 s.
 	maxJobsReadAge = 2 * time.Second
@@ -50,8 +53,8 @@
 
 	mu    sync.Mutex
 	parts map[heatherhub.ShardID]observedLoad
-	// lastReadAt is the steady time at which the last read of the loads was sent; zero
-	// before the first.
+	// lastReadAt is the steady time at which the last up-to-date read of the loads was
+	// sent; zero before the first.
 	lastReadAt time.Duration
 }
 
@@ -60,8 +63,8 @@
 	record.Load
 	// seenAt is when the load was first read.
 	seenAt time.Duration
-	// absentAt is when the last read that found an earlier load was sent. It is valid if
-	// hasAbsent is set.
+	// absentAt is when the last up-to-date read that found an earlier load was sent. It is
+	// valid if hasAbsent is set.
 	absentAt  time.Duration
 	hasAbsent bool
 }
@@ -92,7 +95,7 @@
 		return 0, err
 	}
 	now := c.cfg.Clock.Now()
-	l := addUp(queue, c.cfg.View().Layout.Shards, c.observe(loads, sentAt, now.Steady), now)
+	l := addUp(queue, c.cfg.View().Layout.Shards, c.update(loads, sentAt, now.Steady), now)
 	outcome, err := l.check()
 	c.answers.WithLabelValues(outcome).Inc()
 	c.cfg.Log.Info("queue length read", zap.String("queue", string(queue)), zap.Int("waiting", l.waiting), zap.String("outcome", outcome),
@@ -100,22 +103,37 @@
 	return l.waiting, err
 }
 
-// observe notes which loads have been replaced since the last read and returns the current
-// ones. A record that can no longer be read leaves the last one in place, which gets old.
-func (c *QueueCounter) observe(loads map[heatherhub.ShardID]record.Load, sentAt, now time.Duration) map[heatherhub.ShardID]observedLoad {
+// Observe notes loads that were read for another purpose, and may be some seconds old. If it
+// is called often, a load that is no longer replaced is noticed whatever its owner's clock
+// says.
+func (c *QueueCounter) Observe(loads map[heatherhub.ShardID]record.Load) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.observe(loads, c.cfg.Clock.Now().Steady)
+}
+
+// update notes loads that were up to date after sentAt and returns the last load of each
+// shard.
+func (c *QueueCounter) update(loads map[heatherhub.ShardID]record.Load, sentAt, now time.Duration) map[heatherhub.ShardID]observedLoad {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.observe(loads, now)
+	c.lastReadAt = max(c.lastReadAt, sentAt)
 	out := make(map[heatherhub.ShardID]observedLoad, len(c.parts))
+	for id, p := range c.parts {
+		out[id] = p
+	}
+	return out
+}
+
+// observe notes which loads have been replaced. A record that can no longer be read leaves
+// the last one in place, which gets old. The caller holds c.mu.
+func (c *QueueCounter) observe(loads map[heatherhub.ShardID]record.Load, now time.Duration) {
 	for id, l := range loads {
 		if old, ok := c.parts[id]; !ok || l.Revision > old.Revision {
 			c.parts[id] = observedLoad{Load: l, seenAt: now, absentAt: c.lastReadAt, hasAbsent: ok}
 		}
 	}
-	c.lastReadAt = max(c.lastReadAt, sentAt)
-	for id, p := range c.parts {
-		out[id] = p
-	}
-	return out
 }
 
 // age returns the age of a load. The wall clocks of this host and of the owner may differ
@@ -123,7 +141,7 @@
 func (p *observedLoad) age(now dispatch.Moment) time.Duration {
 	age := max(now.Wall.Sub(p.At), now.Steady-p.seenAt)
 	if p.hasAbsent {
-		age = min(age, now.Steady-p.absentAt)
+		age = min(age, now.Steady-p.absentAt+maxWriteDelay)
 	}
 	return age
 }
--- a/request/intake/queue_length_test.go
+++ b/request/intake/queue_length_test.go
@@ -187,3 +187,39 @@
 		site.want(want)
 	}
 }
+
+// TestLoadWrittenLateIsNotTakenAsRecent guards against an age that counts from the write of a
+// load, which may follow seconds after the load was taken.
+func TestLoadWrittenLateIsNotTakenAsRecent(t *testing.T) {
+	site := newCountedSite(t, north)
+	site.publish(north, waiting(7))
+	site.want(7)
+	site.clock.now += 1900 * time.Millisecond
+	site.want(7)
+	l := waiting(0)
+	l.At = site.clock.Now().Wall
+	site.clock.now += 1400 * time.Millisecond
+	site.wantUnavailable("the earlier load")
+	site.loads.put(t, north, l)
+	site.want(0)
+	site.clock.now += 700 * time.Millisecond
+	site.wantUnavailable("taken 2.1 s ago, written 0.7 s ago")
+}
+
+// TestDeadOwnerWithAFastClockIsNoticed guards against a load that looks recent since the clock
+// of its owner, which is gone, was ahead.
+func TestDeadOwnerWithAFastClockIsNoticed(t *testing.T) {
+	site := newCountedSite(t, north)
+	l := waiting(2)
+	l.At = site.clock.Now().Wall.Add(10 * time.Second)
+	site.loads.put(t, north, l)
+	for range 4 {
+		loads, err := owner.ReadLoads(context.Background(), site.loads.Range, zap.NewNop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		site.counter.Observe(loads)
+		site.clock.now += time.Second
+	}
+	site.wantUnavailable("a load that was not replaced for 4 s")
+}
--- a/request/intake/shards.go
+++ b/request/intake/shards.go
@@ -22,6 +22,8 @@
 	store ledger.Store
 	view  func() *owner.View
 	log   *zap.Logger
+	// onLoads may be nil.
+	onLoads func(map[heatherhub.ShardID]record.Load)
 
 	mu    sync.Mutex
 	loads map[heatherhub.ShardID]record.Load
@@ -46,13 +48,15 @@
 	View  func() *owner.View
 	// Random returns a number from zero to one.
 	Random func() float64
-	Log    *zap.Logger
+	// OnLoads, if set, is called with the loads after each read.
+	OnLoads func(map[heatherhub.ShardID]record.Load)
+	Log     *zap.Logger
 }
 
 // NewShardSelector returns a selector without loads. Run and Refresh read them.
 func NewShardSelector(cfg ShardSelectorConfig) *ShardSelector {
 	return &ShardSelector{
-		store: cfg.Store, view: cfg.View, log: cfg.Log,
+		store: cfg.Store, view: cfg.View, log: cfg.Log, onLoads: cfg.OnLoads,
 		loads: make(map[heatherhub.ShardID]record.Load), unreported: make(map[heatherhub.ShardID]unreportedLoad),
 		random: cfg.Random,
 	}
@@ -61,16 +65,13 @@
 // loadInterval is the time between reads of the loads.
 const loadInterval = time.Second
 
-// Run reads the loads periodically until ctx is done, but only while there is more than
-// one shard to choose from.
+// Run reads the loads periodically until ctx is done.
 func (s *ShardSelector) Run(ctx context.Context) {
 	t := time.NewTicker(loadInterval)
 	defer t.Stop()
 	for {
-		if len(s.view().Layout.Shards) > 1 {
-			if err := s.Refresh(ctx); err != nil && ctx.Err() == nil {
-				s.log.Debug("loads not read", zap.Error(err))
-			}
+		if err := s.Refresh(ctx); err != nil && ctx.Err() == nil {
+			s.log.Debug("loads not read", zap.Error(err))
 		}
 		select {
 		case <-ctx.Done():
@@ -87,6 +88,9 @@
 	if err != nil {
 		return err
 	}
+	if s.onLoads != nil {
+		s.onLoads(loads)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.loads = loads
