Ask for queue lengths under random faults and in four more cases

These tests keep 4 to 24 jobs waiting on a site of three shards, inject the faults of the random episodes, ask every host that has reached the store for 4 s each 50 ms, and compare. A number under half of the jobs that have waited for 5 s fails, and so does an error while every shard has had an owner in touch for 6 s.

One new test fails: a long-running job whose tasks all run in other shards stays counted, one too many for good.

--- a/process/owner/queue_length_test.go
+++ b/process/owner/queue_length_test.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
@@ -27,8 +29,9 @@
 	countedAfter = 5 * time.Second
 	// inTouchTime is how long a host has to reach the store before its answers count.
 	inTouchTime = 4 * time.Second
-	// ownedTime is how long all shards need owners in touch until a question has to be
-	// answered with a number. It covers a takeover and the first load record after it.
+	// ownedTime is how long all shards need owners in touch, and the store no fault, until a
+	// question has to be answered with a number. It covers the first load record after a
+	// takeover and a stale read.
 	ownedTime = 6 * time.Second
 )
 
@@ -47,13 +50,14 @@
 	mu    sync.Mutex
 	hosts map[heatherhub.HostID]*askedHost
 	// notOwnedAt is the last time at which a shard had no owner in touch, or another one
-	// than before.
+	// than before, or the store lost answers.
 	notOwnedAt time.Time
 	owners     map[heatherhub.ShardID]heatherhub.HostID
 	isStopped  bool
 	stats      askStats
-	// faults describes the answers that were wrong.
-	faults []string
+	// faults describes the answers that were wrong, faultAt is the time of the last of them.
+	faults  []string
+	faultAt time.Time
 }
 
 // askStats counts the questions to hosts in touch.
@@ -62,8 +66,9 @@
 	// which jobs had waited for countedAfter, and owned those that had to be answered
 	// with a number.
 	asked, answered, checked, owned int
-	// wrong counts the numbers that are too low, refused the wrong errors.
-	wrong, refused int
+	// wrong counts the numbers that are too low, refused the wrong errors, and short the
+	// numbers that leave out any job that has waited for countedAfter.
+	wrong, refused, short int
 }
 
 // askedHost is a host as seen by queueAsker.
@@ -143,6 +148,9 @@
 		}
 	}
 	a.owners = owners
+	if a.site.store.losesAnswers() {
+		a.notOwnedAt = now
+	}
 	return true
 }
 
@@ -162,8 +170,21 @@
 	return a.stats
 }
 
-// maxFaultsShown bounds the wrong answers that are shown in full.
-const maxFaultsShown = 3
+// stopAndCheck is stop for tests in which jobs wait and all shards have owners.
+func (a *queueAsker) stopAndCheck() {
+	a.site.t.Helper()
+	stats := a.stop()
+	a.site.t.Logf("%+v", stats)
+	if stats.checked == 0 || stats.owned == 0 {
+		a.site.t.Errorf("got %+v, want questions at which jobs wait and all shards are owned", stats)
+	}
+}
+
+// Wrong answers that are shown in full: at most maxFaultsShown, faultInterval apart.
+const (
+	maxFaultsShown = 4
+	faultInterval  = 2 * time.Second
+)
 
 // ask asks a host once and checks its answer if the host was in touch all the time.
 func (a *queueAsker) ask(id heatherhub.HostID, h *askedHost) {
@@ -194,6 +215,9 @@
 		if len(waiting) > 0 {
 			a.stats.checked++
 		}
+		if got < len(waiting) {
+			a.stats.short++
+		}
 		if 2*got < len(waiting) {
 			a.stats.wrong++
 			a.addFault("got %d from %s, want at least half of the %d jobs that have waited for %s\n%s\n%s", got, id, len(waiting), countedAfter, h.log.get(), a.site.explain(waiting))
@@ -203,7 +227,8 @@
 
 // addFault records a wrong answer. The caller holds a.mu.
 func (a *queueAsker) addFault(format string, args ...any) {
-	if len(a.faults) < maxFaultsShown {
+	if len(a.faults) < maxFaultsShown && time.Since(a.faultAt) >= faultInterval {
+		a.faultAt = time.Now()
 		a.faults = append(a.faults, time.Now().Format("05.000: ")+fmt.Sprintf(format, args...))
 	}
 }
@@ -246,6 +271,13 @@
 	return out
 }
 
+// losesAnswers reports whether commits or watches get no answer.
+func (s *fakeStore) losesAnswers() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isDown || s.lostAnswerShare > 0 || s.silentPrefix != ""
+}
+
 // shards returns the shards of the layout, or none if there is no layout yet.
 func (site *simSite) shards() []heatherhub.ShardID {
 	site.store.mu.Lock()
@@ -278,13 +310,9 @@
 // worker and are not cancelled, sorted by id.
 func (site *simSite) jobsWaitingSince(at time.Time) []heatherhub.JobID {
 	site.mu.Lock()
-	begun := make(map[heatherhub.JobID]bool)
-	for t := range site.starts {
-		begun[t.Job] = true
-	}
 	var out []heatherhub.JobID
 	for id, flow := range site.jobs {
-		if !begun[id] && !flow.Accepted.After(at) {
+		if !site.begun[id] && !flow.Accepted.After(at) {
 			out = append(out, id)
 		}
 	}
@@ -331,7 +359,7 @@
 	for _, shard := range site.shards() {
 		l, ok := site.storedLoad(shard)
 		o := site.ownerOf(shard)
-		fmt.Fprintf(&b, "  shard %v: owner %q, in touch %v, load stored %v, %d waiting, %s old\n", shard, o, site.hostsInTouch()[o], ok, l.Waiting[testQueue], time.Since(l.At))
+		fmt.Fprintf(&b, "  shard %v: owner %q for %s, in touch %v, load stored %v, %d waiting, %s old\n", shard, o, site.sinceWrite(record.OwnerKey(shard)), site.hostsInTouch()[o], ok, l.Waiting[testQueue], time.Since(l.At))
 	}
 	for _, id := range ids {
 		flow := site.storedJob(id)
@@ -349,11 +377,30 @@
 				}
 			}
 		}
-		fmt.Fprintf(&b, "  job %s: accepted %s ago to %v, now of %v, %s\n", id, time.Since(accepted.Accepted), accepted.Shard, flow.Shard, known)
+		fmt.Fprintf(&b, "  job %s: accepted %s ago to %v, given to %v %s ago, %s\n", id, time.Since(accepted.Accepted), accepted.Shard, flow.Shard, site.sinceWrite(record.JobKey(id)), known)
 	}
 	return b.String()
 }
 
+// sinceWrite returns the time since a key was last written.
+func (site *simSite) sinceWrite(key string) time.Duration {
+	site.store.mu.Lock()
+	defer site.store.mu.Unlock()
+	return time.Since(site.store.writtenAt[key])
+}
+
+// queuedJobs returns the jobs that an owner takes for queued.
+func (site *simSite) queuedJobs() []heatherhub.JobID {
+	var out []heatherhub.JobID
+	for _, h := range site.liveHosts() {
+		for _, v := range h.Overview(owner.OverviewQuery{State: heatherhub.WorkflowQueued, MaxJobs: maxBacklog}).Jobs {
+			out = append(out, v.ID)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // shardOf returns the shard of a failure domain.
 func shardOf(domain heatherhub.FailureDomain) heatherhub.ShardID {
 	return heatherhub.ShardID{Domain: domain}
@@ -422,10 +469,146 @@
 		}
 		site.await("the starts of all jobs", 20*time.Second, func() bool { return len(site.jobsWaitingSince(time.Now())) == 0 })
 		time.Sleep(ownedTime)
-		stats := asker.stop()
-		t.Logf("%+v", stats)
-		if stats.checked == 0 || stats.owned == 0 {
-			t.Errorf("got %+v, want questions at which jobs wait and all shards are owned", stats)
+		asker.stopAndCheck()
+	})
+}
+
+// Limits of the backlog of a random episode.
+const (
+	// maxBacklog is the largest number of jobs that wait, on a site with room for 45 tasks.
+	maxBacklog = 24
+	// maxBacklogBurst is the longest time for which the jobs go to the same shard.
+	maxBacklogBurst = 8 * time.Second
+)
+
+// keepBacklog submits jobs until a time so that some wait all the time. They all go to one
+// shard for a while, so the others run out of work and jobs move there.
+func (e *episode) keepBacklog(rng *rand.Rand, until time.Time) {
+	var shard heatherhub.ShardID
+	size := 0
+	burstEnd := time.Now()
+	for n := 0; time.Now().Before(until); {
+		if !time.Now().Before(burstEnd) {
+			shard = shardOf(heatherhub.FailureDomain(fmt.Sprintf("d%d", rng.IntN(3))))
+			burstEnd = time.Now().Add(time.Duration(1 + rng.Int64N(int64(maxBacklogBurst))))
+		}
+		for range size - len(e.jobsWaitingSince(time.Now())) {
+			n++
+			e.submitTo(shard, heatherhub.JobID(fmt.Sprintf("backlog%d", n)), newStep(1+rng.IntN(3), time.Duration(1000+rng.IntN(3000))*time.Millisecond))
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+// TestQueueLengthUnderRandomFaults injects random faults on a site of three shards while a
+// backlog of jobs waits. Once the faults have ended and all jobs have begun, none may be
+// counted any more.
+func TestQueueLengthUnderRandomFaults(t *testing.T) {
+	moved := 0
+	for i := range (*episodes + 2) / 3 {
+		seed := *episodeSeed + uint64(i)
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				moved += askUnderFaults(t, seed)
+			})
+		})
+	}
+	t.Logf("%d jobs were moved", moved)
+	if moved == 0 {
+		t.Error("got no moved job, want at least one")
+	}
+}
+
+// askUnderFaults runs one episode of TestQueueLengthUnderRandomFaults and returns the number
+// of jobs that were moved.
+func askUnderFaults(t *testing.T, seed uint64) int {
+	e := newShardedEpisode(t, seed)
+	asker := startAsking(e.simSite)
+	until := time.Now().Add(faultPhase + 20*time.Second)
+	e.tasks.Go(func() { e.keepBacklog(rand.New(rand.NewPCG(seed, 5)), until) })
+	e.injectFaults()
+	e.endFaults()
+	time.Sleep(time.Until(until))
+	e.await("the starts of all jobs", recoveryLimit, func() bool { return len(e.jobsWaitingSince(time.Now())) == 0 })
+	for k := range 3 {
+		e.store.set(record.CancelKey(heatherhub.JobID(fmt.Sprintf("lasting%d", k))), nil)
+	}
+	time.Sleep(countedAfter)
+	for id, h := range e.liveHosts() {
+		if got, err := e.newCounter(id, h, zap.NewNop()).Count(context.Background(), testQueue); got != 0 || err != nil {
+			t.Errorf("got %d waiting jobs and error %v from %s after the starts of all jobs, want 0 and none\n%s", got, err, id, e.explain(e.queuedJobs()))
+		}
+	}
+	asker.stopAndCheck()
+	moved := e.movedJobs()
+	e.shutdown()
+	e.checkViolations()
+	return moved
+}
+
+// TestQueueLengthCountsJobsThatTheOwnerHasNotRead keeps the watch of the jobs silent while
+// jobs are accepted. The owners publish their loads all the while.
+func TestQueueLengthCountsJobsThatTheOwnerHasNotRead(t *testing.T) {
+	testOnShardedSite(t, 2, func(site *simSite) {
+		site.fillShards()
+		asker := startAsking(site)
+		time.Sleep(inTouchTime)
+		site.store.setSilentPrefix(record.JobPrefix)
+		site.submitWaiting(shardOf("d0"), 8)
+		time.Sleep(8 * time.Second)
+		site.store.setSilentPrefix("")
+		time.Sleep(ownedTime + 2*time.Second)
+		asker.stopAndCheck()
+	})
+}
+
+// TestQueueLengthCountsJobsWhoseStartGotNoAnswer cuts the owner of a shard off from its
+// workers, so that it orders starts that do not take place.
+func TestQueueLengthCountsJobsWhoseStartGotNoAnswer(t *testing.T) {
+	testOnShardedSite(t, 2, func(site *simSite) {
+		asker := startAsking(site)
+		time.Sleep(inTouchTime)
+		o := string(site.ownerOf(shardOf("d0")))
+		for i := range 2 {
+			site.setPartitioned(o, fmt.Sprintf("w0-%d", i), true)
+		}
+		ids := site.submitWaiting(shardOf("d0"), 8)
+		time.Sleep(12 * time.Second)
+		if got := site.jobsIn(shardOf("d0"), ids); got == 0 {
+			t.Error("got no job left in the shard, want at least one")
+		}
+		asker.stopAndCheck()
+	})
+}
+
+// TestQueueLengthCountsJobsDuringTakeovers submits jobs to a full shard whose owner has just
+// died. The next owner dies before it publishes a load.
+func TestQueueLengthCountsJobsDuringTakeovers(t *testing.T) {
+	testOnShardedSite(t, 2, func(site *simSite) {
+		site.fillShards()
+		asker := startAsking(site)
+		time.Sleep(inTouchTime)
+		first := site.ownerOf(shardOf("d0"))
+		site.kill(first)
+		site.submitWaiting(shardOf("d0"), 8)
+		site.await("a takeover", 5*time.Second, func() bool { o := site.ownerOf(shardOf("d0")); return o != first && o != "" })
+		site.kill(site.ownerOf(shardOf("d0")))
+		time.Sleep(15 * time.Second)
+		asker.stopAndCheck()
+	})
+}
+
+// TestQueueLengthLeavesOutJobsThatRunElsewhere starts all tasks of a long-running job in
+// another shard than the job's own.
+func TestQueueLengthLeavesOutJobsThatRunElsewhere(t *testing.T) {
+	testOnShardedSite(t, 2, func(site *simSite) {
+		site.submit("full", newLongRunningStep(10))
+		site.await("a full shard", 3*time.Second, func() bool { return site.runningTasks("full") == 10 })
+		site.submit("guest", newLongRunningStep(2))
+		site.await("the job", 5*time.Second, func() bool { return site.runningTasks("guest") == 2 })
+		time.Sleep(countedAfter)
+		if got, err := site.newCounter("h0", site.liveHosts()["h0"], zap.NewNop()).Count(context.Background(), testQueue); got != 0 || err != nil {
+			t.Errorf("got %d waiting jobs and error %v, want 0 and none\n%s", got, err, site.explain(site.queuedJobs()))
 		}
 	})
 }
--- a/process/owner/store_test.go
+++ b/process/owner/store_test.go
@@ -18,6 +18,8 @@
 	rev     ledger.Revision
 	items   map[string]ledger.Item
 	history []ledger.Event
+	// writtenAt holds the time of the last write of each key.
+	writtenAt map[string]time.Time
 	// compactedAt is the revision up to which the history was dropped.
 	compactedAt ledger.Revision
 	leases      map[ledger.LeaseID]*fakeLease
@@ -47,7 +49,7 @@
 
 func newFakeStore(rng *rand.Rand) *fakeStore {
 	return &fakeStore{
-		rev: 10, items: make(map[string]ledger.Item), leases: make(map[ledger.LeaseID]*fakeLease),
+		rev: 10, items: make(map[string]ledger.Item), writtenAt: make(map[string]time.Time), leases: make(map[ledger.LeaseID]*fakeLease),
 		changed: make(chan struct{}), rng: rng, staleSnapshots: make(map[string]staleSnapshot),
 	}
 }
@@ -107,7 +109,7 @@
 		it.Created = s.rev
 	}
 	it.Key, it.Value, it.Revision, it.Lease = key, value, s.rev, lease
-	s.items[key] = it
+	s.items[key], s.writtenAt[key] = it, time.Now()
 	s.appendEvent(ledger.Event{Item: it})
 }
 
