Learn from other shards that a job has begun there

Callers got a queue length that was one too high, for good, for each lasting job whose tasks had all moved to other shards, and saw such a job as queued while it ran.

Cause: the shard that owns a job counts it as waiting until a run of its own has begun, and the shard that runs the tasks does not count it. Neither saw that it had begun.

A load now lists the jobs of other shards that have begun, and an owner with a waiting job whose tasks are elsewhere reads the loads before it publishes.

--- a/process/owner/commit.go
+++ b/process/owner/commit.go
@@ -131,10 +131,32 @@
 		case <-timer.C:
 		}
 		timer.Stop()
+		t.readBegunGuests()
 		t.publish(t.ctx)
 	}
 }
 
+// readBegunGuests reads from the loads of the other shards which waiting jobs have begun
+// there. There are few such jobs, so most of the time it reads nothing.
+func (t *term) readBegunGuests() {
+	t.mu.Lock()
+	isNeeded := t.engine.HasWaitingGuests()
+	t.mu.Unlock()
+	if !isNeeded {
+		return
+	}
+	loads, err := ReadLoads(t.ctx, t.host.cfg.Store.RangeStale, t.log)
+	if err != nil {
+		t.log.Info("loads not read", zap.Error(err))
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, l := range loads {
+		t.engine.MarkBegun(l.BegunGuests)
+	}
+}
+
 // publishOnceResolved publishes the first load ahead of time, as soon as it is known what
 // runs on the workers of the previous owner. Before that, running jobs would count as
 // waiting. The caller holds t.mu.
@@ -251,7 +273,7 @@
 	now := t.now()
 	value, err := record.Encode(record.Load{
 		Capacity: l.Capacity, Reserved: l.Reserved, FillerDemand: l.FillerDemand, Backlog: l.Backlog,
-		Waiting: waiting, MovedJobs: t.engine.MovedJobs(now), JobsRead: t.jobsRead, JobsReadAge: now.Steady - t.jobsAnsweredAt,
+		Waiting: waiting, BegunGuests: t.engine.BegunGuests(), MovedJobs: t.engine.MovedJobs(now), JobsRead: t.jobsRead, JobsReadAge: now.Steady - t.jobsAnsweredAt,
 		Racks: t.engine.Racks(), LargestFree: t.engine.LargestFree(now, record.MaxLargestFree), At: now.Wall,
 	})
 	return value, t.engine.RemoveExpired(now, t.host.cfg.EndedRetention, maxExpiredPerCommit), err
--- a/process/record/load.go
+++ b/process/record/load.go
@@ -19,6 +19,8 @@
 	// MovedJobs are waiting jobs that this shard has moved to others lately. They are
 	// part of a queue's length until the owner of their new shard has read the move.
 	MovedJobs []dispatch.MovedJobs `msgpack:"m,omitempty" json:"movedJobs,omitempty"`
+	// BegunGuests are jobs of other shards of which this one has begun a run.
+	BegunGuests []heatherhub.JobID `msgpack:"g,omitempty" json:"begunGuests,omitempty"`
 	// JobsRead is the revision up to which the owner has read the job records, and
 	// JobsReadAge the time since the store last answered its watch of them.
 	JobsRead    ledger.Revision `msgpack:"jr" json:"jobsRead"`
