Let soak runs with one seed at the same time take different addresses

What was seen: two runs of experiment/soak with one seed on one machine failed with "host-0 exited with status 2", with jobs that were cancelled or started for the other run, and with jobs without a state.

Cause: the hosts listened on 127.X.0.1 and so on, port 7000 to 7009, where X depends on the seed modulo 200 alone. The second run's hosts could not listen, and its callers talked to the first run's hosts. Runs whose seeds differ by 200 met in the same way.

Change: a run tries 127.X.1 to 127.X.255 in turn and takes the first network in which it can listen on address 0, port 7000, which no host has. It holds that listener until its hosts have stopped, so two runs never share a network, whatever their process ids and seeds. The listener is not inherited by the hosts, so a network with hosts that a killed run left behind would look free; the run therefore also tries each host's address and goes on if one is taken. The third byte starts at 1: a checkout without this change uses 0 and is not met either. The choice draws nothing from the seed's random numbers.

--- a/experiment/soak/callers_test.go
+++ b/experiment/soak/callers_test.go
@@ -77,7 +77,7 @@
 
 // url returns the URL of a job at a random host.
 func (c *callers) url(id heatherhub.JobID) string {
-	return fmt.Sprintf("http://%s:7000/soak/%s", c.site.hosts[c.randInt(len(c.site.hosts))].ip, id)
+	return fmt.Sprintf("http://%s:%s/soak/%s", c.site.hosts[c.randInt(len(c.site.hosts))].ip, frontPort, id)
 }
 
 // call sends a request for a job to a random host and returns the status and body.
--- a/experiment/soak/doc.go
+++ b/experiment/soak/doc.go
@@ -11,6 +11,6 @@
 //
 // A seed determines the random choices of jobs and faults, but not the timing of the
 // processes, so a failure may not reproduce with its seed. The hosts listen on fixed ports
-// of loopback addresses that depend on the seed modulo 200: concurrent runs need seeds
-// that differ in it.
+// of a loopback network that the run reserves, so runs may be concurrent, also with one
+// seed, if each has a directory of its own.
 package soak
--- a/experiment/soak/process_test.go
+++ b/experiment/soak/process_test.go
@@ -32,10 +32,9 @@
 }
 
 // newProcess writes the settings of the i-th host and returns its process, not yet started.
-// The seed determines the loopback network of the hosts.
 func (s *site) newProcess(i int, store string) (*process, error) {
 	p := &process{
-		name: fmt.Sprintf("host-%d", i), ip: fmt.Sprintf("127.%d.0.%d", 1+s.opts.Seed%200, 1+i), binary: s.opts.Binary,
+		name: fmt.Sprintf("host-%d", i), ip: hostIP(s.network, i), binary: s.opts.Binary,
 		logPath: filepath.Join(s.opts.Dir, fmt.Sprintf("host-%d.log", i)), group: &s.group,
 	}
 	path, err := s.writeSettings(i, p.ip, store)
--- a/experiment/soak/site_test.go
+++ b/experiment/soak/site_test.go
@@ -28,6 +28,10 @@
 	routeHost = "soak.example"
 	// stopGracePeriod is how long a host may take to stop.
 	stopGracePeriod = 6 * time.Second
+	// frontPort is the port of the hosts for callers.
+	frontPort = "7000"
+	// networksPerSeed is the number of loopback networks for runs with the same seed.
+	networksPerSeed = 255
 )
 
 // site is the stand-in platform and the real hosts that use it.
@@ -43,6 +47,10 @@
 	workerProxies []*faultProxy
 	workers       []*standin.Worker
 	hosts         []*process
+	// network is the first three bytes of the hosts' addresses. reservation is held until
+	// close, so that no other run uses it.
+	network     string
+	reservation net.Listener
 
 	// mu guards the fields below.
 	mu       sync.Mutex
@@ -86,8 +94,50 @@
 	return l.Addr().String(), nil
 }
 
+// hostIP returns the address of the i-th host in a network.
+func hostIP(network string, i int) string {
+	return fmt.Sprintf("%s.%d", network, 1+i)
+}
+
+// reserveNetwork reserves the first free loopback network of the seed. Runs with the same
+// seed take different ones.
+func (s *site) reserveNetwork() error {
+	var err error
+	for n := 1; n <= networksPerSeed; n++ {
+		network := fmt.Sprintf("127.%d.%d", 1+s.opts.Seed%200, n)
+		var l net.Listener
+		// No host has the address 0 of a network.
+		if l, err = net.Listen("tcp4", network+".0:"+frontPort); err != nil {
+			continue
+		}
+		// Hosts of a run that was killed may still be there.
+		if err = s.checkHostAddresses(network); err == nil {
+			s.network, s.reservation = network, l
+			return nil
+		}
+		_ = l.Close()
+	}
+	return heatherhub.ErrUnavailable.Wrap(err, "cannot listen on port %s of 127.%d.1.0 to 127.%d.%d.0: end other soak runs and their hosts",
+		frontPort, 1+s.opts.Seed%200, 1+s.opts.Seed%200, networksPerSeed)
+}
+
+// checkHostAddresses returns an error if a process listens on the address of a host.
+func (s *site) checkHostAddresses(network string) error {
+	for i := range s.opts.Processes {
+		l, err := net.Listen("tcp4", net.JoinHostPort(hostIP(network, i), frontPort))
+		if err != nil {
+			return err
+		}
+		_ = l.Close()
+	}
+	return nil
+}
+
 // start starts the store, the workers and the hosts.
 func (s *site) start() error {
+	if err := s.reserveNetwork(); err != nil {
+		return err
+	}
 	store, err := s.serve("127.0.0.1", s.store)
 	if err != nil {
 		return err
@@ -179,7 +229,7 @@
 // writeSettings writes the settings file of the i-th host and returns its path.
 func (s *site) writeSettings(i int, ip, store string) (string, error) {
 	lines := []string{
-		fmt.Sprintf("node_name=host-%d", i), "zone=" + domainOf(i), "ip=" + ip, "listen.front=" + ip + ":7000",
+		fmt.Sprintf("node_name=host-%d", i), "zone=" + domainOf(i), "ip=" + ip, "listen.front=" + ip + ":" + frontPort,
 		"listen.readiness=" + ip + ":7001", "internal_ports=7002,7009", "platform.address=" + store, "platform.ttl_min_ms=1000",
 		"bounds.max_hold_ms=6000", "heartbeat_ms=1000", fmt.Sprintf("bounds.grace_s=%g", stopGracePeriod.Seconds()),
 		"limits.cpu_share=0.2", "limits.cores=1", "limits.memory_mb=256",
@@ -221,5 +271,8 @@
 		_ = server.Close()
 	}
 	s.group.Wait()
+	if s.reservation != nil {
+		_ = s.reservation.Close()
+	}
 	return violations
 }
