Write removals from the fleet while there is progress to write

Cause: a new owner waits for each worker that the stored fleet lists. The removal of a worker that the owner has found gone waited until no progress was left to write, which under load never comes, and the hand-over ended the term without it. The successor found five workers on the list that had been gone for three seconds, and held back all inherited work until it had waited them out itself.

The fleet is now written between two commits of progress, if it has changed, and at the start of a hand-over. TestBusyOwnerWritesRemovalsOfWorkers ("condition not met within 1s") and TestHandoverDoesNotWaitForGoneWorkers ("got the start 3s after the planned stop, want at most 1s") failed before and pass.

--- a/process/owner/commit.go
+++ b/process/owner/commit.go
@@ -21,7 +21,8 @@
 // lengths that are up to two seconds old.
 const publishInterval = time.Second
 
-// commitLoop writes progress and then the worker list to the store whenever it is woken.
+// commitLoop writes progress and changes of the fleet to the store whenever it is woken. It
+// writes the fleet after each batch, since under load there is always more progress.
 func (t *term) commitLoop() {
 	for {
 		select {
@@ -30,6 +31,7 @@
 		case <-t.wakeCommit:
 		}
 		for t.ctx.Err() == nil && t.commit(t.ctx) {
+			t.writeFleet(t.ctx)
 			ledger.Sleep(t.ctx, commitBatchDelay)
 		}
 		t.writeFleet(t.ctx)
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -152,12 +152,14 @@
 	t.cancel()
 }
 
-// handOver commits the pending changes, within handOverTimeout, and ends the term. It ends
-// with a load, since the next owner learns from it which waiting jobs were moved.
+// handOver writes the fleet, commits the pending changes, within handOverTimeout, and ends the
+// term. The next owner waits for each worker that the stored fleet still lists. The last
+// write is a load, from which it learns which waiting jobs were moved.
 func (t *term) handOver() {
 	t.isHandingOver.Store(true)
 	ctx, cancel := context.WithTimeout(t.ctx, handOverTimeout)
 	defer cancel()
+	t.writeFleet(ctx)
 	for ctx.Err() == nil {
 		if !t.commit(ctx) {
 			break
