Start no task beside a run of a job that is not known

A worker was given more than its capacity: on virtual time a new owner started five tasks on workers that were already full ("worker w1-0 starts a task that needs 2000m cpu ... while 10000m cpu ... are in use"). Workers of the platform can refuse a start that does not fit; the guarantee may not rest on that.

In the same millisecond it started five tasks there (440/5 to 440/9); the lookup made j95 known at 39.793 s.

Cause: recordUnknownRun keeps a run of a job that the engine does not know without reserving anything, as a report does not say what the run needs. After a lookup that finds no job (MarkAbsent) nothing was reserved either, until the worker had carried out the stop. With the store silent the first gap lasts as long as the lookup.

Now a worker gets no new task, and its room is not published to other shards, while its last report lists a run without an attempt here. The set is taken anew from each report. A worker that has accepted this token accepts no older start, so such runs only become fewer, and a report that arrives late lists too many, not too few. A lookup takes some milliseconds. While the store is silent the worker waits until the runs are over, at most for MaxStoreSilence, after which the owner may not act anyway.

Ruled out by the trace: two owners that both start (the former one was fenced before the first start of the new one; its queued 335/34 and 335/35 did not run), delayed orders, stops that were confirmed early, workers of another shard and a run adopted with another need. The audit counts runs that go on, with seconds left; it is unchanged.

--- a/process/dispatch/doc.go
+++ b/process/dispatch/doc.go
@@ -14,9 +14,11 @@
 //	changes := e.TakeChanges(limit) // write them to the store, then:
 //	e.Committed(now, changes, revision)
 //
-// Three rules prevent that a task runs twice or a worker is overcommitted:
+// Four rules prevent that a task runs twice or a worker is overcommitted:
 //
 //   - Resources stay reserved until the worker shows that a run is over.
+//   - No task starts on a worker that lists a run of a job that is not known here, as the
+//     need of that run is not known.
 //   - A start without a reply is resolved by the worker's list of runs, or by a stop,
 //     after which the agent refuses a late start.
 //   - After a change of owner, a task that may still run on an unreachable worker is
--- a/process/dispatch/load.go
+++ b/process/dispatch/load.go
@@ -44,7 +44,7 @@
 func (e *Engine) LargestFree(now Moment, limit int) map[heatherhub.PoolID][]heatherhub.Resources {
 	out := make(map[heatherhub.PoolID][]heatherhub.Resources)
 	for _, n := range e.sortedNodes {
-		if n.worker.Draining || n.isUnresponsive || n.backoffUntil > now.Steady || n.health.isQuarantined(now.Steady) {
+		if !n.acceptsTasks(now.Steady) {
 			continue
 		}
 		out[n.worker.Pool] = append(out[n.worker.Pool], n.free())
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -31,7 +31,7 @@
 // spare processors that a filler needs.
 func (e *Engine) acceptsStep(now Moment, n *node, s *stepRun) bool {
 	switch {
-	case n.isUnresponsive, n.worker.Draining, n.backoffUntil > now.Steady, n.health.isQuarantined(now.Steady):
+	case !n.acceptsTasks(now.Steady):
 		return false
 	case n.worker.Pool != s.occ.job.policy.Pool, !s.need.Fits(n.free()):
 		return false
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -13,7 +13,7 @@
 // Runs that it lists are adopted.
 func (e *Engine) WorkerUp(now Moment, w agent.Worker, r *agent.Report) {
 	if e.nodes[w.ID] == nil {
-		e.addNode(&node{worker: w, attempts: make(map[attemptKey]*attempt)})
+		e.addNode(&node{worker: w, attempts: make(map[attemptKey]*attempt), unaccounted: make(map[attemptKey]struct{})})
 	}
 	e.Report(now, now.Steady, w.ID, r)
 	delete(e.unresolved, w.ID)
@@ -80,6 +80,7 @@
 		return
 	}
 	n.isUnresponsive = false
+	clear(n.unaccounted)
 	listed := make(map[attemptKey]struct{}, len(r.Running))
 	for i := range r.Running {
 		run := &r.Running[i]
@@ -121,11 +122,14 @@
 // is over, or if its task is done, belongs to another shard, or has another attempt and
 // is not speculative.
 func (e *Engine) adopt(now Moment, n *node, r *agent.Running) {
+	key := attemptKey{r.Task, r.Run}
 	t := e.findTask(r.Task)
 	if t == nil {
+		n.unaccounted[key] = struct{}{}
 		e.recordUnknownRun(n, r)
 		return
 	}
+	delete(n.unaccounted, key)
 	a := &attempt{
 		task: t, node: n, run: r.Run, state: running, stateSince: now.Steady, startedAt: now.Steady,
 		progress: r.Progress, progressAt: now.Steady, checkpoint: r.Checkpoint, speedLimit: fullSpeed,
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -282,6 +282,9 @@
 	worker   agent.Worker
 	used     heatherhub.Resources
 	attempts map[attemptKey]*attempt
+	// unaccounted has the runs of the last report whose jobs are unknown or absent. Their
+	// need is not in used.
+	unaccounted map[attemptKey]struct{}
 	// cachedByRun is the result of attemptsByRun, or nil after a change.
 	cachedByRun []*attempt
 	// fillerCPU is the processor demand of filler tasks, servingTasks the number of
@@ -316,6 +319,12 @@
 	isJobUnknown bool
 }
 
+// acceptsTasks reports whether the worker may get new tasks at now. It may not while it
+// has unaccounted runs, as its free resources are not known then.
+func (n *node) acceptsTasks(now time.Duration) bool {
+	return !n.isUnresponsive && !n.worker.Draining && n.backoffUntil <= now && !n.health.isQuarantined(now) && len(n.unaccounted) == 0
+}
+
 func (n *node) free() heatherhub.Resources {
 	return n.worker.Capacity.Sub(n.used)
 }
--- a/process/dispatch/unknown.go
+++ b/process/dispatch/unknown.go
@@ -11,9 +11,9 @@
 
 // Workers may report running and ended runs of jobs that the owner does not know, because
 // its watch of the job records lags behind them. Until the job's record has been looked
-// up, the running ones continue and the ended ones are not acknowledged. Waiting for a
-// fixed time instead would not be safe, since the store may be unreachable for any length
-// of time.
+// up, the running ones continue, no other task starts beside them, and the ended ones are
+// not acknowledged. Waiting for a fixed time instead would not be safe, since the store
+// may be unreachable for any length of time.
 
 // unknownJob holds what workers reported of a job that this owner does not know.
 type unknownJob struct {
--- a/process/dispatch/unknown_test.go
+++ b/process/dispatch/unknown_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -66,6 +67,45 @@
 	}
 }
 
+// TestStartBesideARunOfUnknownNeed guards against a start in the room that a run of an
+// unknown or absent job takes.
+func TestStartBesideARunOfUnknownNeed(t *testing.T) {
+	running := agent.Running{Task: heatherhub.StepTask{Job: unknownJob}, Run: 8}
+	for _, isAbsent := range []bool{false, true} {
+		t.Run(fmt.Sprintf("absent=%v", isAbsent), func(t *testing.T) {
+			b := newSimulation(t, dispatch.Policy{}, 1)
+			w := b.workers[0]
+			r := agent.Report{Clock: 1, Running: []agent.Running{running}}
+			b.e.Report(b.now, b.now.Steady, w, &r)
+			b.add("waiting", tasks(2, 3000, time.Second))
+			check := func(when string, want int) {
+				t.Helper()
+				b.decide()
+				if got := len(b.started); got != want {
+					t.Errorf("%s: got %d starts, want %d", when, got, want)
+				}
+				if got := len(b.e.LargestFree(b.now, 10)[pool]) > 0; got != (want > 0) {
+					t.Errorf("%s: got room published: %v, want %v", when, got, want > 0)
+				}
+			}
+			check("before the lookup", 0)
+			if !isAbsent {
+				b.add(unknownJob, tasks(1, 6000, time.Minute))
+				check("with the job known", 1)
+				return
+			}
+			b.e.MarkAbsent(b.now, unknownJob, 0)
+			check("after the lookup", 0)
+			b.now.Steady += 100 * time.Millisecond
+			b.e.Report(b.now, b.now.Steady, w, &r)
+			check("while the run is stopped", 0)
+			b.now.Steady += 100 * time.Millisecond
+			b.e.Report(b.now, b.now.Steady, w, &agent.Report{Clock: 1})
+			check("once the run is over", 2)
+		})
+	}
+}
+
 // TestJobOfALaggingWatchIsInherited delivers a job late, long after the previous owner
 // stopped. It may run on a worker that this owner has not reached, so it must wait.
 func TestJobOfALaggingWatchIsInherited(t *testing.T) {
--- a/process/owner/owner_test.go
+++ b/process/owner/owner_test.go
@@ -175,6 +175,27 @@
 	})
 }
 
+// TestNewOwnerOvercommitsUnknownRuns guards against starts of a new owner in the room of
+// runs whose job it has not read, or whose job has no record any more.
+func TestNewOwnerOvercommitsUnknownRuns(t *testing.T) {
+	for name, forget := range map[string]func(*fakeStore, string){
+		"job not read": func(s *fakeStore, key string) { s.hide(key) },
+		"job deleted":  (*fakeStore).removeKey,
+	} {
+		t.Run(name, func(t *testing.T) {
+			testOnSite(t, 1, func(site *simSite) {
+				site.submit("full", newStep(15, 4*time.Second))
+				site.await("full workers", 3*time.Second, func() bool { return site.runningTasks("full") == 15 })
+				site.submit("waiting", newStep(5, time.Second))
+				time.Sleep(time.Second)
+				forget(site.store, record.JobKey("full"))
+				site.store.removeKey(record.OwnerKey(site.jobShard))
+				site.await("the waiting job", 10*time.Second, func() bool { return site.isCompleted("waiting") })
+			})
+		})
+	}
+}
+
 // TestCancelledWorkIsGoneInTime checks that the tasks of a cancelled job end within 3.9 s
 // when the owner dies just before the cancel.
 func TestCancelledWorkIsGoneInTime(t *testing.T) {
