Publish no load before the jobs are read

Cause: a host that stops while it takes a shard over hands it over, and since a hand-over ends with a load, it published one of an engine without jobs, at the same time as the takeover set the revision to replace.

A term now publishes only once it has read the jobs, which is also when the revision is set.

--- a/process/owner/commit.go
+++ b/process/owner/commit.go
@@ -174,12 +174,19 @@
 const publicationsPerSnapshot = 4
 
 // publish writes one load record, deletes expired jobs and, every
-// publicationsPerSnapshot times, writes the learnt interference estimates.
+// publicationsPerSnapshot times, writes the learnt interference estimates. It does nothing
+// before the jobs have been read.
 func (t *term) publish(ctx context.Context) {
 	if !acquire(ctx, t.publishSem) {
 		return
 	}
 	defer release(t.publishSem)
+	t.mu.Lock()
+	hasJobs := t.hasJobs
+	t.mu.Unlock()
+	if !hasJobs {
+		return
+	}
 	value, expired, err := t.encodeLoad()
 	if err != nil {
 		t.log.Error("load not encoded", zap.Error(err))
--- a/process/owner/queue_length_test.go
+++ b/process/owner/queue_length_test.go
@@ -674,3 +674,35 @@
 		})
 	}
 }
+
+// TestHandOverBeforeTheJobsAreReadPublishesNothing guards against a load without jobs, which
+// would replace that of the former owner. The next owner is told to stop as it claims the shard.
+func TestHandOverBeforeTheJobsAreReadPublishesNothing(t *testing.T) {
+	testOnShardedSite(t, 2, func(site *simSite) {
+		site.fillShards()
+		site.submitWaiting(shardOf("d0"), 8)
+		site.await("the count", 5*time.Second, func() bool {
+			l, _ := site.storedLoad(shardOf("d0"))
+			return l.Waiting[testQueue] == 8
+		})
+		site.store.mu.Lock()
+		site.store.beforePut = func(key string) {
+			if key != record.OwnerKey(shardOf("d0")) {
+				return
+			}
+			site.mu.Lock()
+			defer site.mu.Unlock()
+			for _, id := range []heatherhub.HostID{"h1", "h2"} {
+				site.cancelHosts[id]()
+			}
+		}
+		site.store.mu.Unlock()
+		site.kill(site.ownerOf(shardOf("d0")))
+		for start := time.Now(); time.Since(start) < 4*time.Second; time.Sleep(time.Millisecond) {
+			if l, _ := site.storedLoad(shardOf("d0")); l.Waiting[testQueue] != 8 {
+				t.Errorf("got a load of %d waiting jobs, want 8", l.Waiting[testQueue])
+				return
+			}
+		}
+	})
+}
