--- a/process/owner/move_test.go
+++ b/process/owner/move_test.go
@@ -97,6 +97,34 @@
 	})
 }
 
+// TestJobWithAnUnansweredStartLeavesAFullShard orders the start of a job on a worker that
+// does not answer. A long-running task takes the room before the job starts, and then another
+// shard has room.
+func TestJobWithAnUnansweredStartLeavesAFullShard(t *testing.T) {
+	testOnShardedSite(t, 2, func(site *simSite) {
+		site.fillShards(9)
+		o := string(site.ownerOf(shardOf("d0")))
+		site.submitTo(shardOf("d1"), "last1", newLongRunningStep(1))
+		site.submitTo(shardOf("d2"), "last2", newLongRunningStep(1))
+		time.Sleep(time.Second)
+		for i := range 2 {
+			site.setPartitioned(o, fmt.Sprintf("w0-%d", i), true)
+		}
+		site.submitTo(shardOf("d0"), "unanswered", newStep(1, time.Second))
+		time.Sleep(300 * time.Millisecond)
+		for i := range 2 {
+			site.setPartitioned(o, fmt.Sprintf("w0-%d", i), false)
+		}
+		site.submitTo(shardOf("d0"), "last0", newLongRunningStep(1))
+		site.await("the long-running task", 15*time.Second, func() bool { return site.runningTasks("last0") == 1 })
+		if got := site.runningTasks("unanswered"); got != 0 {
+			t.Errorf("got %d tasks of the unanswered job, want 0 while all shards are full", got)
+		}
+		site.freeShard("d1")
+		site.await("the start of the job", 10*time.Second, func() bool { return site.startCount(heatherhub.StepTask{Job: "unanswered"}) == 1 })
+	})
+}
+
 // TestRandomFaultsOfDividedSites injects random faults on a site of three shards, one of which
 // has more long-running tasks than fit there.
 func TestRandomFaultsOfDividedSites(t *testing.T) {
