Let a page of the store arrive on a slow link

A page has about a megabyte before its encoding, which takes more than a second on this link alone, jobs and progress were read at the same time, and each retry began anew. That the link was the limit is worked out, not measured.

A new owner reads progress after jobs. Tests of process/owner and platform pass.

--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -207,9 +207,14 @@
 	var s takeoverState
 	var errs [6]error
 	var g conc.WaitGroup
-	g.Go(func() { s.jobs, errs[0] = t.host.cfg.Store.Range(t.ctx, record.JobPrefix) })
+	// Jobs and progress may be several megabytes. One after the other, neither keeps the
+	// other from arriving in time on a slow link.
+	g.Go(func() {
+		if s.jobs, errs[0] = t.host.cfg.Store.Range(t.ctx, record.JobPrefix); errs[0] == nil {
+			s.progress, errs[2] = t.host.cfg.Store.Range(t.ctx, record.ProgressPrefix)
+		}
+	})
 	g.Go(func() { s.workers, errs[1] = t.host.cfg.Store.Range(t.ctx, t.host.cfg.WorkerPrefix) })
-	g.Go(func() { s.progress, errs[2] = t.host.cfg.Store.Range(t.ctx, record.ProgressPrefix) })
 	g.Go(func() { s.fleet, errs[3] = t.host.cfg.Store.Get(t.ctx, record.FleetKey(t.shard)) })
 	g.Go(func() { s.interference, errs[4] = t.host.cfg.Store.Get(t.ctx, record.InterferenceKey(t.shard)) })
 	g.Go(func() { s.load, errs[5] = t.host.cfg.Store.Get(t.ctx, record.LoadKey(t.shard)) })
