Start the demo's second copy of a task on a worker that lives

It passed alone.

Cause: the test, not the demo.

Ruled out: a result that misses a copy.

Change: the test takes a service task that runs on a live worker and starts it on another live worker. If Start fails, or the first copy has ended by then, it tries the next ones; if none is left, the test fails with that error. A service task does not end by itself, so the two copies overlap.

Strictness: before, any violation passed. A copy that was not started is a failure of its own. No check was dropped.

--- a/process/demo/demo_test.go
+++ b/process/demo/demo_test.go
@@ -2,11 +2,17 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"heatherhub.example/heatherhub"
 	"heatherhub.example/heatherhub/connection/worker"
 	"heatherhub.example/heatherhub/process/demo"
+	"heatherhub.example/heatherhub/process/standin/model"
 )
 
 // shortDay is long enough for every event of the day to happen.
@@ -50,24 +56,55 @@
 	if testing.Short() {
 		t.Skip("runs a day on the real clock")
 	}
-	r := runDay(t, startSecondCopy)
-	if r.IsClean() {
-		t.Errorf("got a day without violations, want the second copy of a task reported: %+v", r)
+	var copied heatherhub.TaskID
+	r := runDay(t, func(_ context.Context, c *demo.Cluster) {
+		var err error
+		if copied, err = startSecondCopy(c); err != nil {
+			t.Errorf("cannot start a second copy of a task: %v", err)
+		}
+	})
+	if r.IsClean() || r.Duplicates == 0 {
+		t.Errorf("got a day without duplicates, want the second copy of task %s reported: %+v", copied, r)
+	}
+	want := fmt.Sprintf("Task:%s ", copied)
+	if !slices.ContainsFunc(r.Findings, func(f string) bool {
+		return strings.HasPrefix(f, "task ran on two workers at once") && strings.Contains(f, want)
+	}) {
+		t.Errorf("got findings %q, want one of task %s on two workers", r.Findings, copied)
 	}
 }
 
-// startSecondCopy starts a running task of one worker on another worker too, without
-// the scheduler. The one that runs the task already ignores the start.
-func startSecondCopy(_ context.Context, c *demo.Cluster) {
-	now := time.Now()
-	a, b := c.Platform().Worker("gent-w000"), c.Platform().Worker("gent-w001")
-	for _, s := range append(a.Tasks(now), b.Tasks(now)...) {
-		if s.State != worker.TaskRunning {
-			continue
+// startSecondCopy starts a running service task of one live worker on another live worker
+// too, without the scheduler, and returns the task. The day may kill a worker at any time,
+// so it makes sure that both copies have run at once.
+func startSecondCopy(c *demo.Cluster) (heatherhub.TaskID, error) {
+	var live []*model.Worker
+	for _, h := range c.Platform().Histories() {
+		if w := c.Platform().Worker(h.Worker); !w.IsDead() {
+			live = append(live, w)
+		}
+	}
+	err := errors.New("no service task runs on a live worker")
+	for i, from := range live {
+		to := live[(i+1)%len(live)]
+		for _, s := range runningServices(from) {
+			now := time.Now()
+			copied := worker.StartCommand{Task: s.Task, Epoch: s.Epoch, LeaseUntil: now.Add(worker.TaskLease)}
+			if startErr := to.Start(now, copied); startErr != nil {
+				err = startErr
+				break
+			}
+			if slices.ContainsFunc(runningServices(from), func(o worker.TaskStatus) bool { return o.Task.ID == s.Task.ID }) {
+				return s.Task.ID, nil
+			}
 		}
-		copied := worker.StartCommand{Task: s.Task, Epoch: s.Epoch, LeaseUntil: now.Add(worker.TaskLease)}
-		_ = a.Start(now, copied)
-		_ = b.Start(now, copied)
-		return
 	}
+	return "", err
+}
+
+// runningServices returns the service tasks that run on a worker.
+func runningServices(w *model.Worker) []worker.TaskStatus {
+	return slices.DeleteFunc(w.Tasks(time.Now()), func(s worker.TaskStatus) bool {
+		return s.State != worker.TaskRunning || s.Task.Kind != heatherhub.KindService
+	})
 }
