Keep a full pool from holding up the work of another

No caller's report led to this; the fault was met while reading why moved work doesn't start. With two pools in a shard, a step that finds no worker in its pool kept all later steps with equal or larger needs waiting, in every pool, for as long as it waited, as a shape that can't be placed did not say which pool it was tried in.

TestFullPoolDoesNotHoldUpAnother failed before ("got no start in the pool with room") and passes now. The shape names its pool, as isEligible does; the order and the choice of a worker are unchanged, and so is a shard with one pool. go test ./process/dispatch passes.

--- a/process/dispatch/dispatch_test.go
+++ b/process/dispatch/dispatch_test.go
@@ -461,3 +461,19 @@
 		w.e.Decide(w.now)
 	}
 }
+
+// TestFullPoolDoesNotHoldUpAnother guards against a shape that found no worker in one pool
+// and kept equal steps of another pool waiting, which had room.
+func TestFullPoolDoesNotHoldUpAnother(t *testing.T) {
+	b := newFullWorker(t)
+	b.e.SetPolicies(map[heatherhub.QueueID]dispatch.Policy{queue: {Pool: pool, Stretch: 2}, "other": {Pool: "gpu", Stretch: 2}})
+	b.e.WorkerUp(b.now, agent.Worker{ID: "other", Pool: "gpu", Capacity: heatherhub.Resources{CPU: 10_000, Memory: 10_000}}, &agent.Report{Clock: 1})
+	b.add("first", tasks(1, 1000, time.Second))
+	flow := &heatherhub.Workflow{ID: "second", Queue: "other", Steps: []heatherhub.Step{tasks(2, 1000, time.Second)}, Accepted: b.now.Wall}
+	b.workflows["second"] = flow
+	b.e.AddJob(b.now, dispatch.JobRecord{Workflow: flow, RecordRevision: 1})
+	b.decide()
+	if _, ok := b.placed[heatherhub.StepTask{Job: "second"}]; !ok {
+		t.Error("got no start in the pool with room")
+	}
+}
--- a/process/dispatch/order.go
+++ b/process/dispatch/order.go
@@ -183,6 +183,7 @@
 
 // shape is the set of requirements that decides whether a task of a step can be placed.
 type shape struct {
+	pool     heatherhub.PoolID
 	need     heatherhub.Resources
 	isFiller bool
 	// image is set for fillers only, whose placement depends on the images they
@@ -195,7 +196,7 @@
 
 func shapeOf(s *stepRun) shape {
 	sh := shape{
-		need: s.spec.Need, isFiller: s.spec.Filler,
+		pool: s.occ.job.policy.Pool, need: s.spec.Need, isFiller: s.spec.Filler,
 		isUnconstrained: s.spec.RequiredLabel == "" && s.spec.MaxPerWorker == 0 && !s.spec.Gang,
 	}
 	if s.spec.Filler {
@@ -206,7 +207,7 @@
 
 // covers reports whether o cannot be placed if f cannot.
 func (f shape) covers(o shape) bool {
-	return f.isFiller == o.isFiller && f.image == o.image && f.need.Fits(o.need)
+	return f.pool == o.pool && f.isFiller == o.isFiller && f.image == o.image && f.need.Fits(o.need)
 }
 
 // startTasks starts the pending tasks of a step. It reports false if a task that may
