Move fillers only to a shard that would start them

Cause: a shard was said to have room for a job if a worker has free what a task reserves. A filler reserves no processors, so each shard had room. The engine of that shard starts it by other criteria: spare processors, and a worker on which it does not interfere with serving tasks. The job waited there as before, and after a second it moved on to the shard with the lowest pressure.

Ruled out: spare processors alone as the criterion.

Load records now also have the spare processors (LargestSpare) and the fillers that no worker takes (RefusedFillers). The owner of the waiting job moves it only where the other engine would place it. A shard that reserves at most 60% starts each filler as a starved one, so there the reserved resources still decide. Reserving work and single tasks move as before. A record without the new fields, of an owner of an older build, draws no fillers.

--- a/process/dispatch/move.go
+++ b/process/dispatch/move.go
@@ -22,10 +22,14 @@
 	// Tasks has the indexes of the tasks to move, counted over all steps; nil means the
 	// whole job.
 	Tasks []int
-	// Need is what one task reserves on a worker of Pool.
-	Need   heatherhub.Resources
-	Pool   heatherhub.PoolID
-	Waited time.Duration
+	// Need is what one task needs on a worker of Pool, and Reserved what it reserves.
+	// They differ for fillers.
+	Need, Reserved heatherhub.Resources
+	Pool           heatherhub.PoolID
+	// Image is set for fillers only.
+	IsFiller bool
+	Image    string
+	Waited   time.Duration
 }
 
 // MovableWork returns up to limit moves of work that has waited for at least MoveAfter,
@@ -37,7 +41,11 @@
 		if waited < e.cfg.MoveAfter || !e.isMovable(now, s) {
 			continue
 		}
-		m := Move{Job: s.occ.job.workflow.ID, Need: s.need, Pool: s.occ.job.policy.Pool, Waited: waited}
+		sh := shapeOf(s)
+		m := Move{
+			Job: s.occ.job.workflow.ID, Need: sh.need, Reserved: s.need, Pool: sh.pool,
+			IsFiller: sh.isFiller, Image: sh.image, Waited: waited,
+		}
 		if s.occ.job.workflow.CanSplit() {
 			for _, t := range s.pending {
 				if !t.isMoving && t.notBefore <= now.Steady {
--- a/process/dispatch/move_test.go
+++ b/process/dispatch/move_test.go
@@ -146,3 +146,43 @@
 		t.Errorf("got moves %+v, want one of %s", moves, pool)
 	}
 }
+
+// TestRefusedFillerIsRemembered checks that a filler which would interfere on each worker is
+// reported as refused, also after its job has moved away, until a worker would take it.
+func TestRefusedFillerIsRemembered(t *testing.T) {
+	b := newSimulation(t, dispatch.Policy{}, 2)
+	tail := 17.0
+	b.tail = func(string, []string) float64 { return tail }
+	serving := tasks(2, 8000, time.Second)
+	serving.LongRunning, serving.Image, serving.LatencyTarget = true, "weak", 18*time.Millisecond
+	b.add("serving", serving)
+	b.decide()
+	b.advance(5 * time.Second)
+	filler := tasks(3, 3000, time.Second)
+	filler.Filler, filler.Image = true, "heavy"
+	b.add("fill", filler)
+	b.decide()
+	if spare := b.e.LargestSpare(b.now, 1)[pool]; len(spare) != 1 || spare[0].CPU < 3000 {
+		t.Fatalf("got spare processors %v, want at least 3000, so that only interference counts", spare)
+	}
+	want := []dispatch.RefusedFiller{{Pool: pool, Image: "heavy", Need: filler.Need}}
+	if got := b.e.RefusedFillers(b.now); !slices.Equal(got, want) {
+		t.Errorf("got refused fillers %v, want %v", got, want)
+	}
+	b.advance(2 * time.Second)
+	moves := b.e.MovableWork(b.now, 1)
+	if len(moves) != 1 || !moves[0].IsFiller || moves[0].Need != filler.Need || moves[0].Reserved.CPU != 0 {
+		t.Fatalf("got moves %+v, want one of a filler that reserves no processors", moves)
+	}
+	flow, _, _ := b.e.PrepareMove(moves[0], otherShard)
+	b.e.AddJob(b.now, dispatch.JobRecord{Workflow: flow, RecordRevision: 2})
+	b.advance(time.Second)
+	if got := b.e.RefusedFillers(b.now); !slices.Equal(got, want) {
+		t.Errorf("got refused fillers %v after the job moved away, want %v", got, want)
+	}
+	tail = 4
+	b.advance(20 * time.Second)
+	if got := b.e.RefusedFillers(b.now); len(got) != 0 {
+		t.Errorf("got refused fillers %v on workers that would take them, want none", got)
+	}
+}
--- a/process/dispatch/order.go
+++ b/process/dispatch/order.go
@@ -105,14 +105,13 @@
 
 // startReady starts waiting tasks in order as far as they fit.
 func (e *Engine) startReady(now Moment) {
-	// unplaced has the requirements that could not be placed, so that equal or larger
-	// ones are skipped.
-	var unplaced []shape
+	// Requirements equal to or larger than unplaced ones are skipped.
+	e.unplaced = e.unplaced[:0]
 	waiting := e.candidates(now)
 	for _, c := range waiting {
 		s := c.step
 		sh := shapeOf(s)
-		if slices.ContainsFunc(unplaced, func(u shape) bool { return u.covers(sh) }) {
+		if slices.ContainsFunc(e.unplaced, func(u shape) bool { return u.covers(sh) }) {
 			continue
 		}
 		isPlaced := false
@@ -122,9 +121,10 @@
 			isPlaced = e.startTasks(now, s)
 		}
 		if !isPlaced && sh.isUnconstrained {
-			unplaced = append(unplaced, sh)
+			e.unplaced = append(e.unplaced, sh)
 		}
 	}
+	e.rememberRefused()
 	e.startStarved(now, waiting)
 }
 
@@ -136,7 +136,7 @@
 	if len(waiting) == 0 {
 		return
 	}
-	if l := e.Load(); float64(l.Reserved) > starvationLoadLimit*float64(l.Capacity) {
+	if l := e.Load(); float64(l.Reserved) > StarvationLoadLimit*float64(l.Capacity) {
 		return
 	}
 	for _, c := range waiting {
@@ -160,9 +160,9 @@
 	return s.spec.Filler && len(s.pending) > 0 && s.occ.job.openAttempts == 0 && now.Steady-s.readySince >= e.cfg.StarvedAfter
 }
 
-// starvationLoadLimit is the fraction of reserved processors up to which every filler
+// StarvationLoadLimit is the fraction of reserved processors up to which every filler
 // job gets a running task.
-const starvationLoadLimit = 0.6
+const StarvationLoadLimit = 0.6
 
 // leastInterference returns the worker that accepts a filler and whose serving tasks it is
 // expected to slow down least. The free processors of the worker are not considered.
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -27,11 +27,16 @@
 	return best
 }
 
+// acceptsTasks reports whether a worker accepts tasks at present.
+func (e *Engine) acceptsTasks(now Moment, n *node) bool {
+	return !n.isUnresponsive && !n.worker.Draining && n.backoffUntil <= now.Steady && !n.health.isQuarantined(now.Steady)
+}
+
 // acceptsStep reports whether a worker accepts tasks of a step. It does not check the
 // spare processors that a filler needs.
 func (e *Engine) acceptsStep(now Moment, n *node, s *stepRun) bool {
 	switch {
-	case n.isUnresponsive, n.worker.Draining, n.backoffUntil > now.Steady, n.health.isQuarantined(now.Steady):
+	case !e.acceptsTasks(now, n):
 		return false
 	case n.worker.Pool != s.occ.job.policy.Pool, !s.need.Fits(n.free()):
 		return false
@@ -85,7 +90,7 @@
 	v, ok := 0.0, true
 	switch {
 	case s.spec.Filler:
-		v, ok = e.scoreFiller(n, s)
+		v, ok = e.scoreFiller(n, s.spec.Image, s.spec.Need.CPU)
 	case s.spec.LatencyTarget > 0:
 		v = e.scoreServing(n, s)
 	default:
@@ -114,11 +119,11 @@
 
 // scoreFiller prefers workers with spare processors on which the filler slows down no
 // serving task.
-func (e *Engine) scoreFiller(n *node, s *stepRun) (float64, bool) {
+func (e *Engine) scoreFiller(n *node, image string, cpu heatherhub.MilliCPU) (float64, bool) {
 	if n.servingTasks == 0 {
 		return n.spareShare() - emptyWeight, true
 	}
-	rise := e.logTailRise(n, s.spec.Image, n.shareOf(s.spec.Need.CPU))
+	rise := e.logTailRise(n, image, n.shareOf(cpu))
 	if rise > noticeableRise {
 		if n.throttle.isMissed() || e.logTailRatio(n)+rise > maxLogTailRatio {
 			return 0, false
--- a/process/owner/move.go
+++ b/process/owner/move.go
@@ -81,7 +81,7 @@
 	m := movePlanner{own: t.shard, owners: t.host.View().Owners, loads: loads}
 	t.recentMoves = slices.DeleteFunc(t.recentMoves, func(r recentMove) bool { return t.now().Steady-r.at > recentMoveTTL })
 	for _, r := range t.recentMoves {
-		m.reserve(r.to, r.pool, r.need, r.tasks)
+		m.reserve(r.to, r.move)
 	}
 	for _, move := range moves {
 		for {
@@ -89,7 +89,7 @@
 			if !ok {
 				break
 			}
-			t.recentMoves = append(t.recentMoves, recentMove{to: to, pool: part.Pool, need: part.Need, tasks: max(len(part.Tasks), 1), at: t.now().Steady})
+			t.recentMoves = append(t.recentMoves, recentMove{to: to, move: part, at: t.now().Steady})
 			t.writeMove(part, to)
 			if len(part.Tasks) == len(move.Tasks) {
 				break
@@ -102,10 +102,8 @@
 // recentMove is work that was moved recently. The load record of its new shard may not
 // include it yet.
 type recentMove struct {
-	to    heatherhub.ShardID
-	pool  heatherhub.PoolID
-	need  heatherhub.Resources
-	tasks int
+	to   heatherhub.ShardID
+	move dispatch.Move
 	// at is the steady time of the move.
 	at time.Duration
 }
@@ -120,10 +118,11 @@
 	loads  map[heatherhub.ShardID]record.Load
 }
 
-// reserve reserves capacity for up to n tasks in a shard and returns how many fit.
-func (m *movePlanner) reserve(id heatherhub.ShardID, pool heatherhub.PoolID, need heatherhub.Resources, n int) int {
+// reserve reserves capacity for the tasks of a move in a shard and returns how many fit. A
+// whole job counts as one task.
+func (m *movePlanner) reserve(id heatherhub.ShardID, move dispatch.Move) int {
 	l := m.loads[id]
-	reserved := reserveFree(&l, pool, need, n)
+	reserved := reserveFree(&l, move)
 	m.loads[id] = l
 	return reserved
 }
@@ -145,42 +144,59 @@
 	if math.IsInf(bestPressure, 1) {
 		return best, move, false
 	}
-	n := m.reserve(best, move.Pool, move.Need, max(len(move.Tasks), 1))
+	n := m.reserve(best, move)
 	if move.Tasks != nil {
 		move.Tasks = move.Tasks[:n]
 	}
 	return best, move, true
 }
 
-// hasCapacityFor reports whether a shard with load l can take at least one task of a move.
+// hasCapacityFor reports whether a shard with load l can start at least one task of a move.
 // A whole job moves only to a shard whose pressure is lower by minPressureGain.
 func (m *movePlanner) hasCapacityFor(move dispatch.Move, l record.Load) bool {
-	fits := slices.ContainsFunc(l.LargestFree[move.Pool], move.Need.Fits)
-	if move.Tasks != nil {
-		return fits
+	if !canStart(move, l) {
+		return false
 	}
 	own := m.loads[m.own]
-	return fits && l.Pressure() < own.Pressure()-minPressureGain
+	return move.Tasks != nil || l.Pressure() < own.Pressure()-minPressureGain
 }
 
-// reserveFree reserves the free capacity of single workers in l for up to n tasks and
-// returns how many fit. It copies l.LargestFree before it changes it.
-func reserveFree(l *record.Load, pool heatherhub.PoolID, need heatherhub.Resources, n int) int {
-	free := slices.Clone(l.LargestFree[pool])
-	l.LargestFree = maps.Clone(l.LargestFree)
-	if l.LargestFree == nil {
+// canStart reports whether the owner of a shard with load l would start a task of a move, by
+// the criteria of its engine. A filler also needs spare processors and a worker on which it
+// does not interfere, unless it would start there as a starved one.
+func canStart(move dispatch.Move, l record.Load) bool {
+	if !move.IsFiller || l.ReservedShare() <= dispatch.StarvationLoadLimit {
+		return slices.ContainsFunc(l.LargestFree[move.Pool], move.Reserved.Fits)
+	}
+	isRefused := slices.ContainsFunc(l.RefusedFillers, func(f record.RefusedFiller) bool {
+		return f.Pool == move.Pool && f.Image == move.Image && f.Need.Fits(move.Need)
+	})
+	return !isRefused && slices.ContainsFunc(l.LargestSpare[move.Pool], move.Need.Fits)
+}
+
+// reserveFree reserves the free capacity of single workers in l for the tasks of a move and
+// returns how many fit. It copies the list that it changes.
+func reserveFree(l *record.Load, move dispatch.Move) int {
+	free, need := &l.LargestFree, move.Reserved
+	if move.IsFiller && l.ReservedShare() > dispatch.StarvationLoadLimit {
+		free, need = &l.LargestSpare, move.Need
+	}
+	if *free == nil {
 		return 0
 	}
-	l.LargestFree[pool] = free
-	for k := range n {
-		at := slices.IndexFunc(free, need.Fits)
+	workers := slices.Clone((*free)[move.Pool])
+	*free = maps.Clone(*free)
+	(*free)[move.Pool] = workers
+	count := max(len(move.Tasks), 1)
+	for k := range count {
+		at := slices.IndexFunc(workers, need.Fits)
 		if at < 0 {
 			return k
 		}
-		free[at] = free[at].Sub(need)
-		l.Reserved += need.CPU
+		workers[at] = workers[at].Sub(need)
+		l.Reserved += move.Reserved.CPU
 	}
-	return n
+	return count
 }
 
 // writeMove writes a job record that assigns waiting work to another shard. The engine
--- a/process/owner/move_test.go
+++ b/process/owner/move_test.go
@@ -71,6 +71,96 @@
 	})
 }
 
+// fillShards submits work that reserves all processors of the shards of some domains for good.
+// Fillers may use what the serving tasks leave unused: less than half of each worker.
+func (site *simSite) fillShards(workersPerShard int, domains ...heatherhub.FailureDomain) {
+	serving := newLongRunningStep(workersPerShard)
+	serving.Need.CPU, serving.LatencyTarget, serving.Image = 10_000, time.Second, "serving"
+	for _, domain := range domains {
+		site.jobShard.Domain = domain
+		id := heatherhub.JobID("serving-" + string(site.jobShard.Domain))
+		site.submit(id, serving)
+		site.await("a full shard", 3*time.Second, func() bool { return site.runningTasks(id) == workersPerShard })
+	}
+	site.jobShard.Domain = "d0"
+}
+
+// newFillerStep returns a step of n filler tasks that use cpu processors each for 2 s.
+func newFillerStep(n int, cpu heatherhub.MilliCPU) heatherhub.Step {
+	s := newStep(n, 2*time.Second)
+	s.Filler, s.Image, s.Need.CPU = true, "filler", cpu
+	return s
+}
+
+// moveCount counts the writes of a job's record after the first.
+func (site *simSite) moveCount(id heatherhub.JobID) int {
+	site.store.mu.Lock()
+	defer site.store.mu.Unlock()
+	n := -1
+	for _, e := range site.store.history {
+		if e.Item.Key == record.JobKey(id) && !e.Deleted {
+			n++
+		}
+	}
+	return n
+}
+
+// TestFillersStayWithoutSpareProcessors guards against moves to shards in which no worker has
+// the spare processors that a filler needs: the jobs went round all shards and never ran.
+func TestFillersStayWithoutSpareProcessors(t *testing.T) {
+	for _, jobs := range []int{1, 4} {
+		t.Run(fmt.Sprintf("jobs=%d", jobs), func(t *testing.T) { testMovesOfFillers(t, jobs, 5000, 0) })
+	}
+}
+
+// TestFillersStayWhereTheyInterfere guards against moves to shards in which a filler would
+// interfere on every worker. An owner finds that out with the first job of an image, so a
+// job may be tried once in each of the two other shards.
+func TestFillersStayWhereTheyInterfere(t *testing.T) {
+	for _, jobs := range []int{1, 4} {
+		t.Run(fmt.Sprintf("jobs=%d", jobs), func(t *testing.T) { testMovesOfFillers(t, jobs, 3000, 2) })
+	}
+}
+
+// TestFillersLeaveAFullShard submits fillers to a shard that cannot start them. Another shard
+// has workers without serving tasks, so each job moves there at once.
+func TestFillersLeaveAFullShard(t *testing.T) {
+	testOnShardedSite(t, 2, func(site *simSite) {
+		site.fillShards(2, "d0", "d1")
+		for i := range 2 {
+			id := heatherhub.JobID(fmt.Sprintf("filler%d", i))
+			site.submit(id, newFillerStep(10, 3000))
+			took := site.await(string(id), 6*time.Second, func() bool { return site.startCount(heatherhub.StepTask{Job: id}) > 0 })
+			t.Logf("%s started after %s", id, took)
+			if got, limit := site.moveCount(id), 2; got > limit {
+				t.Errorf("got %d moves of %s, want at most %d", got, id, limit)
+			}
+		}
+	})
+}
+
+// testMovesOfFillers submits filler jobs that no shard can start and expects each to move at
+// most limit times.
+func testMovesOfFillers(t *testing.T, jobs int, cpu heatherhub.MilliCPU, limit int) {
+	testOnShardedSite(t, 2, func(site *simSite) {
+		site.fillShards(2, "d0", "d1", "d2")
+		before := site.totalStarts()
+		for i := range jobs {
+			site.submit(heatherhub.JobID(fmt.Sprintf("filler%d", i)), newFillerStep(10, cpu))
+		}
+		time.Sleep(30 * time.Second)
+		if got := site.totalStarts() - before; got != 0 {
+			t.Errorf("got %d starts, want none", got)
+		}
+		for i := range jobs {
+			id := heatherhub.JobID(fmt.Sprintf("filler%d", i))
+			if got := site.moveCount(id); got > limit {
+				t.Errorf("got %d moves of %s, want at most %d, as no shard can start it", got, id, limit)
+			}
+		}
+	})
+}
+
 // TestCancelMeetsAMove cancels a job just before the write that moves it to another shard.
 // The other shard ignores the cancel of a job that it does not know yet, so the move has
 // to fail, or it would run the job.
--- a/process/record/load.go
+++ b/process/record/load.go
@@ -18,7 +18,20 @@
 	// LargestFree has, by pool, the free resources of the workers with the most free
 	// processors, the largest first.
 	LargestFree map[heatherhub.PoolID][]heatherhub.Resources `msgpack:"o,omitempty" json:"holes,omitempty"`
-	At          time.Time                                    `msgpack:"at" json:"at"`
+	// LargestSpare is LargestFree for fillers, which may also use processors that serving
+	// tasks reserve and leave idle.
+	LargestSpare map[heatherhub.PoolID][]heatherhub.Resources `msgpack:"i,omitempty" json:"spare,omitempty"`
+	// RefusedFillers are fillers that no worker takes.
+	RefusedFillers []RefusedFiller `msgpack:"n,omitempty" json:"refusedFillers,omitempty"`
+	At             time.Time       `msgpack:"at" json:"at"`
+}
+
+// RefusedFiller is a filler that no worker of a shard takes. Nor do they take fillers of the
+// same image that need more.
+type RefusedFiller struct {
+	Pool  heatherhub.PoolID    `msgpack:"p" json:"pool"`
+	Image string               `msgpack:"i" json:"image"`
+	Need  heatherhub.Resources `msgpack:"n" json:"need"`
 }
 
 // MaxLargestFree is the maximum number of workers per pool in Load.LargestFree. A load is
