Consider all waiting work in a round of moves

A round considered the 8 steps that had waited longest. Since fillers stay where no other shard would start them, these are often steps that can't move, and a lasting task behind them would wait beside a shard with room (the rule of three seconds).

The limit now counts what a round writes, as its comment said, and all waiting work is considered. MovableWork has no limit any more.

The calls in move_test.go lost the argument; what they check is unchanged.

--- a/process/dispatch/move.go
+++ b/process/dispatch/move.go
@@ -32,9 +32,9 @@
 	Waited   time.Duration
 }
 
-// MovableWork returns up to limit moves of work that has waited for at least MoveAfter,
-// the longest waiting first.
-func (e *Engine) MovableWork(now Moment, limit int) []Move {
+// MovableWork returns the work that has waited for at least MoveAfter, the longest waiting
+// first.
+func (e *Engine) MovableWork(now Moment) []Move {
 	var out []Move
 	for _, s := range e.ready {
 		waited := now.Steady - s.readySince
@@ -59,7 +59,7 @@
 		out = append(out, m)
 	}
 	slices.SortStableFunc(out, func(a, b Move) int { return cmp.Compare(b.Waited, a.Waited) })
-	return out[:min(limit, len(out))]
+	return out
 }
 
 func (e *Engine) isMovable(now Moment, s *stepRun) bool {
--- a/process/dispatch/move_test.go
+++ b/process/dispatch/move_test.go
@@ -29,7 +29,7 @@
 // moved do not start until the job's record says which shard runs them.
 func TestOnlyWaitingTasksMove(t *testing.T) {
 	b := newFullWorker(t)
-	moves := b.e.MovableWork(b.now, 10)
+	moves := b.e.MovableWork(b.now)
 	if len(moves) != 1 || !slices.Equal(moves[0].Tasks, []int{4, 5}) {
 		t.Fatalf("got moves %+v, want one of the tasks 4 and 5", moves)
 	}
@@ -108,7 +108,7 @@
 	b := newFullWorker(t)
 	b.add("short", tasks(2, 1000, time.Second), tasks(1, 1000, time.Second))
 	b.advance(2 * time.Second)
-	moves := b.e.MovableWork(b.now, 10)
+	moves := b.e.MovableWork(b.now)
 	at := slices.IndexFunc(moves, func(m dispatch.Move) bool { return m.Job == "short" })
 	if at < 0 || moves[at].Tasks != nil {
 		t.Fatalf("got moves %+v, want one of the whole job", moves)
@@ -142,7 +142,7 @@
 	if len(free[pool]) != 1 || free[pool][0].CPU != 0 || len(free["gpu"]) != 1 || free["gpu"][0].CPU != 9000 {
 		t.Errorf("got free capacity %v, want none in %s and 9000 in gpu", free, pool)
 	}
-	if moves := b.e.MovableWork(b.now, 4); len(moves) != 1 || moves[0].Pool != pool {
+	if moves := b.e.MovableWork(b.now); len(moves) != 1 || moves[0].Pool != pool {
 		t.Errorf("got moves %+v, want one of %s", moves, pool)
 	}
 }
@@ -170,7 +170,7 @@
 		t.Errorf("got refused fillers %v, want %v", got, want)
 	}
 	b.advance(2 * time.Second)
-	moves := b.e.MovableWork(b.now, 1)
+	moves := b.e.MovableWork(b.now)
 	if len(moves) != 1 || !moves[0].IsFiller || moves[0].Need != filler.Need || moves[0].Reserved.CPU != 0 {
 		t.Fatalf("got moves %+v, want one of a filler that reserves no processors", moves)
 	}
--- a/process/owner/move.go
+++ b/process/owner/move.go
@@ -38,7 +38,7 @@
 			continue
 		}
 		t.mu.Lock()
-		moves := t.engine.MovableWork(t.now(), maxMovesPerRound)
+		moves := t.engine.MovableWork(t.now())
 		t.mu.Unlock()
 		if len(moves) == 0 {
 			continue
@@ -83,12 +83,14 @@
 	for _, r := range t.recentMoves {
 		m.reserve(r.to, r.move)
 	}
+	written := 0
 	for _, move := range moves {
-		for {
+		for written < maxMovesPerRound {
 			to, part, ok := m.chooseTarget(move)
 			if !ok {
 				break
 			}
+			written++
 			t.recentMoves = append(t.recentMoves, recentMove{to: to, move: part, at: t.now().Steady})
 			t.writeMove(part, to)
 			if len(part.Tasks) == len(move.Tasks) {
--- a/process/owner/move_test.go
+++ b/process/owner/move_test.go
@@ -71,11 +71,11 @@
 	})
 }
 
-// fillShards submits work that reserves all processors of the shards of some domains for good.
-// Fillers may use what the serving tasks leave unused: less than half of each worker.
-func (site *simSite) fillShards(workersPerShard int, domains ...heatherhub.FailureDomain) {
+// fillShards submits serving work that reserves cpu processors of each worker in the shards
+// of some domains for good. Fillers may use what it leaves unused: less than half.
+func (site *simSite) fillShards(workersPerShard int, cpu heatherhub.MilliCPU, domains ...heatherhub.FailureDomain) {
 	serving := newLongRunningStep(workersPerShard)
-	serving.Need.CPU, serving.LatencyTarget, serving.Image = 10_000, time.Second, "serving"
+	serving.Need.CPU, serving.LatencyTarget, serving.Image, serving.MaxPerWorker = cpu, time.Second, "serving", 1
 	for _, domain := range domains {
 		site.jobShard.Domain = domain
 		id := heatherhub.JobID("serving-" + string(site.jobShard.Domain))
@@ -126,7 +126,7 @@
 // has workers without serving tasks, so each job moves there at once.
 func TestFillersLeaveAFullShard(t *testing.T) {
 	testOnShardedSite(t, 2, func(site *simSite) {
-		site.fillShards(2, "d0", "d1")
+		site.fillShards(2, 10_000, "d0", "d1")
 		for i := range 2 {
 			id := heatherhub.JobID(fmt.Sprintf("filler%d", i))
 			site.submit(id, newFillerStep(10, 3000))
@@ -139,11 +139,27 @@
 	})
 }
 
+// TestWorkThatCannotMoveHoldsUpNone guards against a round of moves that considered only the
+// work that had waited longest: fillers that no shard could start kept a lasting task from
+// moving to a shard with room for it.
+func TestWorkThatCannotMoveHoldsUpNone(t *testing.T) {
+	testOnShardedSite(t, 2, func(site *simSite) {
+		site.fillShards(2, 10_000, "d0", "d1")
+		site.fillShards(2, 7_000, "d2")
+		for i := range 12 {
+			site.submit(heatherhub.JobID(fmt.Sprintf("filler%d", i)), newFillerStep(2, 8000))
+		}
+		time.Sleep(5 * time.Second)
+		site.submit("lasting", newLongRunningStep(2))
+		site.await("the lasting tasks", 3*time.Second, func() bool { return site.runningTasks("lasting") == 2 })
+	})
+}
+
 // testMovesOfFillers submits filler jobs that no shard can start and expects each to move at
 // most limit times.
 func testMovesOfFillers(t *testing.T, jobs int, cpu heatherhub.MilliCPU, limit int) {
 	testOnShardedSite(t, 2, func(site *simSite) {
-		site.fillShards(2, "d0", "d1", "d2")
+		site.fillShards(2, 10_000, "d0", "d1", "d2")
 		before := site.totalStarts()
 		for i := range jobs {
 			site.submit(heatherhub.JobID(fmt.Sprintf("filler%d", i)), newFillerStep(10, cpu))
