Leave overfull workers out of load records

Cause: after a cut the shard had 4 workers, one with less than no spare processors, as reserving work had joined its fillers. The load record named it, and the decoding of resources rejects negative ones, so for 0.9 s no host could read the record (62 lines "load unreadable", "resources -900m cpu ... are negative"), and a missing part counts as 0.

Workers that hold more than their capacity are no room for anything and are left out of both lists. TestOverfullWorkersHaveNoRoom failed before with -6000m spare and, after the capacity shrank, -3000m free, and passes now. That a missing part counts as 0 is not changed here.

go test -race ./process/dispatch ./process/owner, and go test ./process/owner -run Random -args -owner-episodes 300 -owner-seed 7000: passed.

--- a/process/dispatch/load.go
+++ b/process/dispatch/load.go
@@ -56,11 +56,12 @@
 }
 
 // largest returns, by pool, the resources of up to limit workers that resourcesOf reports,
-// those with the most processors first.
+// those with the most processors first. Workers that hold more than their capacity have no
+// room and are left out.
 func (e *Engine) largest(limit int, resourcesOf func(*node) (heatherhub.Resources, bool)) map[heatherhub.PoolID][]heatherhub.Resources {
 	out := make(map[heatherhub.PoolID][]heatherhub.Resources)
 	for _, n := range e.sortedNodes {
-		if r, ok := resourcesOf(n); ok {
+		if r, ok := resourcesOf(n); ok && r.Check() == nil {
 			out[n.worker.Pool] = append(out[n.worker.Pool], r)
 		}
 	}
--- a/process/dispatch/move_test.go
+++ b/process/dispatch/move_test.go
@@ -147,6 +147,40 @@
 	}
 }
 
+// TestOverfullWorkersHaveNoRoom guards against negative resources in load records, which the
+// readers reject whole, so the shard counted for nothing. A worker has less than no spare
+// processors once reserving work has joined its fillers, and less than no free ones once its
+// capacity has shrunk.
+func TestOverfullWorkersHaveNoRoom(t *testing.T) {
+	b := newSimulation(t, dispatch.Policy{}, 1)
+	filler := tasks(1, 8000, time.Minute)
+	filler.Filler, filler.Image = true, "heavy"
+	b.add("fill", filler)
+	b.decide()
+	b.add("reserving", tasks(1, 8000, time.Minute))
+	b.decide()
+	if len(b.started) != 2 {
+		t.Fatalf("got %d starts, want 2", len(b.started))
+	}
+	check := func(when string) {
+		for kind, byPool := range map[string]map[heatherhub.PoolID][]heatherhub.Resources{"free": b.e.LargestFree(b.now, 4), "spare": b.e.LargestSpare(b.now, 4)} {
+			for _, r := range byPool[pool] {
+				if err := r.Check(); err != nil {
+					t.Errorf("%s: got %s resources %s, want none below zero", when, kind, r)
+				}
+			}
+		}
+		if room := b.e.FillerRoom(b.now)[pool][""]; room != 0 {
+			t.Errorf("%s: got room for a filler of %d, want none", when, room)
+		}
+	}
+	check("reserving work beside a filler")
+	w := b.worker(0)
+	w.Capacity.CPU = 5000
+	b.e.UpdateWorker(w)
+	check("a smaller worker")
+}
+
 // TestFillerRoomTellsWhatStarts checks that the processors published as room for a filler image
 // are those up to which the engine starts a task of it: where a serving task comes close to
 // its target, where only spare processors limit, and for an image that was learnt.
