--- a/process/dispatch/move_test.go
+++ b/process/dispatch/move_test.go
@@ -29,7 +29,7 @@
 // moved do not start until the job's record says which shard runs them.
 func TestOnlyWaitingTasksMove(t *testing.T) {
 	b := newFullWorker(t)
-	moves := b.e.MovableWork(b.now, 10)
+	moves := b.e.MovableWork(b.now)
 	if len(moves) != 1 || !slices.Equal(moves[0].Tasks, []int{4, 5}) {
 		t.Fatalf("got moves %+v, want one of the tasks 4 and 5", moves)
 	}
@@ -108,7 +108,7 @@
 	b := newFullWorker(t)
 	b.add("short", tasks(2, 1000, time.Second), tasks(1, 1000, time.Second))
 	b.advance(2 * time.Second)
-	moves := b.e.MovableWork(b.now, 10)
+	moves := b.e.MovableWork(b.now)
 	at := slices.IndexFunc(moves, func(m dispatch.Move) bool { return m.Job == "short" })
 	if at < 0 || moves[at].Tasks != nil {
 		t.Fatalf("got moves %+v, want one of the whole job", moves)
@@ -140,7 +140,7 @@
 	b.ends = func(heatherhub.WorkerID, heatherhub.StepTask) agent.EndKind { return agent.EndFailed }
 	b.add("short", tasks(1, 2500, time.Second))
 	b.advance(2 * time.Second)
-	moves := b.e.MovableWork(b.now, 10)
+	moves := b.e.MovableWork(b.now)
 	at := slices.IndexFunc(moves, func(m dispatch.Move) bool { return m.Job == "short" })
 	if at < 0 {
 		t.Fatalf("got moves %+v, want one of the whole job", moves)
@@ -169,7 +169,96 @@
 	if len(free[pool]) != 1 || free[pool][0].CPU != 0 || len(free["gpu"]) != 1 || free["gpu"][0].CPU != 9000 {
 		t.Errorf("got free capacity %v, want none in %s and 9000 in gpu", free, pool)
 	}
-	if moves := b.e.MovableWork(b.now, 4); len(moves) != 1 || moves[0].Pool != pool {
+	if moves := b.e.MovableWork(b.now); len(moves) != 1 || moves[0].Pool != pool {
 		t.Errorf("got moves %+v, want one of %s", moves, pool)
 	}
 }
+
+// TestOverfullWorkersHaveNoRoom guards against negative resources in load records, which the
+// readers reject whole, so the shard counted for nothing. A worker has less than no spare
+// processors once reserving work has joined its fillers, and less than no free ones once its
+// capacity has shrunk.
+func TestOverfullWorkersHaveNoRoom(t *testing.T) {
+	b := newSimulation(t, dispatch.Policy{}, 1)
+	filler := tasks(1, 8000, time.Minute)
+	filler.Filler, filler.Image = true, "heavy"
+	b.add("fill", filler)
+	b.decide()
+	b.add("reserving", tasks(1, 8000, time.Minute))
+	b.decide()
+	if len(b.started) != 2 {
+		t.Fatalf("got %d starts, want 2", len(b.started))
+	}
+	check := func(when string) {
+		for kind, byPool := range map[string]map[heatherhub.PoolID][]heatherhub.Resources{"free": b.e.LargestFree(b.now, 4), "spare": b.e.LargestSpare(b.now, 4)} {
+			for _, r := range byPool[pool] {
+				if err := r.Check(); err != nil {
+					t.Errorf("%s: got %s resources %s, want none below zero", when, kind, r)
+				}
+			}
+		}
+		if room := b.e.FillerRoom(b.now)[pool][""]; room != 0 {
+			t.Errorf("%s: got room for a filler of %d, want none", when, room)
+		}
+	}
+	check("reserving work beside a filler")
+	w := b.worker(0)
+	w.Capacity.CPU = 5000
+	b.e.UpdateWorker(w)
+	check("a smaller worker")
+}
+
+// TestFillerRoomTellsWhatStarts checks that the processors published as room for a filler image
+// are those up to which the engine starts a task of it: where a serving task comes close to
+// its target, where only spare processors limit, and for an image that was learnt.
+func TestFillerRoomTellsWhatStarts(t *testing.T) {
+	newServing := func(t *testing.T, tail float64) *simulation {
+		b := newSimulation(t, dispatch.Policy{}, 2)
+		b.tail = func(string, []string) float64 { return tail }
+		serving := tasks(2, 8000, time.Second)
+		serving.LongRunning, serving.Image, serving.LatencyTarget, serving.MaxPerWorker = true, "weak", 18*time.Millisecond, 1
+		b.add("serving", serving)
+		b.decide()
+		b.advance(5 * time.Second)
+		return b
+	}
+	missed := 0
+	for name, create := range map[string]func(*testing.T) *simulation{
+		"near the target": func(t *testing.T) *simulation { return newServing(t, 17) },
+		"between":         func(t *testing.T) *simulation { return newServing(t, 6) },
+		"far from it":     func(t *testing.T) *simulation { return newServing(t, 0.5) },
+		"learnt": func(t *testing.T) *simulation {
+			b := newTwoImages(t, &missed)
+			runFillers(b, 20)
+			b.advance(5 * time.Second)
+			return b
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := create(t)
+			rooms := b.e.FillerRoom(b.now)[pool]
+			room, isKnown := rooms["heavy"]
+			if isLearnt := name == "learnt"; isKnown != isLearnt {
+				t.Errorf("got the image listed: %v, want %v", isKnown, isLearnt)
+			}
+			if !isKnown {
+				room = rooms[""]
+			}
+			spare := b.e.LargestSpare(b.now, 1)[pool][0].CPU
+			t.Logf("room for %d of %d spare", room, spare)
+			filler := tasks(1, room+room/20+1, time.Second)
+			filler.Filler, filler.Image = true, "heavy"
+			b.add("larger", filler)
+			b.decide()
+			if _, ok := b.placed[heatherhub.StepTask{Job: "larger"}]; ok {
+				t.Error("got a start of a task that needs more than the room, want none")
+			}
+			filler.Need.CPU = room
+			b.add("fitting", filler)
+			b.decide()
+			if _, ok := b.placed[heatherhub.StepTask{Job: "fitting"}]; !ok || room == 0 {
+				t.Error("got no start of a task that needs the room")
+			}
+		})
+	}
+}
--- a/process/dispatch/moved_test.go
+++ b/process/dispatch/moved_test.go
@@ -16,7 +16,7 @@
 	t.Helper()
 	b.add("short", tasks(2, 1000, time.Second))
 	b.advance(2 * time.Second)
-	moves := b.e.MovableWork(b.now, 10)
+	moves := b.e.MovableWork(b.now)
 	at := slices.IndexFunc(moves, func(m dispatch.Move) bool { return m.Job == "short" })
 	if at < 0 {
 		t.Fatalf("got moves %+v, want one of the whole job", moves)
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -127,6 +127,20 @@
 	return n.spareShare() - interferenceWeight*rise, true
 }
 
+// fillerRoom returns the most processors that a filler may need for the worker to have them
+// spare and scoreFiller to accept it.
+func (e *Engine) fillerRoom(n *node, image string) heatherhub.MilliCPU {
+	risePerShare := e.logTailRise(n, image, 1)
+	if risePerShare <= 0 {
+		return n.spareCPU()
+	}
+	rise := noticeableRise
+	if !n.throttle.isMissed() {
+		rise = max(rise, maxLogTailRatio-e.logTailRatio(n))
+	}
+	return heatherhub.MilliCPU(min(float64(n.spareCPU()), rise/risePerShare*float64(n.worker.Capacity.CPU)))
+}
+
 // scoreServing packs serving tasks of one image together, so that every filler finds
 // workers on which it does not interfere.
 func (e *Engine) scoreServing(n *node, s *stepRun) float64 {
--- a/process/dispatch/waiting_test.go
+++ b/process/dispatch/waiting_test.go
@@ -40,7 +40,7 @@
 		b.t.Errorf("got state %q, want %q", got, wantState)
 	}
 	later := dispatch.Moment{Steady: b.now.Steady + time.Minute, Wall: b.now.Wall.Add(time.Minute)}
-	moves := b.e.MovableWork(later, 10)
+	moves := b.e.MovableWork(later)
 	if got := len(moves) > 0; got != isMovable {
 		b.t.Errorf("got moves %+v, want any: %v", moves, isMovable)
 	}
--- a/process/owner/move_test.go
+++ b/process/owner/move_test.go
@@ -71,6 +71,111 @@
 	})
 }
 
+// serveShards submits serving work that reserves cpu processors of each worker in the shards
+// of some domains for good. Fillers may use what it leaves unused: less than half.
+func (site *simSite) serveShards(workersPerShard int, cpu heatherhub.MilliCPU, domains ...heatherhub.FailureDomain) {
+	serving := newLongRunningStep(workersPerShard)
+	serving.Need.CPU, serving.LatencyTarget, serving.Image, serving.MaxPerWorker = cpu, time.Second, "serving", 1
+	for _, domain := range domains {
+		site.jobShard.Domain = domain
+		id := heatherhub.JobID("serving-" + string(site.jobShard.Domain))
+		site.submit(id, serving)
+		site.await("a full shard", 3*time.Second, func() bool { return site.runningTasks(id) == workersPerShard })
+	}
+	site.jobShard.Domain = "d0"
+}
+
+// newFillerStep returns a step of n filler tasks that use cpu processors each for 2 s.
+func newFillerStep(n int, cpu heatherhub.MilliCPU) heatherhub.Step {
+	s := newStep(n, 2*time.Second)
+	s.Filler, s.Image, s.Need.CPU = true, "filler", cpu
+	return s
+}
+
+// moveCount counts the writes of a job's record after the first.
+func (site *simSite) moveCount(id heatherhub.JobID) int {
+	site.store.mu.Lock()
+	defer site.store.mu.Unlock()
+	n := -1
+	for _, e := range site.store.history {
+		if e.Item.Key == record.JobKey(id) && !e.Deleted {
+			n++
+		}
+	}
+	return n
+}
+
+// TestFillersStayWithoutSpareProcessors guards against moves to shards in which no worker has
+// the spare processors that a filler needs: the jobs went round all shards and never ran.
+func TestFillersStayWithoutSpareProcessors(t *testing.T) {
+	for _, jobs := range []int{1, 4} {
+		t.Run(fmt.Sprintf("jobs=%d", jobs), func(t *testing.T) { testFillersStay(t, jobs, 5000) })
+	}
+}
+
+// TestFillersStayWhereTheyInterfere guards against moves to shards in which a filler would
+// interfere on every worker.
+func TestFillersStayWhereTheyInterfere(t *testing.T) {
+	for _, jobs := range []int{1, 4} {
+		t.Run(fmt.Sprintf("jobs=%d", jobs), func(t *testing.T) { testFillersStay(t, jobs, 3000) })
+	}
+}
+
+// TestFillersLeaveAFullShard submits fillers to a shard that cannot start them. Another shard
+// has a worker without serving tasks, so each job moves there at once.
+func TestFillersLeaveAFullShard(t *testing.T) {
+	testOnShardedSite(t, 3, func(site *simSite) {
+		site.serveShards(3, 10_000, "d0", "d1")
+		site.serveShards(2, 10_000, "d2")
+		for i := range 2 {
+			id := heatherhub.JobID(fmt.Sprintf("filler%d", i))
+			site.submit(id, newFillerStep(2, 3000))
+			took := site.await(string(id), 6*time.Second, func() bool { return site.startCount(heatherhub.StepTask{Job: id}) > 0 })
+			t.Logf("%s started after %s", id, took)
+			if got, limit := site.moveCount(id), 2; got > limit {
+				t.Errorf("got %d moves of %s, want at most %d", got, id, limit)
+			}
+		}
+	})
+}
+
+// TestWorkThatCannotMoveHoldsUpNone guards against a round of moves that considered only the
+// work that had waited longest: fillers that no shard could start kept a lasting task from
+// moving to a shard with room for it.
+func TestWorkThatCannotMoveHoldsUpNone(t *testing.T) {
+	testOnShardedSite(t, 2, func(site *simSite) {
+		site.serveShards(2, 10_000, "d0", "d1")
+		site.serveShards(2, 7_000, "d2")
+		for i := range 12 {
+			site.submit(heatherhub.JobID(fmt.Sprintf("filler%d", i)), newFillerStep(2, 8000))
+		}
+		time.Sleep(5 * time.Second)
+		site.submit("lasting", newLongRunningStep(2))
+		site.await("the lasting tasks", 3*time.Second, func() bool { return site.runningTasks("lasting") == 2 })
+	})
+}
+
+// testFillersStay submits filler jobs that no shard can start and expects none to move.
+func testFillersStay(t *testing.T, jobs int, cpu heatherhub.MilliCPU) {
+	testOnShardedSite(t, 2, func(site *simSite) {
+		site.serveShards(2, 10_000, "d0", "d1", "d2")
+		before := site.totalStarts()
+		for i := range jobs {
+			site.submit(heatherhub.JobID(fmt.Sprintf("filler%d", i)), newFillerStep(10, cpu))
+		}
+		time.Sleep(30 * time.Second)
+		if got := site.totalStarts() - before; got != 0 {
+			t.Errorf("got %d starts, want none", got)
+		}
+		for i := range jobs {
+			id := heatherhub.JobID(fmt.Sprintf("filler%d", i))
+			if got := site.moveCount(id); got != 0 {
+				t.Errorf("got %d moves of %s, want none, as no shard can start it", got, id)
+			}
+		}
+	})
+}
+
 // TestCancelMeetsAMove cancels a job just before the write that moves it to another shard.
 // The other shard ignores the cancel of a job that it does not know yet, so the move has
 // to fail, or it would run the job.
--- a/process/record/load.go
+++ b/process/record/load.go
@@ -30,6 +30,12 @@
 	// LargestFree has, by pool, the free resources of the workers with the most free
 	// processors, the largest first.
 	LargestFree map[heatherhub.PoolID][]heatherhub.Resources `msgpack:"o,omitempty" json:"holes,omitempty"`
+	// LargestSpare is LargestFree for fillers, which may also use processors that serving
+	// tasks reserve and leave idle.
+	LargestSpare map[heatherhub.PoolID][]heatherhub.Resources `msgpack:"i,omitempty" json:"spare,omitempty"`
+	// FillerRoom has, by pool and filler image, the most processors that a task may need for
+	// a worker to take it. The image "" stands for those that are not listed.
+	FillerRoom map[heatherhub.PoolID]map[string]heatherhub.MilliCPU `msgpack:"n,omitempty" json:"fillerRoom,omitempty"`
 	// At is the time at which the load was taken, on the owner's wall clock.
 	At time.Time `msgpack:"at" json:"at"`
 	// Revision is the revision of the record that a load was read from.
