Name in a refusal the shard without a recent count

Readers of a refused queue length were told how many milliseconds ago a shard had reported, also if the shard had reported just now and its owner was the one without news of the jobs. The message now says that the shard has not reported lately; the log line has both ages. Found when reading the diff; no change of what is refused. go test ./request/intake passes.

--- a/request/intake/queue_length.go
+++ b/request/intake/queue_length.go
@@ -150,20 +150,18 @@
 type queueLength struct {
 	waiting int
 	parts   []queuePart
-	// missing has the shards without a part.
-	missing []string
-	oldest  queuePart
+	// missing has the shards without a part, outdated those with one that is too old.
+	missing, outdated []string
 }
 
 // queuePart is what one shard adds to the length of a queue, as logged. Moved counts the
 // jobs that it has moved to shards whose owners have not read them yet.
 type queuePart struct {
-	Shard    string `json:"shard"`
-	Waiting  int    `json:"waiting"`
-	Moved    int    `json:"moved"`
-	AgeMS    int64  `json:"ageMs"`
-	JobsAge  int64  `json:"jobsReadAgeMs"`
-	isTooOld bool
+	Shard         string `json:"shard"`
+	Waiting       int    `json:"waiting"`
+	Moved         int    `json:"moved"`
+	AgeMS         int64  `json:"ageMs"`
+	JobsReadAgeMS int64  `json:"jobsReadAgeMs"`
 }
 
 // addUp adds up the length of a queue over all shards.
@@ -178,12 +176,12 @@
 		age := l.age(now)
 		p := queuePart{
 			Shard: size.Shard.String(), Waiting: l.Waiting[queue], Moved: unreadMoves(queue, l.MovedJobs, loads),
-			AgeMS: age.Milliseconds(), JobsAge: l.JobsReadAge.Milliseconds(), isTooOld: age > maxPartAge || l.JobsReadAge > maxJobsReadAge,
+			AgeMS: age.Milliseconds(), JobsReadAgeMS: l.JobsReadAge.Milliseconds(),
 		}
 		out.waiting += p.Waiting + p.Moved
 		out.parts = append(out.parts, p)
-		if p.isTooOld && (!out.oldest.isTooOld || p.AgeMS > out.oldest.AgeMS) {
-			out.oldest = p
+		if age > maxPartAge || l.JobsReadAge > maxJobsReadAge {
+			out.outdated = append(out.outdated, p.Shard)
 		}
 	}
 	return out
@@ -210,8 +208,8 @@
 		outcome, err = "missing", heatherhub.ErrUnavailable.New("shard %s has not reported how many jobs wait: try again", l.missing[0])
 	case len(l.parts) == 0:
 		outcome, err = "missing", heatherhub.ErrUnavailable.New("no shard is known yet: try again")
-	case l.oldest.isTooOld:
-		outcome, err = "old", heatherhub.ErrUnavailable.New("shard %s last reported %d ms ago how many jobs wait: try again", l.oldest.Shard, l.oldest.AgeMS)
+	case len(l.outdated) > 0:
+		outcome, err = "old", heatherhub.ErrUnavailable.New("shard %s has not reported lately how many jobs wait: try again", l.outdated[0])
 	default:
 		return outcome, nil
 	}
