Let a task return to the worker on which it failed after 2 s

Cause: a task stays away from the worker on which it last failed or stalled until it has failed elsewhere. If the only room is there, which is often so since its own place became free, it never starts, and a waiting step of the same or a larger need is skipped with it.

A task now avoids that worker for 2 s. TestFailedTaskReturnsToTheOnlyWorker- WithRoom failed before with "got 0 starts within 3 s of the failure, want 1" and passes; so do the tests of process/dispatch and process/owner. A worker that fails whatever it runs is quarantined as before.

--- a/process/dispatch/dispatch_test.go
+++ b/process/dispatch/dispatch_test.go
@@ -477,3 +477,32 @@
 		t.Error("got no start in the pool with room")
 	}
 }
+
+// TestFailedTaskReturnsToTheOnlyWorkerWithRoom guards against a long-running task that waits on
+// beside a free place, since it failed on the only worker that has one.
+func TestFailedTaskReturnsToTheOnlyWorkerWithRoom(t *testing.T) {
+	b := newSimulation(t, dispatch.Policy{}, 2)
+	spec := tasks(8, 2500, time.Second)
+	spec.LongRunning = true
+	b.add("lasting", spec)
+	b.decide()
+	failed := heatherhub.StepTask{Job: "lasting", Index: 3}
+	w := b.placed[failed]
+	report := agent.Report{Clock: 1}
+	for _, r := range b.runs[w] {
+		if r.order.Task == failed {
+			report.Ended = []agent.Ended{{Sequence: 1, Task: failed, Run: r.order.Run, Kind: agent.EndFailed}}
+			continue
+		}
+		report.Running = append(report.Running, agent.Running{Task: r.order.Task, Run: r.order.Run})
+	}
+	b.e.Report(b.now, b.now.Steady, w, &report)
+	starts := len(b.started)
+	for range 30 {
+		b.now.Steady += 100 * time.Millisecond
+		b.decide()
+	}
+	if got, want := len(b.started)-starts, 1; got != want {
+		t.Errorf("got %d starts within 3 s of the failure, want %d", got, want)
+	}
+}
--- a/process/dispatch/health.go
+++ b/process/dispatch/health.go
@@ -163,7 +163,7 @@
 			a.stop = stopPending
 			e.recordTaskEvent(EventRunStalled, a, reason)
 			n.backoffUntil = now.Steady + e.cfg.RefusalBackoff
-			a.task.avoidWorker = n.worker.ID
+			a.task.avoid(n.worker.ID, now.Steady)
 		}
 	}
 }
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -51,7 +51,7 @@
 	case e.isSlow(now.Steady, n) && !s.spec.LongRunning:
 		return false
 	default:
-		return t.avoidWorker != n.worker.ID || len(e.sortedNodes) == 1
+		return t.avoidWorker != n.worker.ID || now.Steady >= t.avoidUntil || len(e.sortedNodes) == 1
 	}
 }
 
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -288,7 +288,7 @@
 	if n.health.recordFailure(now.Steady, j.workflow.ID) {
 		e.recordEvent(EventRecord{Event: EventWorkerQuarantined, Worker: n.worker.ID, Job: j.workflow.ID, Count: quarantineAfter, Slack: quarantineTime})
 	}
-	t.avoidWorker = n.worker.ID
+	t.avoid(n.worker.ID, now.Steady)
 	if t.step.spec.LongRunning {
 		t.notBefore = now.Steady + e.cfg.RetryDelay
 		return
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -200,14 +200,26 @@
 	failedRuns []heatherhub.RunID
 	attempts   []*attempt
 	// notBefore is the earliest time of the next attempt after a failure.
-	notBefore   time.Duration
+	notBefore time.Duration
+	// avoidWorker is the worker on which the last attempt failed or stalled. The task
+	// starts elsewhere until avoidUntil, and after that also there.
 	avoidWorker heatherhub.WorkerID
+	avoidUntil  time.Duration
 }
 
 func (t *task) id() heatherhub.StepTask {
 	return heatherhub.StepTask{Job: t.step.occ.job.workflow.ID, Occurrence: t.step.occ.index, Step: t.step.index, Index: t.index}
 }
 
+// avoidTime is how long a task stays away from a worker on which it failed or stalled. A
+// task may not wait for three seconds while a worker has room for it.
+const avoidTime = 2 * time.Second
+
+// avoid keeps the task away from a worker for avoidTime.
+func (t *task) avoid(id heatherhub.WorkerID, now time.Duration) {
+	t.avoidWorker, t.avoidUntil = id, now+avoidTime
+}
+
 // flatIndex returns the index of the task among all tasks of its occurrence.
 func (t *task) flatIndex() int {
 	n := t.index
