--- a/process/dispatch/dispatch_test.go
+++ b/process/dispatch/dispatch_test.go
@@ -506,3 +506,22 @@
 		t.Errorf("got %d starts within 3 s of the failure, want %d", got, want)
 	}
 }
+
+// TestLongRunningTaskStartsOnASlowWorker guards against a long-running step that is skipped
+// because a batch step found no worker: batch work does not start on slow workers.
+func TestLongRunningTaskStartsOnASlowWorker(t *testing.T) {
+	b := newSimulation(t, dispatch.Policy{}, 2)
+	b.add("first", tasks(8, 2500, 4*time.Second))
+	b.decide()
+	for _, r := range b.runs[b.workers[1]] {
+		r.speedLimit = 5
+	}
+	b.add("batch", tasks(20, 2500, 4*time.Second))
+	lasting := tasks(1, 2500, time.Second)
+	lasting.LongRunning = true
+	b.add("lasting", lasting)
+	b.advance(3500 * time.Millisecond)
+	if w, want := b.placed[heatherhub.StepTask{Job: "lasting"}], b.workers[1]; w != want {
+		t.Errorf("got the task on %q, want it on the slow worker %s, which has room", w, want)
+	}
+}
