Withdraw the attempt to place long-running work after batch work failed

Likely cause, not measured by itself: since batch work that found no place no longer stands for long-running work, so each waiting long-running step with a limit per worker is tried on all workers of a shard at each decision. A host with 0.19 of a core that owns a shard then sends stops too late.

The code is as before.

--- a/process/dispatch/order.go
+++ b/process/dispatch/order.go
@@ -186,8 +186,6 @@
 	pool     heatherhub.PoolID
 	need     heatherhub.Resources
 	isFiller bool
-	// isLongRunning matters as only long-running tasks start on slow workers.
-	isLongRunning bool
 	// image is set for fillers only, whose placement depends on the images they
 	// interfere with.
 	image string
@@ -198,7 +196,7 @@
 
 func shapeOf(s *stepRun) shape {
 	sh := shape{
-		pool: s.occ.job.policy.Pool, need: s.spec.Need, isFiller: s.spec.Filler, isLongRunning: s.spec.LongRunning,
+		pool: s.occ.job.policy.Pool, need: s.spec.Need, isFiller: s.spec.Filler,
 		isUnconstrained: s.spec.RequiredLabel == "" && s.spec.MaxPerWorker == 0 && !s.spec.Gang,
 	}
 	if s.spec.Filler {
@@ -209,7 +207,7 @@
 
 // covers reports whether o cannot be placed if f cannot.
 func (f shape) covers(o shape) bool {
-	return f.pool == o.pool && f.isFiller == o.isFiller && f.isLongRunning == o.isLongRunning && f.image == o.image && f.need.Fits(o.need)
+	return f.pool == o.pool && f.isFiller == o.isFiller && f.image == o.image && f.need.Fits(o.need)
 }
 
 // startTasks starts the pending tasks of a step. It reports false if a task that may
