Size shards by the strength of the hosts

Ruled out: a fault of the takeover itself.

Change: each host that starts before there is a layout writes what it can carry (cores times 400 workers). The layout takes one shard if two hosts can own it, else for each failure domain the fewest shards that as many of its hosts and one more can own. Claims prefer hosts that can carry the shard, beside what they own, over hosts in the same domain, and equal hosts are spread over 60 ms, so that not all of them try the same write.

Small sites with strong enough hosts keep one shard.

--- a/process/owner/campaign.go
+++ b/process/owner/campaign.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/fnv"
 	"strconv"
 	"time"
 
@@ -14,17 +15,21 @@
 
 // campaign claims shards without an owner until ctx ends.
 func (h *Host) campaign(ctx context.Context) {
-	tick := time.NewTicker(campaignInterval)
-	defer tick.Stop()
+	next := campaignInterval
 	for {
+		timer := time.NewTimer(next)
 		select {
 		case <-ctx.Done():
-			return
-		case <-tick.C:
+		case <-timer.C:
 		case <-h.campaignWake:
 		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return
+		}
 		h.releaseOrphans(ctx)
-		if shards := h.claimableShards(); len(shards) > 0 {
+		var shards []record.ShardSize
+		if shards, next = h.claimableShards(); len(shards) > 0 {
 			// One claim at a time: each owned shard raises claimDelay for the next one.
 			h.acquireShard(ctx, shards[0])
 		}
@@ -72,13 +77,14 @@
 }
 
 // claimableShards returns the shards that have had no owner for at least this host's
-// claim delay.
-func (h *Host) claimableShards() []heatherhub.ShardID {
+// claim delay, and the time until the next look at them.
+func (h *Host) claimableShards() ([]record.ShardSize, time.Duration) {
 	v := h.view.Load()
 	now := h.cfg.Clock.Now().Steady
+	next := campaignInterval
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var out []heatherhub.ShardID
+	var out []record.ShardSize
 	for _, s := range v.Layout.Shards {
 		if _, ok := v.Owners[s.Shard]; ok || h.terms[s.Shard] != nil {
 			delete(h.ownerlessSince, s.Shard)
@@ -89,29 +95,46 @@
 			since = now
 			h.ownerlessSince[s.Shard] = now
 		}
-		if now-since >= h.claimDelay(s.Shard) {
-			out = append(out, s.Shard)
+		if left := since + h.claimDelay(s) - now; left > 0 {
+			next = min(next, left)
+			continue
 		}
+		out = append(out, s)
 	}
-	return out
+	return out, next
 }
 
 // claimDelay returns how long this host waits before it claims an ownerless shard, so
-// that hosts that are in the shard's failure domain, have more cores or own fewer shards
-// claim it first. The caller holds h.mu.
-func (h *Host) claimDelay(s heatherhub.ShardID) time.Duration {
-	d := time.Duration(len(h.terms)) * claimDelayPerOwnedShard
-	if len(h.view.Load().Layout.Shards) > 1 && h.cfg.Cores < noDelayCores {
-		d += time.Duration((noDelayCores - h.cfg.Cores) * float64(claimDelayPerMissingCore))
-	}
-	if s.Domain != h.cfg.Domain && s.Domain != record.SiteDomain {
+// that hosts that can carry it, are in its failure domain or own less claim it first. Hosts
+// that are equal in that are spread by a hash, so that they do not all claim at once. The
+// caller holds h.mu.
+func (h *Host) claimDelay(s record.ShardSize) time.Duration {
+	layout := &h.view.Load().Layout
+	workers := s.Workers
+	for owned := range h.terms {
+		workers += layout.WorkersOf(owned)
+	}
+	load := float64(workers) / float64(h.carriedWorkers())
+	d := time.Duration(min(load, 1)*float64(claimDelayAtCapacity)) + h.claimSpread(s.Shard)
+	if load > 1 {
+		d += min(time.Duration((load-1)*float64(claimDelayPerOverload)), maxOverloadDelay)
+	}
+	if s.Shard.Domain != h.cfg.Domain && s.Shard.Domain != record.SiteDomain {
 		d += claimDelayOtherDomain
 	}
 	return d
 }
 
+// claimSpread returns a part of maxClaimSpread that depends on the host and the shard.
+func (h *Host) claimSpread(s heatherhub.ShardID) time.Duration {
+	f := fnv.New32a()
+	_, _ = f.Write([]byte(string(h.cfg.Self) + "/" + s.String()))
+	return maxClaimSpread * time.Duration(f.Sum32()%spreadSteps) / spreadSteps
+}
+
 // acquireShard claims a shard and, if that succeeds, runs a term of it.
-func (h *Host) acquireShard(ctx context.Context, s heatherhub.ShardID) {
+func (h *Host) acquireShard(ctx context.Context, size record.ShardSize) {
+	s := size.Shard
 	lease, err := h.session.ensureLease(ctx)
 	if err != nil {
 		h.cfg.Log.Warn("no session", zap.Stringer("shard", s), zap.Error(err))
@@ -130,7 +153,7 @@
 	delete(h.ownerlessSince, s)
 	h.mu.Unlock()
 	h.metrics.takeovers.Inc()
-	h.cfg.Log.Info("shard taken", zap.Stringer("shard", s), zap.Uint64("token", uint64(t.token)))
+	h.cfg.Log.Info("shard taken", zap.Stringer("shard", s), zap.Uint64("token", uint64(t.token)), zap.Int("workers", size.Workers), zap.Int("carries", h.carriedWorkers()))
 	h.group.Go(func() {
 		t.run()
 		h.mu.Lock()
--- a/process/owner/host.go
+++ b/process/owner/host.go
@@ -30,7 +30,8 @@
 	Domain heatherhub.FailureDomain
 	// Address is the address at which peers reach this host.
 	Address string
-	// Cores is the processor capacity of this host, in cores; it may be below one.
+	// Cores is the processor capacity of this host, in cores; it may be below one. Zero
+	// stands for one core.
 	Cores float64
 	Store ledger.Store
 	// Dial returns a client for one instance of a worker. A restarted worker is another
@@ -133,6 +134,7 @@
 // New returns a host that owns no shards yet; Run claims them.
 func New(cfg Config) *Host {
 	cfg.setDefaults()
+	heatherhub.SetDefault(&cfg.Cores, 1)
 	h := &Host{
 		cfg: cfg, terms: make(map[heatherhub.ShardID]*term),
 		ownerlessSince: make(map[heatherhub.ShardID]time.Duration), campaignWake: make(chan struct{}, 1),
@@ -160,16 +162,19 @@
 	// maxOrphanCheckSilence is the time without an answer from the store after which the
 	// view is too old to decide that an owner key is orphaned.
 	maxOrphanCheckSilence = time.Second
-	// claimDelayOtherDomain delays claims of shards in another failure domain, and
-	// claimDelayPerOwnedShard those of a host that owns shards already, so that a closer
-	// or less loaded host claims first.
-	claimDelayOtherDomain   = 400 * time.Millisecond
-	claimDelayPerOwnedShard = 250 * time.Millisecond
-	// claimDelayPerMissingCore delays a host with fewer cores than noDelayCores, in
-	// proportion to what it lacks. It applies if the site has more than one shard: then
-	// there are enough of them to favour hosts with more cores.
-	claimDelayPerMissingCore = 800 * time.Millisecond
-	noDelayCores             = 0.5
+	// claimDelayOtherDomain delays claims of shards in another failure domain.
+	claimDelayOtherDomain = 400 * time.Millisecond
+	// claimDelayAtCapacity delays the claim of a host that would then own as many workers as
+	// it can carry; less load takes less time.
+	claimDelayAtCapacity = 250 * time.Millisecond
+	// claimDelayPerOverload is added for each multiple of its capacity that a host would own
+	// beyond, up to maxOverloadDelay: it claims only if no stronger host does.
+	claimDelayPerOverload = 500 * time.Millisecond
+	maxOverloadDelay      = 1200 * time.Millisecond
+	// maxClaimSpread is the longest delay by which equal hosts are spread, in spreadSteps
+	// steps. A claim is visible to the others after some milliseconds.
+	maxClaimSpread = 60 * time.Millisecond
+	spreadSteps    = 32
 )
 
 // Run claims and runs shards until ctx ends, then hands them over and releases the lease.
--- a/process/owner/worker_test.go
+++ b/process/owner/worker_test.go
@@ -239,6 +239,7 @@
 	if err != nil {
 		return 0, err
 	}
+	ledger.Sleep(ctx, time.Duration(a.site.orderTime.Load()))
 	if delay, isLate := a.site.orderDelay(); isLate {
 		a.site.after(delay, func() { _, _ = do(m) })
 		ledger.Sleep(ctx, callTimeout)
--- a/process/owner/world_test.go
+++ b/process/owner/world_test.go
@@ -58,6 +58,10 @@
 	jobShard heatherhub.ShardID
 	// workersPerShard is the size of a shard; zero means one shard for all workers.
 	workersPerShard int
+	// cores has the processor capacity of hosts that differ from one core.
+	cores map[heatherhub.HostID]float64
+	// orderTime is how long each order takes, in nanoseconds, beyond the time of a call.
+	orderTime atomic.Int64
 	// delayedShare is the fraction of orders that are carried out late.
 	delayedShare float64
 	// acknowledgeEarly injects a fault: ended runs are acknowledged before they are durable.
@@ -122,7 +126,7 @@
 	var tables queues.Current
 	tables.Offer(&queues.Table{Version: 1, Queues: []queues.Queue{{ID: testQueue, QueuePolicy: heatherhub.QueuePolicy{Pool: testPool, MaxAttempts: 3, Stretch: 2}}}})
 	h := owner.New(owner.Config{
-		Self: id, Domain: domain, Address: string(id), Store: &hostStore{fakeStore: site.store, site: site, host: id},
+		Self: id, Domain: domain, Address: string(id), Cores: site.cores[id], Store: &hostStore{fakeStore: site.store, site: site, host: id},
 		Dial: func(worker heatherhub.WorkerID, _ string) agent.Agent {
 			return &hostAgent{site: site, host: id, worker: worker}
 		},
--- a/process/record/record.go
+++ b/process/record/record.go
@@ -11,6 +11,7 @@
 //
 // Each key has a writer and a precondition for the write:
 //
+//   - host/HOST: each host that starts before there is a layout.
 //   - shard/layout: the first host that sees workers, if the key is absent.
 //   - shard/owner/SHARD: a host that takes over the shard, if the key is absent. The
 //     key is deleted when the host's lease ends.
@@ -29,7 +30,6 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"heatherhub.example/heatherhub"
-	"heatherhub.example/heatherhub/connection/agent"
 )
 
 // Key prefixes and fixed keys.
@@ -42,6 +42,7 @@
 	ProgressPrefix     = "progress/"
 	LoadPrefix         = "load/"
 	InterferencePrefix = "learnt/"
+	HostPrefix         = "host/"
 	cancelSuffix       = "/cancel"
 )
 
@@ -58,6 +59,9 @@
 // learned.
 func InterferenceKey(s heatherhub.ShardID) string { return InterferencePrefix + s.String() }
 
+// HostKey returns the key of a host's capacity.
+func HostKey(id heatherhub.HostID) string { return HostPrefix + string(id) }
+
 // JobKey returns the key of a job.
 func JobKey(id heatherhub.JobID) string { return JobPrefix + string(id) }
 
@@ -74,18 +78,6 @@
 	return heatherhub.JobID(name), isCancel
 }
 
-// Layout lists the shards of a site.
-type Layout struct {
-	Shards []ShardSize `msgpack:"shards" json:"shards"`
-}
-
-// ShardSize is a shard and the total processors of its workers when the layout was
-// made.
-type ShardSize struct {
-	Shard heatherhub.ShardID  `msgpack:"shard" json:"shard"`
-	CPU   heatherhub.MilliCPU `msgpack:"cpu" json:"cpuMilli"`
-}
-
 // Owner identifies the host that owns a shard.
 type Owner struct {
 	Host heatherhub.HostID `msgpack:"host" json:"host"`
@@ -114,81 +106,3 @@
 	}
 	return data, nil
 }
-
-// SiteDomain is the domain of the only shard of a small site. A single owner sees all
-// free capacity, so none is left unused at the border between shards.
-const SiteDomain heatherhub.FailureDomain = "site"
-
-// PlanLayout divides workers into shards: a single one if there are at most
-// workersPerShard workers, otherwise as many per failure domain as it takes for a mean
-// of at most workersPerShard. Racks are not split, so a shard may have more than that.
-func PlanLayout(workers []agent.Worker, workersPerShard int) Layout {
-	var l Layout
-	if len(workers) <= workersPerShard {
-		l.Shards = []ShardSize{{Shard: heatherhub.ShardID{Domain: SiteDomain}}}
-	} else {
-		l.Shards = shardsByDomain(workers, workersPerShard)
-	}
-	for i := range workers {
-		s := l.ShardOf(&workers[i])
-		for k := range l.Shards {
-			if l.Shards[k].Shard == s {
-				l.Shards[k].CPU += workers[i].Capacity.CPU
-			}
-		}
-	}
-	return l
-}
-
-func shardsByDomain(workers []agent.Worker, workersPerShard int) []ShardSize {
-	counts := make(map[heatherhub.FailureDomain]int)
-	domains := []heatherhub.FailureDomain{}
-	for i := range workers {
-		if counts[workers[i].Domain] == 0 {
-			domains = append(domains, workers[i].Domain)
-		}
-		counts[workers[i].Domain]++
-	}
-	var out []ShardSize
-	for _, d := range domains {
-		n := (counts[d] + workersPerShard - 1) / workersPerShard
-		for i := range n {
-			out = append(out, ShardSize{Shard: heatherhub.ShardID{Domain: d, Index: i}})
-		}
-	}
-	return out
-}
-
-// ShardOf returns the shard of a worker: one of its failure domain, chosen by rack so
-// that a rack stays in one shard. A domain without a shard of its own uses those of all
-// domains.
-func (l *Layout) ShardOf(w *agent.Worker) heatherhub.ShardID {
-	var candidates []heatherhub.ShardID
-	for _, s := range l.Shards {
-		if s.Shard.Domain == w.Domain {
-			candidates = append(candidates, s.Shard)
-		}
-	}
-	if len(candidates) == 0 {
-		for _, s := range l.Shards {
-			candidates = append(candidates, s.Shard)
-		}
-	}
-	if len(candidates) == 0 {
-		return heatherhub.ShardID{}
-	}
-	key := string(w.Rack)
-	if key == "" {
-		key = string(w.ID)
-	}
-	return candidates[hashKey(key)%uint64(len(candidates))]
-}
-
-// hashKey is the 64-bit FNV-1a hash with its high bits mixed into the low ones.
-func hashKey(key string) uint64 {
-	h := uint64(14695981039346656037)
-	for i := range len(key) {
-		h = (h ^ uint64(key[i])) * 1099511628211
-	}
-	return h ^ h>>29
-}
