Send stops first and bound the starts without an outcome

Change: stops go to the front of a worker's queue; a stop that overtakes the start of its run makes the worker refuse that start. Decisions are at least 8 ms apart, since every report asks for one and each looks at the whole backlog.

TestLongRunningTaskStartsOnASlowWorker passes.

--- a/process/dispatch/decide.go
+++ b/process/dispatch/decide.go
@@ -127,7 +127,7 @@
 func (e *Engine) handleStartResult(now Moment, a *attempt, result Outcome) {
 	if result == Confirmed {
 		if a.state != running {
-			a.confirm(now)
+			e.confirm(now, a)
 		}
 		return
 	}
@@ -137,7 +137,7 @@
 	if result == NoReply {
 		e.Stats.Unanswered++
 		e.recordTaskEvent(EventStartUnanswered, a, "no answer")
-		a.state, a.stateSince = unconfirmed, now.Steady
+		e.setState(now, a, unconfirmed)
 		a.node.isUnresponsive = true
 		return
 	}
--- a/process/dispatch/move.go
+++ b/process/dispatch/move.go
@@ -41,7 +41,7 @@
 		if waited < e.cfg.MoveAfter || !e.isMovable(now, s) {
 			continue
 		}
-		sh := shapeOf(s)
+		sh := shapeOf(s, false)
 		m := Move{
 			Job: s.occ.job.workflow.ID, Need: sh.need, Reserved: s.need, Pool: sh.pool,
 			IsFiller: sh.isFiller, Image: sh.image, Waited: waited,
--- a/process/dispatch/order.go
+++ b/process/dispatch/order.go
@@ -109,9 +109,15 @@
 	// ones are skipped.
 	var unplaced []shape
 	waiting := e.candidates(now)
+	hasSlowWorker := slices.ContainsFunc(e.sortedNodes, func(n *node) bool { return e.isSlow(now.Steady, n) })
+	e.isHoldingStarts = false
 	for _, c := range waiting {
+		if e.isAtStartLimit() {
+			e.isHoldingStarts = true
+			return
+		}
 		s := c.step
-		sh := shapeOf(s)
+		sh := shapeOf(s, hasSlowWorker)
 		if slices.ContainsFunc(unplaced, func(u shape) bool { return u.covers(sh) }) {
 			continue
 		}
@@ -189,14 +195,18 @@
 	// image is set for fillers only, whose placement depends on the images they
 	// interfere with.
 	image string
+	// isLongRunning is set while the shard has a slow worker, which only long-running tasks
+	// use.
+	isLongRunning bool
 	// isUnconstrained means that no label, per-worker limit or gang restricts the
 	// choice of worker.
 	isUnconstrained bool
 }
 
-func shapeOf(s *stepRun) shape {
+func shapeOf(s *stepRun, hasSlowWorker bool) shape {
 	sh := shape{
-		pool: s.occ.job.policy.Pool, need: s.spec.Need, isFiller: s.spec.Filler,
+		isLongRunning: hasSlowWorker && s.spec.LongRunning,
+		pool:          s.occ.job.policy.Pool, need: s.spec.Need, isFiller: s.spec.Filler,
 		isUnconstrained: s.spec.RequiredLabel == "" && s.spec.MaxPerWorker == 0 && !s.spec.Gang,
 	}
 	if s.spec.Filler {
@@ -207,7 +217,7 @@
 
 // covers reports whether o cannot be placed if f cannot.
 func (f shape) covers(o shape) bool {
-	return f.pool == o.pool && f.isFiller == o.isFiller && f.image == o.image && f.need.Fits(o.need)
+	return f.pool == o.pool && f.isFiller == o.isFiller && f.isLongRunning == o.isLongRunning && f.image == o.image && f.need.Fits(o.need)
 }
 
 // startTasks starts the pending tasks of a step. It reports false if a task that may
@@ -219,6 +229,10 @@
 		if t.notBefore > now.Steady || t.isMoving {
 			continue
 		}
+		if e.isAtStartLimit() {
+			e.isHoldingStarts = true
+			break
+		}
 		n := e.chooseWorker(now, s, t)
 		if n == nil {
 			e.recordStarts(now, s, count, last)
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -106,7 +106,7 @@
 		return
 	}
 	if a.state != running {
-		a.confirm(now)
+		e.confirm(now, a)
 	}
 	if r.Progress != a.progress || a.progressAt == 0 {
 		a.progress, a.progressAt = r.Progress, now.Steady
@@ -173,6 +173,9 @@
 	t := a.task
 	t.attempts = append(t.attempts, a)
 	t.step.occ.job.openAttempts++
+	if a.state == sent {
+		e.pendingStarts++
+	}
 	t.step.removePending(t)
 	a.node.addAttempt(a)
 }
@@ -180,6 +183,9 @@
 // release frees the resources of an attempt that is over and keeps its last checkpoint
 // for the task.
 func (e *Engine) release(a *attempt) {
+	if a.state == sent {
+		e.pendingStarts--
+	}
 	a.node.removeAttempt(a)
 	t := a.task
 	t.attempts = slices.DeleteFunc(t.attempts, func(o *attempt) bool { return o == a })
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -29,6 +29,8 @@
 	Token agent.Token
 	// Shard is the shard whose tasks the engine runs.
 	Shard heatherhub.ShardID
+	// MaxPendingStarts bounds the start orders without an outcome. Zero means no bound.
+	MaxPendingStarts int
 	Tuning
 }
 
@@ -69,8 +71,12 @@
 	orders       []Order
 	events       []EventRecord
 	nextRun      heatherhub.RunID
-	model        *interference
-	finished     []*job
+	// pendingStarts counts the attempts that are sent, and isHoldingStarts says that the last
+	// decision held starts back because of them.
+	pendingStarts   int
+	isHoldingStarts bool
+	model           *interference
+	finished        []*job
 	// progressCheckedAt is the time of the last check for stalled runs.
 	progressCheckedAt time.Duration
 	// meanSpeed is the average speed over all workers.
@@ -268,11 +274,19 @@
 }
 
 // confirm records that the task of the attempt runs.
-func (a *attempt) confirm(now Moment) {
-	a.state, a.stateSince = running, now.Steady
+func (e *Engine) confirm(now Moment, a *attempt) {
+	e.setState(now, a, running)
 	a.task.step.occ.job.begin()
 }
 
+// setState changes the state of an attempt.
+func (e *Engine) setState(now Moment, a *attempt, s attemptState) {
+	if a.state == sent {
+		e.pendingStarts--
+	}
+	a.state, a.stateSince = s, now.Steady
+}
+
 // stopState is the progress of stopping an attempt.
 type stopState int
 
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -79,7 +79,7 @@
 		host: h, shard: s, token: agent.Token(rev), ownerRevision: rev,
 		log: h.cfg.Log.With(zap.Stringer("shard", s), zap.Uint64("token", uint64(rev))),
 		ctx: ctx, cancel: cancel, startedAt: h.cfg.Clock.Now().Steady,
-		engine:  dispatch.New(dispatch.Config{Token: agent.Token(rev), Shard: s}),
+		engine:  dispatch.New(dispatch.Config{Token: agent.Token(rev), Shard: s, MaxPendingStarts: h.maxPendingStarts()}),
 		workers: make(map[heatherhub.WorkerID]*workerLoop), fleet: fleet{workers: make(map[heatherhub.WorkerID]string)},
 		committed: make(chan struct{}), wakeDecide: make(chan struct{}, 1), wakeCommit: make(chan struct{}, 1),
 		wakePublish: make(chan struct{}, 1), wakeLookup: make(chan struct{}, 1), writeSem: make(chan struct{}, 1),
@@ -89,6 +89,19 @@
 	return t
 }
 
+// Limits of the start orders without an outcome. A host of one core sends several hundred
+// orders in the time in which a worker answers one on a busy site.
+const (
+	pendingStartsPerCore = 250
+	minPendingStarts     = 12
+)
+
+// maxPendingStarts returns how many start orders a shard on this host may have without an
+// outcome.
+func (h *Host) maxPendingStarts() int {
+	return max(int(h.cfg.Cores*pendingStartsPerCore), minPendingStarts)
+}
+
 // Timing of a term.
 const (
 	// jobWatchTimeout bounds one watch of the jobs, and so the delay of a cancel when the
@@ -104,6 +117,9 @@
 	workerBatchDelay = 200 * time.Millisecond
 	// storeRetryDelay is the pause after a failed store call.
 	storeRetryDelay = 200 * time.Millisecond
+	// decideBatchDelay is the minimum time between two decisions. A decision looks at all
+	// waiting work, and each report of a worker asks for one.
+	decideBatchDelay = 8 * time.Millisecond
 	// commitBatchDelay is the pause between two commits. Tasks that end within it go into
 	// one transaction.
 	commitBatchDelay = 40 * time.Millisecond
@@ -365,6 +381,8 @@
 func (t *term) decideLoop() {
 	for t.ctx.Err() == nil {
 		t.decide()
+		// Events that arrive within the batch delay share a decision.
+		ledger.Sleep(t.ctx, decideBatchDelay)
 		timer := time.NewTimer(t.engine.NextWake())
 		select {
 		case <-t.ctx.Done():
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -98,10 +99,21 @@
 	w.term.engine.UpdateWorker(w.entry)
 }
 
-// enqueue queues an order that was decided at now.
+// enqueue queues an order that was decided at now. Stops go before other orders: a task of a
+// cancelled job has to end in time however many starts wait. A stop that overtakes the start
+// of its run makes the worker refuse that start.
 func (w *workerLoop) enqueue(now dispatch.Moment, o dispatch.Order) {
+	timed := timedOrder{Order: o, decidedAt: now.Steady}
 	w.mu.Lock()
-	w.queue = append(w.queue, timedOrder{Order: o, decidedAt: now.Steady})
+	if o.Kind == dispatch.StopTask {
+		at := slices.IndexFunc(w.queue, func(q timedOrder) bool { return q.Kind != dispatch.StopTask })
+		if at < 0 {
+			at = len(w.queue)
+		}
+		w.queue = slices.Insert(w.queue, at, timed)
+	} else {
+		w.queue = append(w.queue, timed)
+	}
 	w.mu.Unlock()
 	signal(w.queueReady)
 }
@@ -378,8 +390,9 @@
 	}
 	t.mu.Lock()
 	t.engine.OrderResult(done, o.Order, outcome)
+	isStartable := t.engine.HasHeldStarts()
 	t.mu.Unlock()
-	if outcome != dispatch.Confirmed {
+	if outcome != dispatch.Confirmed || isStartable {
 		signal(t.wakeDecide)
 	}
 	if outcome == dispatch.NoReply {
