Judge no worker as slow by fillers that share it with serving tasks

Fillers get what serving tasks leave unused. That swings by 0.6 within seconds, and a halted filler makes no progress, so their progress says nothing about the worker. Stopping them throws their work away and loads other workers.

Two faults beside it, by reading: an order back to full speed without an answer was never repeated, and a new owner took runs that its predecessor had halted for unthrottled, so that they stood still until they were throttled and released again.

Change: speed samples come from fillers only on workers without serving tasks. Orders for a speed that are not confirmed are repeated; a filler that a new owner finds with less than 0.7 of its processors in use is ordered to full speed, once targets are met.

--- a/process/dispatch/decide.go
+++ b/process/dispatch/decide.go
@@ -120,7 +120,7 @@
 	case StopTask:
 		handleStopResult(now, a, result)
 	case ThrottleTask:
-		a.isSpeedLimitSent = result == Confirmed
+		a.isSpeedLimitUnknown = result != Confirmed
 	}
 }
 
--- a/process/dispatch/dispatch_test.go
+++ b/process/dispatch/dispatch_test.go
@@ -32,6 +32,11 @@
 	tail func(serving string, fillers []string) float64
 	// ends returns how a task ends; if nil, every task ends as done.
 	ends func(heatherhub.WorkerID, heatherhub.StepTask) agent.EndKind
+	// outcome returns the outcome of an order; if nil, every order is confirmed. Orders that
+	// are not confirmed are not carried out.
+	outcome func(dispatch.Order) dispatch.Outcome
+	// fillerSpeed is the rate at which fillers progress on a worker; if nil, it is 1.
+	fillerSpeed func(heatherhub.WorkerID) float64
 }
 
 type run struct {
@@ -81,8 +86,14 @@
 // decide carries out the engine's orders and confirms them at once.
 func (b *simulation) decide() {
 	for _, o := range b.e.Decide(b.now) {
-		b.execute(o)
-		b.e.OrderResult(b.now, o, dispatch.Confirmed)
+		outcome := dispatch.Confirmed
+		if b.outcome != nil {
+			outcome = b.outcome(o)
+		}
+		if outcome == dispatch.Confirmed {
+			b.execute(o)
+		}
+		b.e.OrderResult(b.now, o, outcome)
 	}
 }
 
@@ -142,7 +153,11 @@
 		step := b.spec(run)
 		isStopped := run.remaining < 0
 		if !step.LongRunning && !isStopped {
-			run.remaining -= d * time.Duration(run.speedLimit) / 100
+			progress := d * time.Duration(run.speedLimit) / 100
+			if step.Filler && b.fillerSpeed != nil {
+				progress = time.Duration(float64(progress) * b.fillerSpeed(w))
+			}
+			run.remaining -= progress
 		}
 		if run.remaining <= 0 {
 			b.ended[w]++
--- a/process/dispatch/health.go
+++ b/process/dispatch/health.go
@@ -82,10 +82,12 @@
 }
 
 // updateSpeed adds a speed sample from the reported progress of a run. Runs that are
-// throttled, being stopped, long-running or part of a gang are not measured.
+// throttled, being stopped, long-running or part of a gang are not measured, nor are fillers
+// beside serving tasks: they get what those leave unused, which swings within seconds.
 func (e *Engine) updateSpeed(now Moment, n *node, a *attempt) {
 	step := a.task.step
-	if step.spec.LongRunning || step.spec.Gang || a.stop != noStop || a.speedLimit < fullSpeed {
+	isBesideServing := step.spec.Filler && n.servingTasks > 0
+	if step.spec.LongRunning || step.spec.Gang || a.stop != noStop || a.speedLimit < fullSpeed || isBesideServing {
 		a.speedSampleAt = 0
 		return
 	}
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -135,6 +135,7 @@
 		progress: r.Progress, progressAt: now.Steady, checkpoint: r.Checkpoint, speedLimit: fullSpeed,
 		measure: r.Measurement, hasMeasure: r.HasMeasurement,
 	}
+	a.isSpeedLimitUnknown = t.step.spec.Filler && r.Measurement < inheritedSpeed*float64(t.step.spec.Need.CPU)
 	e.nextRun = max(e.nextRun, r.Run)
 	j := t.step.occ.job
 	if t.isDone || t.isRemote || j.isOver() || (len(t.attempts) > 0 && !t.step.spec.Speculative) {
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -257,16 +257,18 @@
 	// stateSince is the time at which the state was reached.
 	stateSince time.Duration
 	// startedAt is the time at which the start was ordered.
-	startedAt        time.Duration
-	stop             stopState
-	stopSince        time.Duration
-	checkpoint       heatherhub.CheckpointRef
-	progress         heatherhub.Percent
-	progressAt       time.Duration
-	measure          float64
-	hasMeasure       bool
-	speedLimit       heatherhub.Percent
-	isSpeedLimitSent bool
+	startedAt  time.Duration
+	stop       stopState
+	stopSince  time.Duration
+	checkpoint heatherhub.CheckpointRef
+	progress   heatherhub.Percent
+	progressAt time.Duration
+	measure    float64
+	hasMeasure bool
+	speedLimit heatherhub.Percent
+	// isSpeedLimitUnknown means that the worker may not have applied speedLimit: the last
+	// order was not confirmed, or a previous owner may have set another one.
+	isSpeedLimitUnknown bool
 	// speedSampleAt and speedSampleProgress are the time and progress at the last speed
 	// sample.
 	speedSampleAt       time.Duration
--- a/process/dispatch/throttle.go
+++ b/process/dispatch/throttle.go
@@ -34,6 +34,9 @@
 	// fillers are halted.
 	haltAfter    = 1200 * time.Millisecond
 	haltAllAfter = 1900 * time.Millisecond
+	// inheritedSpeed is the share of its processors below which a filler of a previous owner
+	// may have been slowed down by that owner.
+	inheritedSpeed = 0.7
 	// noticeableRise is the rise in log tail latency up to which a filler is not
 	// considered to interfere.
 	noticeableRise = 0.05
@@ -124,10 +127,11 @@
 		case !n.throttle.isMissed():
 			next = fullSpeed
 		}
-		if next == a.speedLimit && (a.isSpeedLimitSent || a.speedLimit == fullSpeed) {
+		isRepeat := a.isSpeedLimitUnknown && (next < fullSpeed || !n.throttle.isMissed())
+		if next == a.speedLimit && !isRepeat {
 			continue
 		}
-		a.speedLimit, a.isSpeedLimitSent = next, true
+		a.speedLimit, a.isSpeedLimitUnknown = next, false
 		n.throttle.changedAt = now.Steady
 		e.orders = append(e.orders, Order{Worker: n.worker.ID, Kind: ThrottleTask, Task: a.task.id(), Run: a.run, Percent: next})
 	}
