Hold back only the tasks of a worker that has left

Cause: after a takeover, all inherited work waits until each worker of the stored fleet has answered or its leases are over, 8.5 s for one that has left.

Ruled out: writing each start (too many writes), and taking a refused connection as a proof that nothing runs there, as a cut may refuse connections too.

Change: once a worker drains no task starts there any more, so the fleet record lists the tasks that may run on it (one write for each drain, batched with others). A new owner holds back these tasks only, and keeps the worker closed. A worker that is only unlisted is not closed, since it may come back. "takeover begun" says how many workers were closed and how many tasks wait; "takeover resolved" says when the last of them is free.

TestTakeoverDoesNotWaitForLeftWorkers: no start within 4 s before, within 2.2 s now; the task of the worker that left runs once.

--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -351,15 +351,3 @@
 	}
 	return out
 }
-
-// MarkUnresolved marks a worker on which runs of a previous owner may still be active.
-// Jobs that such an owner may have started wait until all marked workers have reported
-// or are gone.
-func (e *Engine) MarkUnresolved(id heatherhub.WorkerID) {
-	e.unresolved[id] = struct{}{}
-}
-
-// HasUnresolved reports whether any marked worker has neither reported nor gone.
-func (e *Engine) HasUnresolved() bool {
-	return len(e.unresolved) > 0
-}
--- a/process/dispatch/move.go
+++ b/process/dispatch/move.go
@@ -48,7 +48,7 @@
 		}
 		if s.occ.job.workflow.CanSplit() {
 			for _, t := range s.pending {
-				if !t.isMoving && t.notBefore <= now.Steady {
+				if e.isStartable(now.Steady, t) {
 					m.Tasks = append(m.Tasks, t.flatIndex())
 				}
 			}
@@ -64,13 +64,16 @@
 
 func (e *Engine) isMovable(now Moment, s *stepRun) bool {
 	j := s.occ.job
-	if j.isOver() || len(s.pending) == 0 || (j.isInherited && len(e.unresolved) > 0) {
+	if j.isOver() || len(s.pending) == 0 || (j.isInherited && e.openUnresolved > 0) {
 		return false
 	}
 	if j.workflow.CanSplit() {
 		return true
 	}
-	return j.isUntouched() && j.workflow.Schedule == nil && !j.workflow.IsLongRunning() && !s.pending[0].isMoving && s.pending[0].notBefore <= now.Steady
+	if !j.isUntouched() || j.workflow.Schedule != nil || j.workflow.IsLongRunning() {
+		return false
+	}
+	return !slices.ContainsFunc(j.tasksOf(nil), e.mayRunUnresolved) && e.isStartable(now.Steady, s.pending[0])
 }
 
 // isUntouched reports whether no run of the job has begun or may still begin or be
--- a/process/dispatch/order.go
+++ b/process/dispatch/order.go
@@ -50,7 +50,8 @@
 }
 
 // candidates returns the waiting steps in the order in which they are placed. Steps
-// that a previous owner may have started are left out while a worker is unresolved.
+// that a previous owner may have started are left out while a worker is unresolved that may
+// run any task.
 func (e *Engine) candidates(now Moment) []candidate {
 	kept := e.ready[:0]
 	out := make([]candidate, 0, len(e.ready))
@@ -60,7 +61,7 @@
 			continue
 		}
 		kept = append(kept, s)
-		if s.occ.job.isInherited && len(e.unresolved) > 0 {
+		if s.occ.job.isInherited && e.openUnresolved > 0 {
 			continue
 		}
 		out = append(out, candidate{step: s, urgency: urgencyOf(now.Steady, s), latestStart: s.occ.objective - s.criticalPath, remainingWork: remainingWork(s.occ)})
@@ -152,7 +153,7 @@
 			continue
 		}
 		t := s.pending[0]
-		if n := e.leastInterference(now, s); n != nil && t.notBefore <= now.Steady && !t.isMoving {
+		if n := e.leastInterference(now, s); n != nil && e.isStartable(now.Steady, t) {
 			e.nextRun++
 			e.start(now, t, n, e.nextRun)
 			e.recordStarts(now, s, 1, n.worker.ID)
@@ -226,7 +227,7 @@
 	count := 0
 	var last heatherhub.WorkerID
 	for _, t := range slices.Clone(s.pending) {
-		if t.notBefore > now.Steady || t.isMoving {
+		if !e.isStartable(now.Steady, t) {
 			continue
 		}
 		if e.isAtStartLimit() {
@@ -253,7 +254,7 @@
 		return true
 	}
 	for _, t := range s.tasks {
-		if t.notBefore > now.Steady || t.isMoving {
+		if !e.isStartable(now.Steady, t) {
 			return true
 		}
 	}
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -16,7 +16,7 @@
 		e.addNode(&node{worker: w, attempts: make(map[attemptKey]*attempt), unaccounted: make(map[attemptKey]struct{})})
 	}
 	e.Report(now, now.Steady, w.ID, r)
-	delete(e.unresolved, w.ID)
+	e.resolve(w.ID)
 	if !e.hasFenced {
 		e.hasFenced = true
 		e.inheritUntil = now.Steady + e.cfg.FencingGrace
@@ -41,7 +41,7 @@
 // WorkerGone removes a worker on which certainly nothing runs any more, because its
 // lease expired or another instance of it replied. Its tasks become pending again.
 func (e *Engine) WorkerGone(now Moment, id heatherhub.WorkerID) {
-	delete(e.unresolved, id)
+	e.resolve(id)
 	n := e.nodes[id]
 	if n == nil {
 		return
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -47,7 +47,11 @@
 	// sortedNodes has the nodes by worker ID, which makes decisions deterministic.
 	sortedNodes []*node
 	// unresolved has the workers on which runs of a previous owner may still be active.
-	unresolved map[heatherhub.WorkerID]struct{}
+	unresolved map[heatherhub.WorkerID]unresolvedWorker
+	// openUnresolved counts the unresolved workers that may run any task, and heldBack has
+	// the tasks that may run on the others.
+	openUnresolved int
+	heldBack       map[heatherhub.StepTask]struct{}
 	// unknownJobs are jobs that workers reported and that the caller has to look up.
 	// absent has the jobs whose lookup showed that they are not in this shard, with the
 	// time of the lookup.
@@ -99,7 +103,7 @@
 		policies:    make(map[heatherhub.QueueID]Policy),
 		jobs:        make(map[heatherhub.JobID]*job),
 		nodes:       make(map[heatherhub.WorkerID]*node),
-		unresolved:  make(map[heatherhub.WorkerID]struct{}),
+		unresolved:  make(map[heatherhub.WorkerID]unresolvedWorker),
 		unknownJobs: make(map[heatherhub.JobID]*unknownJob),
 		absent:      make(map[heatherhub.JobID]time.Duration),
 		movedAway:   make(map[heatherhub.JobID]moveRecord),
--- /dev/null
+++ b/process/dispatch/unresolved.go
@@ -0,0 +1,98 @@
+package dispatch
+
+import (
+	"time"
+
+	"heatherhub.example/heatherhub"
+)
+
+// A takeover often meets workers that have left shortly before: a fleet is renewed worker by
+// worker, or a failure domain is lost with its owner. Until such a worker has answered or its
+// leases are over, tasks that the previous owner may have started there wait. If the worker
+// was closed, the fleet lists what may run on it, and all other tasks start at once.
+
+// unresolvedWorker is a worker on which runs of a previous owner may still be active.
+type unresolvedWorker struct {
+	// isClosed means that only tasks may run there.
+	isClosed bool
+	tasks    []heatherhub.StepTask
+}
+
+// MarkUnresolved marks a worker on which runs of a previous owner may still be active. Tasks
+// that such an owner may have started wait until all marked workers have reported or are
+// gone.
+func (e *Engine) MarkUnresolved(id heatherhub.WorkerID) {
+	e.unresolved[id] = unresolvedWorker{}
+	e.updateHeldBack()
+}
+
+// MarkUnresolvedClosed is MarkUnresolved for a worker on which only the given tasks may
+// run.
+func (e *Engine) MarkUnresolvedClosed(id heatherhub.WorkerID, tasks []heatherhub.StepTask) {
+	e.unresolved[id] = unresolvedWorker{isClosed: true, tasks: tasks}
+	e.updateHeldBack()
+}
+
+// HasUnresolved reports whether any marked worker has neither reported nor gone.
+func (e *Engine) HasUnresolved() bool {
+	return len(e.unresolved) > 0
+}
+
+// HeldBack returns the marked workers, how many of them may run any task, and the number of
+// single tasks that wait for the others.
+func (e *Engine) HeldBack() (workers, open, tasks int) {
+	return len(e.unresolved), e.openUnresolved, len(e.heldBack)
+}
+
+// resolve records that it is known what runs on a worker.
+func (e *Engine) resolve(id heatherhub.WorkerID) {
+	if _, ok := e.unresolved[id]; ok {
+		delete(e.unresolved, id)
+		e.updateHeldBack()
+	}
+}
+
+// updateHeldBack derives openUnresolved and heldBack from the marked workers.
+func (e *Engine) updateHeldBack() {
+	e.openUnresolved = 0
+	e.heldBack = make(map[heatherhub.StepTask]struct{})
+	for _, u := range e.unresolved {
+		if !u.isClosed {
+			e.openUnresolved++
+		}
+		for _, t := range u.tasks {
+			e.heldBack[t] = struct{}{}
+		}
+	}
+}
+
+// mayRunUnresolved reports whether a task of a job may run on a marked worker.
+func (e *Engine) mayRunUnresolved(t *task) bool {
+	if !t.step.occ.job.isInherited || len(e.unresolved) == 0 {
+		return false
+	}
+	_, isHeldBack := e.heldBack[t.id()]
+	return e.openUnresolved > 0 || isHeldBack
+}
+
+// isStartable reports whether a pending task may start at now, given a worker for it.
+func (e *Engine) isStartable(now time.Duration, t *task) bool {
+	return t.notBefore <= now && !t.isMoving && !e.mayRunUnresolved(t)
+}
+
+// ClosedWorkerTasks returns the tasks that may run on a worker. It reports false unless the
+// worker leaves, so that no further task starts there.
+func (e *Engine) ClosedWorkerTasks(id heatherhub.WorkerID) ([]heatherhub.StepTask, bool) {
+	n := e.nodes[id]
+	if n == nil || !n.worker.Draining {
+		return nil, false
+	}
+	out := make([]heatherhub.StepTask, 0, len(n.attempts)+len(n.unaccounted))
+	for _, a := range n.attemptsByRun() {
+		out = append(out, a.task.id())
+	}
+	for key := range n.unaccounted {
+		out = append(out, key.task)
+	}
+	return out, true
+}
--- /dev/null
+++ b/process/owner/closed_test.go
@@ -0,0 +1,39 @@
+package owner_test
+
+import (
+	"testing"
+	"time"
+
+	"heatherhub.example/heatherhub"
+)
+
+// drain has a worker announce that it leaves.
+func (site *simSite) drain(m *fakeWorker) {
+	m.entry.Draining = true
+	site.register(m)
+}
+
+// TestTakeoverDoesNotWaitForLeftWorkers replays an owner that dies while a worker leaves, as
+// when a fleet is replaced worker by worker: work that was not on that worker starts as soon
+// as after any takeover, and the task that was there runs once, after its lease.
+func TestTakeoverDoesNotWaitForLeftWorkers(t *testing.T) {
+	testOnSite(t, 3, func(site *simSite) {
+		site.submit("lasting", newLongRunningStep(9))
+		time.Sleep(time.Second)
+		lost := heatherhub.StepTask{Job: "lasting"}
+		leaving := site.workerOf(lost)
+		site.drain(leaving)
+		time.Sleep(time.Second)
+		site.kill(site.currentOwner())
+		leaving.mu.Lock()
+		leaving.isGone = true
+		leaving.mu.Unlock()
+		site.store.removeKey(workerPrefix + string(leaving.entry.ID))
+		site.submit("waiting", newStep(3, 100*time.Millisecond))
+		took := site.await("the first start by the new owner", 4*time.Second, func() bool { return site.lastStartedJob() == "waiting" })
+		if limit := 2200 * time.Millisecond; took > limit {
+			t.Errorf("got the first start after %s, want at most %s", took, limit)
+		}
+		site.await("the task of the worker that left", 12*time.Second, func() bool { return site.startCount(lost) == 2 })
+	})
+}
--- a/process/owner/commit.go
+++ b/process/owner/commit.go
@@ -165,6 +165,7 @@
 func (t *term) publishOnceResolved() {
 	if !t.isResolved && !t.engine.HasUnresolved() {
 		t.isResolved = true
+		t.log.Info("takeover resolved", zap.Duration("took", t.now().Steady-t.startedAt))
 		signal(t.wakePublish)
 	}
 }
--- a/process/owner/fleet.go
+++ b/process/owner/fleet.go
@@ -16,7 +16,10 @@
 // to poll, or to wait for if they cannot be reached.
 type fleet struct {
 	// workers holds the address of each worker.
-	workers  map[heatherhub.WorkerID]string
+	workers map[heatherhub.WorkerID]string
+	// closed holds, for workers that leave, the tasks that may run there according to the
+	// record of the previous owner.
+	closed   map[heatherhub.WorkerID][]heatherhub.StepTask
 	revision ledger.Revision
 	// generation counts the changes to workers; writtenGeneration is the generation that
 	// was last written to the store.
@@ -35,7 +38,7 @@
 	}
 	var list record.Fleet
 	for id, address := range t.fleet.workers {
-		list.Workers = append(list.Workers, record.FleetWorker{ID: id, Address: address})
+		list.Workers = append(list.Workers, t.fleetWorker(id, address))
 	}
 	generation, revision := t.fleet.generation, t.fleet.revision
 	t.mu.Unlock()
@@ -65,6 +68,19 @@
 	return t.fleet.writtenGeneration == t.fleet.generation
 }
 
+// fleetWorker returns the entry of a worker in the stored list. A worker is closed only if it
+// has announced that it leaves: one without an entry may come back. The caller holds t.mu.
+func (t *term) fleetWorker(id heatherhub.WorkerID, address string) record.FleetWorker {
+	w := record.FleetWorker{ID: id, Address: address}
+	if loop := t.workers[id]; loop != nil && loop.hasDrained {
+		w.Tasks, w.IsClosed = t.engine.ClosedWorkerTasks(id)
+	}
+	if !w.IsClosed {
+		w.Tasks, w.IsClosed = t.fleet.closed[id]
+	}
+	return w
+}
+
 // applyWorkerSnapshot replaces the known worker entries by those of a snapshot.
 func (t *term) applyWorkerSnapshot(s ledger.Snapshot) {
 	t.mu.Lock()
@@ -113,9 +129,12 @@
 		return "", false
 	}
 	if w := t.workers[entry.ID]; w != nil {
-		if entry.Draining && !w.entry.Draining {
+		if entry.Draining && !w.hasDrained {
 			t.log.Info("worker drains", zap.String("worker", string(entry.ID)), zap.Duration("left", entry.DrainRemaining))
+			w.hasDrained = true
+			t.closeWorker()
 		}
+		entry.Draining = entry.Draining || w.hasDrained
 		w.entry, w.isListed = entry, true
 		t.engine.UpdateWorker(entry)
 		return entry.ID, true
@@ -124,6 +143,13 @@
 	return entry.ID, true
 }
 
+// closeWorker has the fleet written with the tasks that may run on a worker that leaves. No
+// task may start there any more. The caller holds t.mu.
+func (t *term) closeWorker() {
+	t.fleet.generation++
+	signal(t.wakeCommit)
+}
+
 // startWorker starts the loops of a worker and adds it to the fleet. isListed says
 // whether the worker has an entry in the store. The caller holds t.mu.
 func (t *term) startWorker(entry agent.Worker, isListed bool) {
@@ -132,6 +158,9 @@
 		term: t, entry: entry, isListed: isListed, ctx: ctx, cancel: cancel,
 		client: t.host.cfg.Dial(entry.ID, entry.Address), queueReady: make(chan struct{}, 1),
 	}
+	if _, isClosed := t.fleet.closed[entry.ID]; isClosed || (isListed && entry.Draining) {
+		w.hasDrained, w.entry.Draining = true, true
+	}
 	t.workers[entry.ID] = w
 	if _, ok := t.fleet.workers[entry.ID]; !ok {
 		t.fleet.workers[entry.ID] = entry.Address
@@ -151,6 +180,7 @@
 	delete(t.workers, w.entry.ID)
 	if _, ok := t.fleet.workers[w.entry.ID]; ok {
 		delete(t.fleet.workers, w.entry.ID)
+		delete(t.fleet.closed, w.entry.ID)
 		t.fleet.generation++
 	}
 }
--- a/process/owner/random_test.go
+++ b/process/owner/random_test.go
@@ -31,7 +31,10 @@
 	rng *rand.Rand
 	// watchRNG decides which faults come with silent watches of the jobs. It is apart from
 	// rng so that the other faults of a seed do not depend on it.
-	watchRNG  *rand.Rand
+	watchRNG *rand.Rand
+	// leaveRNG decides, apart from the others, which faults come with workers that leave.
+	leaveRNG  *rand.Rand
+	left      int
 	jobs      []heatherhub.JobID
 	cancelled map[heatherhub.JobID]bool
 	hosts     [3]heatherhub.HostID
@@ -82,6 +85,7 @@
 		"ends acknowledged before they are durable": func(site *simSite) { site.acknowledgeEarly.Store(true) },
 		"workers accept any token":                  func(site *simSite) { site.ignoreTokens.Store(true) },
 		"unanswered start reported as not sent":     func(site *simSite) { site.reportUnansweredAsUnsent.Store(true) },
+		"tasks of leaving workers left out":         func(site *simSite) { site.store.forgetClosedTasks.Store(true) },
 	}
 	for name, inject := range faults {
 		t.Run(name, func(t *testing.T) {
@@ -112,6 +116,7 @@
 func newEpisodeOn(site *simSite, seed uint64) *episode {
 	return &episode{
 		simSite: site, rng: rand.New(rand.NewPCG(seed, 3)), watchRNG: rand.New(rand.NewPCG(seed, 4)),
+		leaveRNG:  rand.New(rand.NewPCG(seed, 5)),
 		cancelled: make(map[heatherhub.JobID]bool), hosts: [3]heatherhub.HostID{"h0", "h1", "h2"},
 	}
 }
@@ -157,6 +162,9 @@
 		e.store.setSilentPrefix(record.JobPrefix)
 		e.after(span, func() { e.store.setSilentPrefix("") })
 	}
+	if e.leaveRNG.IntN(3) == 0 {
+		e.replaceWorker()
+	}
 	switch e.rng.IntN(11) {
 	case 0:
 		e.setPartitioned(string(host), storeName, true)
@@ -195,6 +203,31 @@
 	}
 }
 
+// replaceWorker has a worker leave after a drain, shortly before or after other faults, and
+// adds another one.
+func (e *episode) replaceWorker() {
+	d, i := e.leaveRNG.IntN(3), e.leaveRNG.IntN(3)
+	m := e.worker(heatherhub.WorkerID(fmt.Sprintf("w%d-%d", d, i)))
+	if m.entry.Draining {
+		return
+	}
+	e.drain(m)
+	e.left++
+	if e.leaveRNG.IntN(2) == 0 {
+		// The worker runs on, and no host reaches it.
+		e.after(200*time.Millisecond, func() { e.setPartitioned(anyHost, string(m.entry.ID), true) })
+		e.after(600*time.Millisecond, func() { e.store.removeKey(record.OwnerKey(e.jobShard)) })
+	}
+	next := heatherhub.WorkerID(fmt.Sprintf("next%d", e.left))
+	e.after(time.Duration(300+e.leaveRNG.IntN(3000))*time.Millisecond, func() {
+		m.mu.Lock()
+		m.isGone = true
+		m.mu.Unlock()
+		e.store.removeKey(workerPrefix + string(m.entry.ID))
+		e.addWorker(next, m.entry.Domain)
+	})
+}
+
 // restart kills the host of a failure domain and starts another one with a new id after a
 // delay.
 func (e *episode) restart(d int, delay time.Duration) {
--- a/process/owner/store_test.go
+++ b/process/owner/store_test.go
@@ -6,14 +6,21 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"testing"
 	"time"
 
 	"heatherhub.example/heatherhub"
 	"heatherhub.example/heatherhub/connection/ledger"
+	"heatherhub.example/heatherhub/process/record"
 )
 
 // fakeStore is an in-memory version of the platform's store, on the test's virtual time.
 type fakeStore struct {
+	// forgetClosedTasks injects a fault: stored fleets leave out the tasks of workers that
+	// leave.
+	forgetClosedTasks atomic.Bool
+
 	mu      sync.Mutex
 	rev     ledger.Revision
 	items   map[string]ledger.Item
@@ -300,10 +307,13 @@
 	before := s.beforePut
 	isLate := s.delayedKey != "" && slices.ContainsFunc(txn.Puts, func(p ledger.Put) bool { return p.Key == s.delayedKey })
 	s.mu.Unlock()
-	for _, p := range txn.Puts {
+	for i, p := range txn.Puts {
 		if before != nil {
 			before(p.Key)
 		}
+		if s.forgetClosedTasks.Load() && strings.HasPrefix(p.Key, record.FleetPrefix) {
+			txn.Puts[i].Value = withoutTasks(s.site.t, p.Value)
+		}
 	}
 	if isLate {
 		s.site.after(2*time.Second, func() { _, _ = s.apply(txn) })
@@ -358,3 +368,19 @@
 	s.dropLease(id)
 	return nil
 }
+
+// withoutTasks returns an encoded fleet without the tasks of closed workers.
+func withoutTasks(t *testing.T, value []byte) []byte {
+	var f record.Fleet
+	if err := heatherhub.Unmarshal(value, &f); err != nil {
+		t.Error(err)
+	}
+	for i := range f.Workers {
+		f.Workers[i].Tasks = nil
+	}
+	value, err := record.Encode(f)
+	if err != nil {
+		t.Error(err)
+	}
+	return value
+}
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -80,7 +80,7 @@
 		log: h.cfg.Log.With(zap.Stringer("shard", s), zap.Uint64("token", uint64(rev))),
 		ctx: ctx, cancel: cancel, startedAt: h.cfg.Clock.Now().Steady,
 		engine:  dispatch.New(dispatch.Config{Token: agent.Token(rev), Shard: s, MaxPendingStarts: h.maxPendingStarts()}),
-		workers: make(map[heatherhub.WorkerID]*workerLoop), fleet: fleet{workers: make(map[heatherhub.WorkerID]string)},
+		workers: make(map[heatherhub.WorkerID]*workerLoop), fleet: fleet{workers: make(map[heatherhub.WorkerID]string), closed: make(map[heatherhub.WorkerID][]heatherhub.StepTask)},
 		committed: make(chan struct{}), wakeDecide: make(chan struct{}, 1), wakeCommit: make(chan struct{}, 1),
 		wakePublish: make(chan struct{}, 1), wakeLookup: make(chan struct{}, 1), writeSem: make(chan struct{}, 1),
 		publishSem: make(chan struct{}, 1), moveSem: make(chan struct{}, 1),
@@ -252,7 +252,12 @@
 	t.fleet.revision = s.fleet.Revision
 	for _, w := range inherited.Workers {
 		t.fleet.workers[w.ID] = w.Address
-		t.engine.MarkUnresolved(w.ID)
+		if !w.IsClosed {
+			t.engine.MarkUnresolved(w.ID)
+			continue
+		}
+		t.fleet.closed[w.ID] = w.Tasks
+		t.engine.MarkUnresolvedClosed(w.ID, w.Tasks)
 	}
 	t.loadJobs(s)
 	t.hasJobs = true
@@ -269,7 +274,9 @@
 			t.startWorker(agent.Worker{ID: w.ID, Address: w.Address, Draining: true}, false)
 		}
 	}
-	t.log.Info("takeover begun", zap.Int("workers", len(t.workers)), zap.Int("inheritedWorkers", len(inherited.Workers)), zap.Int("jobs", len(s.jobs.Items)))
+	_, open, heldBack := t.engine.HeldBack()
+	t.log.Info("takeover begun", zap.Int("workers", len(t.workers)), zap.Int("inheritedWorkers", len(inherited.Workers)), zap.Int("jobs", len(s.jobs.Items)),
+		zap.Int("closedWorkers", len(inherited.Workers)-open), zap.Int("heldBack", heldBack))
 	return nil
 }
 
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -57,6 +57,8 @@
 	entry agent.Worker
 	// isListed says that the worker's entry is in the store.
 	isListed bool
+	// hasDrained says that the worker has announced that it leaves. It stays closed then.
+	hasDrained bool
 	// isUp says that the worker has answered this owner and is known to the engine.
 	isUp bool
 	// isGone says that the engine was told that no task runs there any more, and that the
@@ -299,6 +301,9 @@
 	} else {
 		w.isUp, w.isGone = true, false
 		t.engine.WorkerUp(now, w.entry, r)
+		if w.hasDrained {
+			t.closeWorker()
+		}
 		t.publishOnceResolved()
 		t.log.Info("worker up", zap.String("worker", string(w.entry.ID)), zap.Int("running", len(r.Running)), zap.Int("ended", len(r.Ended)))
 	}
--- a/process/owner/world_test.go
+++ b/process/owner/world_test.go
@@ -174,9 +174,12 @@
 func (site *simSite) isPartitioned(a, b string) bool {
 	site.mu.Lock()
 	defer site.mu.Unlock()
-	return site.partitions[[2]string{a, b}]
+	return site.partitions[[2]string{a, b}] || site.partitions[[2]string{anyHost, b}]
 }
 
+// anyHost stands for all hosts in setPartitioned.
+const anyHost = ""
+
 // setPartitioned cuts the connection from a host to the store or a worker, or restores it.
 func (site *simSite) setPartitioned(a, b string, isPartitioned bool) {
 	site.mu.Lock()
--- a/process/record/record.go
+++ b/process/record/record.go
@@ -96,6 +96,10 @@
 type FleetWorker struct {
 	ID      heatherhub.WorkerID `msgpack:"id" json:"id"`
 	Address string              `msgpack:"a" json:"address"`
+	// IsClosed means that no task starts on the worker any more, since it leaves. Tasks are
+	// then all that may still run there.
+	IsClosed bool                  `msgpack:"c,omitempty" json:"closed,omitempty"`
+	Tasks    []heatherhub.StepTask `msgpack:"t,omitempty" json:"tasks,omitempty"`
 }
 
 // Encode encodes a value for the store. It returns ErrInvalid if that fails.
