Let shards learn from each other which images interfere

Change: with each third load, every 3 s, an owner reads what the owners of other shards have stored for their successors (one stale read) and adopts values for which they have more than twice its samples, as long as it has fewer than 60 of its own. An image interferes in the same way in all shards, and own samples correct the value as after a takeover.

TestShardLearnsFromOthers: a shard that never saw the pair misses no target, and values with many own samples stay.

--- a/process/dispatch/interference_snapshot.go
+++ b/process/dispatch/interference_snapshot.go
@@ -75,6 +75,38 @@
 	}
 }
 
+// AdoptInterference loads what another shard has learnt, where it has many more samples: an
+// image interferes in the same way in all shards, and each shard sees a pair of images for
+// the first time. Own samples correct the values as after RestoreInterference.
+func (e *Engine) AdoptInterference(snapshot InterferenceSnapshot) {
+	adoptCoefficients(e.model.baselines, snapshot.Base)
+	adoptCoefficients(e.model.fillerMeans, snapshot.Fillers)
+	pairs := make(map[pairKey]Coefficient, len(snapshot.Pairs))
+	for _, p := range snapshot.Pairs {
+		pairs[pairKey{p.Serving, p.Filler}] = p.Coefficient
+	}
+	adoptCoefficients(e.model.pairs, pairs)
+}
+
+// adoptRatio is how many times as many samples another shard must have, and maxAdoptSamples
+// the own samples from which on a value stays as it is.
+const (
+	adoptRatio      = 2
+	maxAdoptSamples = 3 * minSamples
+)
+
+func adoptCoefficients[K comparable](into map[K]*coefficient, from map[K]Coefficient) {
+	for key, c := range from {
+		own := into[key]
+		switch {
+		case own == nil:
+			into[key] = restoredCoefficient(c)
+		case own.samples < maxAdoptSamples && c.Count > adoptRatio*own.samples:
+			own.value, own.samples = c.Value, max(own.samples, minSamples)
+		}
+	}
+}
+
 func restoreCoefficients(into map[string]*coefficient, from map[string]Coefficient) {
 	for name, c := range from {
 		into[name] = restoredCoefficient(c)
--- a/process/dispatch/interference_snapshot_test.go
+++ b/process/dispatch/interference_snapshot_test.go
@@ -59,3 +59,36 @@
 		t.Errorf("got %d samples over target with the restored model and %d without, want none and some", missed, without)
 	}
 }
+
+// TestShardLearnsFromOthers replays fillers that meet sensitive images first in one shard and
+// later in another, which has seen other fillers only.
+func TestShardLearnsFromOthers(t *testing.T) {
+	missed := 0
+	first := newTwoImages(t, &missed)
+	runFillers(first, 20)
+	snapshot := first.e.InterferenceSnapshot()
+	second := newTwoImages(t, &missed)
+	other := tasks(4, 1500, time.Second)
+	other.Filler, other.Image = true, "light"
+	second.add("other", other)
+	second.advance(5 * time.Second)
+	second.e.AdoptInterference(snapshot)
+	missed = 0
+	runFillers(second, 6)
+	if missed > 0 {
+		t.Errorf("got %d samples over target, want none in a shard that learns from another", missed)
+	}
+	own := second.e.InterferenceSnapshot()
+	for range 10 {
+		runFillers(second, 4)
+	}
+	before := second.e.InterferenceSnapshot()
+	for i := range snapshot.Pairs {
+		snapshot.Pairs[i].Value, snapshot.Pairs[i].Count = 0, 30
+	}
+	second.e.AdoptInterference(snapshot)
+	after := second.e.InterferenceSnapshot()
+	if len(own.Pairs) == 0 || len(before.Pairs) != len(after.Pairs) || before.Pairs[0] != after.Pairs[0] {
+		t.Errorf("got pairs %v after fewer samples of another shard, want %v as before", after.Pairs, before.Pairs)
+	}
+}
--- a/process/owner/commit.go
+++ b/process/owner/commit.go
@@ -135,6 +135,9 @@
 		timer.Stop()
 		t.readBegunGuests()
 		t.publish(t.ctx)
+		if t.publishCount%publicationsPerSnapshot == 0 {
+			t.adoptInterference()
+		}
 	}
 }
 
@@ -159,6 +162,33 @@
 	}
 }
 
+// adoptInterference reads what the owners of other shards have learnt of images. The values
+// are hints, so an unreadable record is logged and ignored.
+func (t *term) adoptInterference() {
+	if len(t.host.View().Layout.Shards) < 2 {
+		return
+	}
+	snap, err := t.host.cfg.Store.RangeStale(t.ctx, record.InterferencePrefix)
+	if err != nil {
+		t.log.Info("learnt not read", zap.Error(err))
+		return
+	}
+	own := record.InterferenceKey(t.shard)
+	for _, it := range snap.Items {
+		var s dispatch.InterferenceSnapshot
+		if it.Key == own {
+			continue
+		}
+		if err := heatherhub.Unmarshal(it.Value, &s); err != nil {
+			t.log.Warn("learnt unreadable", zap.String("key", it.Key), zap.Error(err))
+			continue
+		}
+		t.mu.Lock()
+		t.engine.AdoptInterference(s)
+		t.mu.Unlock()
+	}
+}
+
 // publishOnceResolved publishes the first load ahead of time, as soon as it is known what
 // runs on the workers of the previous owner. Before that, running jobs would count as
 // waiting. The caller holds t.mu.
@@ -172,7 +202,7 @@
 
 // publicationsPerSnapshot is the number of load publications for each write of the learnt
 // interference estimates, which change within tens of seconds.
-const publicationsPerSnapshot = 4
+const publicationsPerSnapshot = 3
 
 // publish writes one load record, deletes expired jobs and, every
 // publicationsPerSnapshot times, writes the learnt interference estimates. It does nothing
