Place fillers up to a higher expected tail latency

Cause: with what the shards learn from each other the expected tail latency beside fillers is better known, so the margin under the target that covers ignorance can be smaller.

--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -76,7 +76,7 @@
 	// maxLogTailRatio is the highest logarithm of expected tail latency over target up
 	// to which a filler that interferes may be placed. Samples spread by about 0.4
 	// around the expected value, so the limit stays below zero by more than that.
-	maxLogTailRatio = -0.5
+	maxLogTailRatio = -0.3
 )
 
 // score rates a worker for a step; higher is better. It reports false for a filler that
