--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -75,7 +75,7 @@
 	sameImageWeight  = 0.5
 	// maxLogTailRatio is the highest logarithm of expected tail latency over target up
 	// to which a filler that interferes may be placed. Samples spread by about 0.4
-	// around the expected value, so the limit stays below zero by more than that.
+	// around the expected value, so the limit stays below zero by most of that.
 	maxLogTailRatio = -0.3
 )
 
