Start failed batch tasks again at once

Cause: about one task in twenty fails, and a compile has about 21 tasks, so most compiles wait for the second run of some task. It waited 0.1 s by RetryDelay before anything else, of an aim of about a quarter of a second beyond the work.

Change: only long-running tasks, whose failures have no limit, wait for RetryDelay. A batch task starts again with the decision on the report, on another worker as before.

Tests: TestFailedTaskOfAWideJobStartsAgainAtOnce (no start with the report before).

--- a/process/dispatch/dispatch_test.go
+++ b/process/dispatch/dispatch_test.go
@@ -522,6 +522,32 @@
 	}
 }
 
+// TestFailedTaskOfAWideJobStartsAgainAtOnce replays quick wide jobs on a service where one task
+// in twenty fails: nearly every job waits for a second run of some task.
+func TestFailedTaskOfAWideJobStartsAgainAtOnce(t *testing.T) {
+	b := newSimulation(t, dispatch.Policy{MaxAttempts: 3}, 4)
+	failed := heatherhub.StepTask{Job: "wide", Index: 3}
+	isFirst := true
+	b.ends = func(_ heatherhub.WorkerID, task heatherhub.StepTask) agent.EndKind {
+		if task == failed && isFirst {
+			isFirst = false
+			return agent.EndFailed
+		}
+		return agent.EndDone
+	}
+	b.add("wide", tasks(13, 1000, 600*time.Millisecond))
+	b.decide()
+	first := b.placed[failed]
+	starts := len(b.started)
+	b.advance(600 * time.Millisecond)
+	if got, want := len(b.started)-starts, 1; got != want {
+		t.Errorf("got %d starts with the report of the failure, want %d", got, want)
+	}
+	if got := b.placed[failed]; got == first {
+		t.Errorf("got the second run on %s too, want it elsewhere", got)
+	}
+}
+
 // TestLongRunningTaskStartsOnASlowWorker guards against a long-running step that is skipped
 // because a batch step found no worker: batch work does not start on slow workers.
 func TestLongRunningTaskStartsOnASlowWorker(t *testing.T) {
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -288,8 +288,10 @@
 	e.finishIfDone(now, j)
 }
 
-// failTask records a failure of a task and fails its job once MaxAttempts is reached.
-// Failures of long-running tasks do not count towards that limit.
+// failTask records a failure of a task and fails its job once MaxAttempts is reached. A batch
+// task may start again at once: a wide job nearly always has a task that fails, and waits for
+// it. Failures of long-running tasks do not count towards the limit, so these wait for
+// RetryDelay.
 func (e *Engine) failTask(now Moment, n *node, t *task, run heatherhub.RunID) {
 	j := t.step.occ.job
 	if n.health.recordFailure(now.Steady, j.workflow.ID) {
@@ -305,7 +307,6 @@
 	}
 	j.progress.Failed = append(j.progress.Failed, FailedRun{Occurrence: t.step.occ.index, Task: t.flatIndex(), Run: run})
 	e.markChanged(j)
-	t.notBefore = now.Steady + e.cfg.RetryDelay
 	if limit := j.policy.MaxAttempts; limit > 0 && t.failures() >= limit && !j.isOver() {
 		e.endJob(now, j, heatherhub.WorkflowFailed)
 	}
--- a/process/dispatch/tuning.go
+++ b/process/dispatch/tuning.go
@@ -11,7 +11,7 @@
 type Tuning struct {
 	// Tick is the interval at which Decide is called if no event arrives.
 	Tick time.Duration
-	// RetryDelay is the delay before a failed task is started again.
+	// RetryDelay is the delay before a failed long-running task is started again.
 	RetryDelay time.Duration
 	// StopRetryInterval is the minimum time between two stop orders for the same run.
 	StopRetryInterval time.Duration
