Divide the workers of a failure domain equally among its shards

Two faults of the layout: racks were assigned to shards by a hash, which with 14 racks and three shards gives one of them a quarter of another's workers; and a domain had three shards instead of two, since the number of hosts that can own one had to exceed the number of shards, though one strong host can own both after the other is lost.

Change: the layout lists the shard of each rack, the largest racks first, each to the shard with the fewest workers; racks that come later are still assigned by the hash. The hosts of a domain without the strongest have to be able to own its shards, each as many as it can carry.

--- a/process/record/layout.go
+++ b/process/record/layout.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"heatherhub.example/heatherhub"
@@ -16,6 +17,9 @@
 // Layout lists the shards of a site.
 type Layout struct {
 	Shards []ShardSize `msgpack:"shards" json:"shards"`
+	// Racks has, by failure domain and rack, the index of the rack's shard in its domain.
+	// Racks that came later are not listed.
+	Racks map[heatherhub.FailureDomain]map[heatherhub.Rack]int `msgpack:"racks,omitempty" json:"racks,omitempty"`
 }
 
 // ShardSize is a shard with the number of its workers and their processors when the layout
@@ -48,13 +52,14 @@
 
 // PlanLayout divides workers into shards. There is a single shard if that has at most
 // MaxWorkers workers and two hosts can own it. Otherwise each failure domain is divided into
-// the fewest shards of at most MaxWorkers that as many of its hosts and one more can own.
+// the fewest shards of at most MaxWorkers that its hosts can own without the strongest one.
 func PlanLayout(cfg LayoutConfig) Layout {
 	var l Layout
 	if len(cfg.Workers) <= cfg.MaxWorkers && canOwn(capacities(cfg.Hosts, ""), 1, len(cfg.Workers)) {
 		l.Shards = []ShardSize{{Shard: heatherhub.ShardID{Domain: SiteDomain}}}
 	} else {
 		l.Shards = cfg.shardsByDomain()
+		l.Racks = cfg.divideRacks(l.Shards)
 	}
 	for i := range cfg.Workers {
 		s := l.ShardOf(&cfg.Workers[i])
@@ -91,15 +96,48 @@
 	return out
 }
 
-// canOwn reports whether shards of size workers have an owner each and one host more that
-// can take over. If there are no more hosts than shards, all of them have to be able to.
-// Without hosts it is true.
+// canOwn reports whether hosts can own shards of size workers even without the strongest of
+// them. A host may own several shards. A single host is not left out, and without hosts
+// canOwn is true.
 func canOwn(capacities []int, shards, size int) bool {
 	if len(capacities) == 0 {
 		return true
 	}
-	last := min(shards, len(capacities)-1)
-	return capacities[last] >= size
+	owned := 0
+	for _, n := range capacities[min(1, len(capacities)-1):] {
+		owned += n / max(size, 1)
+	}
+	return owned >= shards
+}
+
+// divideRacks assigns the racks of each domain to its shards so that these have about as many
+// workers each: the largest racks first, each to the shard with the fewest workers.
+func (cfg *LayoutConfig) divideRacks(shards []ShardSize) map[heatherhub.FailureDomain]map[heatherhub.Rack]int {
+	workers := make(map[heatherhub.FailureDomain]map[heatherhub.Rack]int)
+	for i := range cfg.Workers {
+		w := &cfg.Workers[i]
+		if workers[w.Domain] == nil {
+			workers[w.Domain] = make(map[heatherhub.Rack]int)
+		}
+		if w.Rack != "" {
+			workers[w.Domain][w.Rack]++
+		}
+	}
+	counts := make(map[heatherhub.FailureDomain][]int)
+	for _, s := range shards {
+		counts[s.Shard.Domain] = append(counts[s.Shard.Domain], 0)
+	}
+	for d, racks := range workers {
+		names := slices.SortedFunc(maps.Keys(racks), func(a, b heatherhub.Rack) int {
+			return cmp.Or(cmp.Compare(racks[b], racks[a]), cmp.Compare(a, b))
+		})
+		for _, name := range names {
+			least := slices.Index(counts[d], slices.Min(counts[d]))
+			counts[d][least] += racks[name]
+			racks[name] = least
+		}
+	}
+	return workers
 }
 
 func (cfg *LayoutConfig) shardsByDomain() []ShardSize {
@@ -137,8 +175,8 @@
 	return (a + b - 1) / b
 }
 
-// ShardOf returns the shard of a worker: one of its failure domain, chosen by rack so
-// that a rack stays in one shard. A domain without a shard of its own uses those of all
+// ShardOf returns the shard of a worker: that of its rack, or for a rack that is not listed
+// one of its failure domain, chosen by a hash so that a rack stays in one shard. A domain without a shard of its own uses those of all
 // domains.
 func (l *Layout) ShardOf(w *agent.Worker) heatherhub.ShardID {
 	var candidates []heatherhub.ShardID
@@ -155,6 +193,9 @@
 	if len(candidates) == 0 {
 		return heatherhub.ShardID{}
 	}
+	if index, ok := l.Racks[w.Domain][w.Rack]; ok && index < len(candidates) {
+		return candidates[index]
+	}
 	key := string(w.Rack)
 	if key == "" {
 		key = string(w.ID)
--- a/process/record/layout_test.go
+++ b/process/record/layout_test.go
@@ -54,6 +54,7 @@
 		{"one strong host", 24, append(hosts(27, 27, 27), record.Host{Domain: domain(0), Workers: 320}), 5},
 		{"two strong hosts", 24, append(hosts(27, 27, 27), record.Host{Domain: domain(0), Workers: 320}, record.Host{Domain: domain(1), Workers: 320}), 1},
 		{"some strong hosts in each domain", 220, hosts(320, 320, 320, 44, 44, 44, 44), 10},
+		{"two strong hosts in each domain", 163, hosts(320, 320, 76, 76, 76, 76), 10},
 		{"only weak hosts, many workers", 220, hosts(44, 44, 44, 44, 44, 44, 44), 25},
 		{"no host can carry its share", 220, hosts(1, 1, 1), 15},
 		{"unknown hosts, many workers", 220, nil, 10},
@@ -74,3 +75,28 @@
 		})
 	}
 }
+
+// TestShardsOfADomainAreEqual plans a fleet with a few racks for each shard: a shard of a third
+// of the size has no room for wide jobs, and its work moves around.
+func TestShardsOfADomainAreEqual(t *testing.T) {
+	workers := fleet(164)
+	l := record.PlanLayout(record.LayoutConfig{Workers: workers, Hosts: hosts(320, 320, 76, 76), MaxWorkers: 60})
+	if got, want := len(l.Shards), 15; got != want {
+		t.Fatalf("got %d shards, want %d", got, want)
+	}
+	for _, s := range l.Shards {
+		if s.Workers < 52 || s.Workers > 56 {
+			t.Errorf("got %d workers in shard %s, want 52 to 56", s.Workers, s.Shard)
+		}
+	}
+	w := workers[0]
+	same := l.ShardOf(&w)
+	w.ID = "later"
+	if got := l.ShardOf(&w); got != same {
+		t.Errorf("got shard %s for another worker of the rack, want %s", got, same)
+	}
+	w.Rack = "unknown"
+	if got := l.ShardOf(&w); got.Domain != w.Domain {
+		t.Errorf("got shard %s for a new rack, want one of domain %s", got, w.Domain)
+	}
+}
