Count the rounds of publications in their own loop

The count only decided the round, so no decision was wrong. My runs of process/owner before were without -race.

Change: the loop counts its own rounds. go test -race ./process/owner ./process/dispatch ./process/record passes.

--- a/process/owner/commit.go
+++ b/process/owner/commit.go
@@ -125,7 +125,7 @@
 // publishLoop publishes the shard's load to other hosts and deletes expired jobs. Each
 // successful write also confirms that this host still owns the shard.
 func (t *term) publishLoop() {
-	for t.ctx.Err() == nil {
+	for round := 1; t.ctx.Err() == nil; round++ {
 		timer := time.NewTimer(publishInterval)
 		select {
 		case <-t.ctx.Done():
@@ -135,7 +135,7 @@
 		timer.Stop()
 		t.readBegunGuests()
 		t.publish(t.ctx)
-		if t.publishCount%publicationsPerSnapshot == 0 {
+		if round%publicationsPerSnapshot == 0 {
 			t.adoptInterference()
 		}
 	}
