Log by which evidence a worker counts as gone

A metric counts workers gone by evidence.

Ruled out: a line for each single start; the runs that end with a worker are logged by task already.

Conclusion: no decision changed.

--- a/process/dispatch/view.go
+++ b/process/dispatch/view.go
@@ -116,3 +116,12 @@
 	}
 	return out
 }
+
+// OpenRuns returns the number of runs on a worker that are not known to be over.
+func (e *Engine) OpenRuns(id heatherhub.WorkerID) int {
+	n := e.nodes[id]
+	if n == nil {
+		return 0
+	}
+	return len(n.attempts) + len(n.unaccounted)
+}
--- a/process/owner/fleet.go
+++ b/process/owner/fleet.go
@@ -93,6 +93,7 @@
 	}
 	for id, w := range t.workers {
 		if _, ok := present[id]; !ok {
+			t.logUnlisted(w)
 			w.markUnlisted()
 		}
 	}
@@ -109,13 +110,22 @@
 			continue
 		}
 		if w := t.workers[heatherhub.WorkerID(e.Key[len(t.host.cfg.WorkerPrefix):])]; w != nil {
-			t.log.Info("worker unlisted", zap.String("worker", string(w.entry.ID)))
+			t.logUnlisted(w)
 			w.markUnlisted()
 		}
 	}
 	signal(t.wakeDecide)
 }
 
+// logUnlisted logs the removal of a worker's entry, also of one that still answers. The caller
+// holds t.mu.
+func (t *term) logUnlisted(w *workerLoop) {
+	if w.isListed {
+		t.log.Info("worker unlisted", zap.String("worker", string(w.entry.ID)), zap.Bool("drained", w.hasDrained),
+			zap.Int("running", t.engine.OpenRuns(w.entry.ID)), zap.Duration("sinceAnswer", t.now().Steady-w.answeredAt))
+	}
+}
+
 // applyWorkerEntry updates or adds the worker of an entry. It reports whether the worker
 // belongs to this shard. The caller holds t.mu.
 func (t *term) applyWorkerEntry(it ledger.Item) (heatherhub.WorkerID, bool) {
@@ -134,6 +144,9 @@
 			w.hasDrained = true
 			t.closeWorker()
 		}
+		if !w.isListed {
+			t.log.Info("worker listed again", zap.String("worker", string(entry.ID)), zap.Duration("sinceUnlisted", t.now().Steady-w.unlistedAt))
+		}
 		entry.Draining = entry.Draining || w.hasDrained
 		w.entry, w.isListed = entry, true
 		t.engine.UpdateWorker(entry)
--- a/process/owner/metrics.go
+++ b/process/owner/metrics.go
@@ -18,6 +18,8 @@
 	stepWait   prometheus.Histogram
 	jobTime    prometheus.Histogram
 	workers    *prometheus.GaugeVec
+	// workersGone counts workers on which no task runs any more, by evidence.
+	workersGone *prometheus.CounterVec
 }
 
 // waitBuckets are the histogram buckets of waiting times, in seconds. Most starts take
@@ -47,9 +49,12 @@
 		workers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "heatherhub_workers", Help: "Workers of this host's shards by state.",
 		}, []string{"state"}),
+		workersGone: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "heatherhub_workers_gone_total", Help: "Workers on which no task runs any more, by evidence.",
+		}, []string{"evidence"}),
 	}
 	if r != nil {
-		r.MustRegister(m.events, m.takeovers, m.shardsLost, m.commits, m.commitTime, m.stepWait, m.jobTime, m.workers)
+		r.MustRegister(m.events, m.takeovers, m.shardsLost, m.commits, m.commitTime, m.stepWait, m.jobTime, m.workers, m.workersGone)
 	}
 	return m
 }
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -335,7 +335,7 @@
 		return
 	}
 	w.isGone = true
-	t.log.Warn("worker gone", zap.String("worker", string(id)), zap.Bool("over", hasEnded), zap.Bool("listed", w.isListed), zap.Error(err))
+	w.logGone(now.Steady, w.goneEvidence(err), err)
 	t.engine.WorkerGone(now, id)
 	t.publishOnceResolved()
 	w.isUp = false
@@ -346,6 +346,43 @@
 	signal(t.wakeDecide)
 }
 
+// Evidence that no task runs on a worker any more, as logged.
+const (
+	evidenceReplaced     = "replaced"
+	evidenceShutDown     = "shut down"
+	evidenceLeaseExpired = "lease expired"
+)
+
+// goneEvidence names the evidence by which the worker counts as gone after a poll that failed
+// with err. The caller holds the term's mu.
+func (w *workerLoop) goneEvidence(err error) string {
+	switch {
+	case agent.IsWorkerReplaced(err):
+		return evidenceReplaced
+	case w.hasShutDown():
+		return evidenceShutDown
+	default:
+		return evidenceLeaseExpired
+	}
+}
+
+// logGone logs that a worker counts as gone, with the times that tell whether it may still
+// work. The caller holds the term's mu.
+func (w *workerLoop) logGone(now time.Duration, evidence string, err error) {
+	fields := []zap.Field{
+		zap.String("worker", string(w.entry.ID)), zap.String("evidence", evidence), zap.Int("running", w.term.engine.OpenRuns(w.entry.ID)),
+		zap.Bool("listed", w.isListed), zap.Bool("drained", w.hasDrained), zap.Bool("reached", w.isUp), zap.Error(err),
+	}
+	if w.isUp {
+		fields = append(fields, zap.Duration("sinceAnswer", now-w.answeredAt))
+	}
+	if !w.isListed && w.unlistedAt > 0 {
+		fields = append(fields, zap.Duration("sinceUnlisted", now-w.unlistedAt))
+	}
+	w.term.host.metrics.workersGone.WithLabelValues(evidence).Inc()
+	w.term.log.Warn("worker gone", fields...)
+}
+
 // endTermIfFenced ends the term if err says that the worker has seen a higher token. It
 // reports whether it does.
 func (w *workerLoop) endTermIfFenced(err error) bool {
