Stop the runs on a draining worker before it leaves

Cause: tasks on a worker that leaves in a planned way ran on until it was gone. That nothing ran there any more was then guessed from the removal of the worker's entry, which let them start elsewhere at once. Without that guess each would wait for a lease of 6 s.

Change: the owner stops the runs that would not end before a draining worker leaves: as soon as the task has room elsewhere, and 1.2 s before the earliest departure at the latest, so that the worker still lists the end. Runs that end in time run on. Once the worker lists no run, the fleet is written again, also at a hand-over, so that a next owner holds nothing back for it.

Ruled out: a shorter lease for a draining worker, since a lease never shortens and the worker leaves 2 s after the notice; taking a refused connection as the end, since a fault of the network looks the same.

Tests: TestRunsThatOutlastADrainMoveBeforeIt. TestTasksOfShutDownWorkerStartElsewhereAtOnce asked for new starts within 1 s of the departure; tasks may now move earlier, so it asks for more: no task is without a run for longer than 1 s from the notice on, with a notice of 0 and of 2 s. TestTakeoverDoesNotWaitForLeftWorkers needs a task on the leaving worker when the owner dies, so the answers to its stops are lost there; it checks that the task is still there, and still fails if the closed workers of the fleet are ignored.

--- a/process/dispatch/decide.go
+++ b/process/dispatch/decide.go
@@ -64,6 +64,7 @@
 func (e *Engine) Decide(now Moment) []Order {
 	e.enqueueScheduled(now)
 	e.stopStalledRuns(now)
+	e.vacateDraining(now)
 	e.orderStops(now)
 	e.startReady(now)
 	out := e.orders
--- /dev/null
+++ b/process/dispatch/drain_test.go
@@ -0,0 +1,72 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/connection/agent"
+	"heatherhub.example/heatherhub/process/dispatch"
+)
+
+// drain has worker i announce that it leaves after left.
+func (b *simulation) drain(i int, left time.Duration) {
+	w := b.worker(i)
+	w.Draining = true
+	b.e.UpdateWorker(w)
+	b.e.WorkerDrains(w.ID, b.now.Steady+left)
+}
+
+// addWorkerWithRoom adds a worker with room for cpu.
+func (b *simulation) addWorkerWithRoom(cpu heatherhub.MilliCPU) {
+	b.workers = append(b.workers, heatherhub.WorkerID(fmt.Sprintf("w%02d", len(b.workers))))
+	w := b.worker(len(b.workers) - 1)
+	w.Capacity.CPU = max(cpu, 1)
+	b.e.WorkerUp(b.now, w, &agent.Report{Clock: 1})
+}
+
+// TestRunsThatOutlastADrainMoveBeforeIt guards against runs that end unreported with a worker
+// that leaves in a planned way, and against stops of runs that end in time.
+func TestRunsThatOutlastADrainMoveBeforeIt(t *testing.T) {
+	long := tasks(1, 8000, time.Hour)
+	long.LongRunning = true
+	for name, c := range map[string]struct {
+		step heatherhub.Step
+		// room is the capacity of the other worker that is left.
+		room heatherhub.MilliCPU
+		// stopsAfter is the time from the notice to the stop; negative for no stop.
+		stopsAfter time.Duration
+	}{
+		"long-running, room elsewhere": {step: long, room: 8000, stopsAfter: 0},
+		"long-running, no room":        {step: long, stopsAfter: 1800 * time.Millisecond},
+		"batch, too long":              {step: tasks(1, 8000, 5*time.Second), room: 8000, stopsAfter: 0},
+		"batch, ends in time":          {step: tasks(1, 8000, 2500*time.Millisecond), room: 8000, stopsAfter: -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newSimulation(t, dispatch.Policy{}, 1)
+			b.add("moves", c.step)
+			b.advance(100 * time.Millisecond)
+			b.addWorkerWithRoom(c.room)
+			b.drain(0, 3*time.Second)
+			stoppedAfter := time.Duration(-1)
+			b.outcome = func(o dispatch.Order) dispatch.Outcome {
+				if o.Kind == dispatch.StopTask && stoppedAfter < 0 {
+					stoppedAfter = b.now.Steady
+				}
+				return dispatch.Confirmed
+			}
+			start := b.now.Steady
+			b.advance(2900 * time.Millisecond)
+			if stoppedAfter >= 0 {
+				stoppedAfter -= start
+			}
+			if diff := stoppedAfter - c.stopsAfter; diff < 0 || diff > 150*time.Millisecond {
+				t.Errorf("got a stop %s after the notice, want %s", stoppedAfter, c.stopsAfter)
+			}
+			if got := b.e.OpenRuns(b.workers[0]); got != 0 {
+				t.Errorf("got %d open runs when the worker leaves, want none", got)
+			}
+		})
+	}
+}
--- a/process/dispatch/event.go
+++ b/process/dispatch/event.go
@@ -23,6 +23,8 @@
 	// EventRunStalled: a run is stopped because it made no progress or its worker is
 	// slow.
 	EventRunStalled Event = "run stalled"
+	// EventRunVacated: a run is stopped because its worker leaves before the run would end.
+	EventRunVacated Event = "run vacated"
 	// EventWorkerQuarantined: several jobs in a row failed on a worker, which gets no
 	// tasks for a while.
 	EventWorkerQuarantined Event = "worker quarantined"
--- a/process/dispatch/health.go
+++ b/process/dispatch/health.go
@@ -68,6 +68,8 @@
 	// slowMinSamples is the number of samples needed to decide that.
 	slowShare      = 0.35
 	slowMinSamples = 4
+	// minMeasuredSpeed bounds estimates that divide by a measured speed.
+	minMeasuredSpeed = 0.05
 	// speedMaxAge is how long after its last sample an average stays valid.
 	speedMaxAge = 2500 * time.Millisecond
 )
@@ -125,7 +127,7 @@
 		return false
 	}
 	total := e.expectedDuration(a.task.step).Seconds()
-	timeLeft := total * (1 - float64(a.progress)/100) / max(a.node.speed.value, 0.05)
+	timeLeft := total * (1 - float64(a.progress)/100) / max(a.node.speed.value, minMeasuredSpeed)
 	workElsewhere := total
 	if a.task.step.spec.Checkpoints && a.checkpoint != "" {
 		workElsewhere = total * (1 - float64(a.progress)/100)
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -327,6 +327,10 @@
 	servingImages []servingImage
 	// isUnresponsive means that the last call to the worker got no reply.
 	isUnresponsive bool
+	// isLeaving means that the worker has announced that it leaves, which it does at
+	// leavesAt at the earliest.
+	isLeaving bool
+	leavesAt  time.Duration
 	// backoffUntil is the time until which the worker gets no new tasks after a refusal
 	// or stall.
 	backoffUntil time.Duration
--- a/process/owner/closed_test.go
+++ b/process/owner/closed_test.go
@@ -15,16 +15,22 @@
 
 // TestTakeoverDoesNotWaitForLeftWorkers replays an owner that dies while a worker leaves, as
 // when a fleet is replaced worker by worker: work that was not on that worker starts as soon
-// as after any takeover, and the task that was there runs once, after its lease.
+// as after any takeover, and the task that was there, whose stop got no answer, runs once, after
+// its lease.
 func TestTakeoverDoesNotWaitForLeftWorkers(t *testing.T) {
 	testOnSite(t, 3, func(site *simSite) {
 		site.submit("lasting", newLongRunningStep(9))
 		time.Sleep(time.Second)
 		lost := heatherhub.StepTask{Job: "lasting"}
 		leaving := site.workerOf(lost)
+		site.setDelayedShare(1)
 		site.drain(leaving)
 		time.Sleep(time.Second)
 		site.kill(site.currentOwner())
+		site.setDelayedShare(0)
+		if got := site.workerOf(lost); got != leaving {
+			t.Error("the task does not run on the leaving worker any more")
+		}
 		leaving.mu.Lock()
 		leaving.isGone = true
 		leaving.mu.Unlock()
--- a/process/owner/fleet.go
+++ b/process/owner/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -139,10 +140,8 @@
 		return "", false
 	}
 	if w := t.workers[entry.ID]; w != nil {
-		if entry.Draining && !w.hasDrained {
-			t.log.Info("worker drains", zap.String("worker", string(entry.ID)), zap.Duration("left", entry.DrainRemaining))
-			w.hasDrained = true
-			t.closeWorker()
+		if entry.Draining {
+			t.drainWorker(w, entry.DrainRemaining)
 		}
 		if !w.isListed {
 			t.log.Info("worker listed again", zap.String("worker", string(entry.ID)), zap.Duration("sinceUnlisted", t.now().Steady-w.unlistedAt))
@@ -150,12 +149,23 @@
 		entry.Draining = entry.Draining || w.hasDrained
 		w.entry, w.isListed = entry, true
 		t.engine.UpdateWorker(entry)
+		w.updateVacated()
 		return entry.ID, true
 	}
 	t.startWorker(entry, true)
 	return entry.ID, true
 }
 
+// drainWorker records that a worker leaves, after remaining at the earliest. The caller holds
+// t.mu.
+func (t *term) drainWorker(w *workerLoop, remaining time.Duration) {
+	if !w.hasDrained {
+		t.log.Info("worker drains", zap.String("worker", string(w.entry.ID)), zap.Duration("left", remaining), zap.Int("running", t.engine.OpenRuns(w.entry.ID)))
+		t.closeWorker()
+	}
+	w.markDrained(remaining)
+}
+
 // closeWorker has the fleet written with the tasks that may run on a worker that leaves. No
 // task may start there any more. The caller holds t.mu.
 func (t *term) closeWorker() {
@@ -163,6 +173,19 @@
 	signal(t.wakeCommit)
 }
 
+// refreshClosedWorkers has the fleet written again if a worker leaves, whose tasks may have ended
+// since the last write.
+func (t *term) refreshClosedWorkers() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, w := range t.workers {
+		if w.hasDrained {
+			t.closeWorker()
+			return
+		}
+	}
+}
+
 // startWorker starts the loops of a worker and adds it to the fleet. isListed says
 // whether the worker has an entry in the store. The caller holds t.mu.
 func (t *term) startWorker(entry agent.Worker, isListed bool) {
@@ -172,7 +195,9 @@
 		client: t.host.cfg.Dial(entry.ID, entry.Address), queueReady: make(chan struct{}, 1),
 	}
 	if _, isClosed := t.fleet.closed[entry.ID]; isClosed || (isListed && entry.Draining) {
-		w.hasDrained, w.entry.Draining = true, true
+		w.entry.Draining = true
+		// The entry may be as old as one heartbeat.
+		w.markDrained(max(entry.DrainRemaining-t.host.cfg.WorkerHeartbeat, 0))
 	}
 	t.workers[entry.ID] = w
 	if _, ok := t.fleet.workers[entry.ID]; !ok {
--- a/process/owner/owner_test.go
+++ b/process/owner/owner_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -238,24 +240,54 @@
 }
 
 // TestTasksOfShutDownWorkerStartElsewhereAtOnce shuts down a draining worker in the planned
-// way: its entry is removed right after its last answer. Its long-running tasks start
-// elsewhere without a wait for the lease.
+// way. From the notice until a second after the worker is gone, none of its long-running tasks
+// may be without a run for longer than a second.
 func TestTasksOfShutDownWorkerStartElsewhereAtOnce(t *testing.T) {
-	testOnSite(t, 2, func(site *simSite) {
-		site.submit("lasting", newLongRunningStep(6))
-		time.Sleep(2 * time.Second)
-		stopped := site.busyWorker()
-		stopped.entry.Draining = true
-		site.register(stopped)
-		time.Sleep(2 * time.Second)
-		stopped.mu.Lock()
-		stopped.isGone = true
-		lost := len(stopped.running)
-		stopped.mu.Unlock()
-		before := site.totalStarts()
-		site.store.removeKey(workerPrefix + string(stopped.entry.ID))
-		site.await("new starts", time.Second, func() bool { return site.totalStarts() >= before+lost })
-	})
+	for name, remaining := range map[string]time.Duration{"at once": 0, "after 2 s": 2 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			testOnSite(t, 2, func(site *simSite) {
+				site.submit("lasting", newLongRunningStep(6))
+				time.Sleep(2 * time.Second)
+				stopped := site.busyWorker()
+				stopped.mu.Lock()
+				tasks := slices.Collect(maps.Keys(stopped.running))
+				stopped.mu.Unlock()
+				stopped.entry.DrainRemaining = remaining
+				site.drain(stopped)
+				site.after(2*time.Second, func() {
+					stopped.mu.Lock()
+					stopped.isGone = true
+					stopped.mu.Unlock()
+					site.store.removeKey(workerPrefix + string(stopped.entry.ID))
+				})
+				if got, limit := site.longestGap(tasks, 3*time.Second), time.Second; got > limit {
+					t.Errorf("got a task without a run for %s, want at most %s", got, limit)
+				}
+				for _, lost := range tasks {
+					if w := site.workerOf(lost); w == nil || w == stopped {
+						t.Errorf("task %v does not run elsewhere", lost)
+					}
+				}
+			})
+		})
+	}
+}
+
+// longestGap watches tasks for d and returns the longest time that one of them ran nowhere.
+func (site *simSite) longestGap(tasks []heatherhub.StepTask, d time.Duration) time.Duration {
+	const interval = 10 * time.Millisecond
+	longest := time.Duration(0)
+	gaps := make([]time.Duration, len(tasks))
+	for start := time.Now(); time.Since(start) < d; time.Sleep(interval) {
+		for i, t := range tasks {
+			gaps[i] += interval
+			if site.workerOf(t) != nil {
+				gaps[i] = 0
+			}
+			longest = max(longest, gaps[i])
+		}
+	}
+	return longest
 }
 
 // TestPartitionedWorkerIsNotTakenAsShutDown cuts a worker off just after a heartbeat was due:
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -175,6 +175,7 @@
 	t.isHandingOver.Store(true)
 	ctx, cancel := context.WithTimeout(t.ctx, handOverTimeout)
 	defer cancel()
+	t.refreshClosedWorkers()
 	t.writeFleet(ctx)
 	for ctx.Err() == nil {
 		if !t.commit(ctx) {
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -57,8 +57,12 @@
 	entry agent.Worker
 	// isListed says that the worker's entry is in the store.
 	isListed bool
-	// hasDrained says that the worker has announced that it leaves. It stays closed then.
+	// hasDrained says that the worker has announced that it leaves, at leavesAt (steady) at
+	// the earliest. It stays closed then.
 	hasDrained bool
+	leavesAt   time.Duration
+	// isVacated says that the worker has drained and that no task can run there any more.
+	isVacated bool
 	// isUp says that the worker has answered this owner and is known to the engine.
 	isUp bool
 	// isGone says that the engine was told that no task runs there any more, and that the
@@ -199,6 +203,17 @@
 	return lease + t.host.cfg.MaxStoreSilence
 }
 
+// markDrained records that the worker leaves, after remaining at the earliest. The caller holds
+// the term's mu.
+func (w *workerLoop) markDrained(remaining time.Duration) {
+	leavesAt := w.term.now().Steady + remaining
+	if !w.hasDrained {
+		w.hasDrained, w.leavesAt = true, leavesAt
+	}
+	w.leavesAt = min(w.leavesAt, leavesAt)
+	w.term.engine.WorkerDrains(w.entry.ID, w.leavesAt)
+}
+
 // hasShutDown reports whether a worker that does not answer has shut down in a planned
 // way: it answered until shortly before its entry was removed. The entry of a worker that
 // crashed or lost its network is removed when three heartbeats are missing, which is at
@@ -209,6 +224,17 @@
 	return w.isUp && !w.isListed && w.unlistedAt > 0 && w.unlistedAt-w.answeredAt < limit
 }
 
+// updateVacated derives isVacated from the worker's last report: a worker that has drained gets
+// no starts, so once it reports no run and no start is open, none follows. The fleet is then
+// written, so that a next owner does not wait for the worker. The caller holds the term's mu.
+func (w *workerLoop) updateVacated() {
+	isVacated := w.hasDrained && w.isUp && w.term.engine.OpenRuns(w.entry.ID) == 0
+	if isVacated && !w.isVacated {
+		w.term.closeWorker()
+	}
+	w.isVacated = isVacated
+}
+
 // pollLoop polls the worker, which renews its lease, and applies its reports until the
 // worker is dropped or the term ends.
 func (w *workerLoop) pollLoop() {
@@ -302,17 +328,34 @@
 		w.isUp, w.isGone = true, false
 		t.engine.WorkerUp(now, w.entry, r)
 		if w.hasDrained {
+			t.engine.WorkerDrains(w.entry.ID, w.leavesAt)
 			t.closeWorker()
 		}
 		t.publishOnceResolved()
 		t.log.Info("worker up", zap.String("worker", string(w.entry.ID)), zap.Int("running", len(r.Running)), zap.Int("ended", len(r.Ended)))
 	}
+	w.updateVacated()
 	t.wakeLoops()
 }
 
+// evidence is how it is known that no task runs on a worker any more. Its value is logged.
+type evidence string
+
+const (
+	// noEvidence: tasks may still run there.
+	noEvidence evidence = ""
+	// evidenceReplaced: another instance of the worker answers.
+	evidenceReplaced evidence = "replaced"
+	// evidenceShutDown: it answered until shortly before its entry was removed.
+	evidenceShutDown evidence = "shut down"
+	// evidenceLeaseExpired: its lease has expired on the slowest clock, and the ownership was
+	// confirmed after that.
+	evidenceLeaseExpired evidence = "lease expired"
+)
+
 // handlePollError handles a failed poll. The term ends if the worker was polled by a newer
-// owner. The engine is told that the worker is silent or, if its instance has ended or
-// its lease has expired, that no task runs there any more.
+// owner. The engine is told that the worker is silent or, if there is evidence for it, that
+// no task runs there any more.
 func (w *workerLoop) handlePollError(now dispatch.Moment, err error) {
 	t := w.term
 	w.isSilent.Store(true)
@@ -326,51 +369,47 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	id := w.entry.ID
-	hasEnded := agent.IsWorkerReplaced(err) || w.hasShutDown()
-	if !hasEnded && !isExpired {
+	found := w.evidenceAfter(err, isExpired)
+	if found == noEvidence {
 		t.engine.WorkerUnresponsive(id)
 		return
 	}
-	if w.isGone && !hasEnded && w.isListed {
+	isReplaced := found == evidenceReplaced || found == evidenceShutDown
+	if w.isGone && !isReplaced && w.isListed {
 		return
 	}
 	w.isGone = true
-	w.logGone(now.Steady, w.goneEvidence(err), err)
+	w.logGone(now.Steady, found, err)
 	t.engine.WorkerGone(now, id)
 	t.publishOnceResolved()
 	w.isUp = false
-	if hasEnded || !w.isListed {
+	if isReplaced || !w.isListed {
 		t.dropWorker(w)
 		signal(t.wakeCommit)
 	}
 	signal(t.wakeDecide)
 }
 
-// Evidence that no task runs on a worker any more, as logged.
-const (
-	evidenceReplaced     = "replaced"
-	evidenceShutDown     = "shut down"
-	evidenceLeaseExpired = "lease expired"
-)
-
-// goneEvidence names the evidence by which the worker counts as gone after a poll that failed
-// with err. The caller holds the term's mu.
-func (w *workerLoop) goneEvidence(err error) string {
+// evidenceAfter returns the evidence, after a poll that failed with err, that no task runs on
+// the worker any more. The caller holds the term's mu.
+func (w *workerLoop) evidenceAfter(err error, isLeaseExpired bool) evidence {
 	switch {
 	case agent.IsWorkerReplaced(err):
 		return evidenceReplaced
 	case w.hasShutDown():
 		return evidenceShutDown
-	default:
+	case isLeaseExpired:
 		return evidenceLeaseExpired
+	default:
+		return noEvidence
 	}
 }
 
 // logGone logs that a worker counts as gone, with the times that tell whether it may still
 // work. The caller holds the term's mu.
-func (w *workerLoop) logGone(now time.Duration, evidence string, err error) {
+func (w *workerLoop) logGone(now time.Duration, found evidence, err error) {
 	fields := []zap.Field{
-		zap.String("worker", string(w.entry.ID)), zap.String("evidence", evidence), zap.Int("running", w.term.engine.OpenRuns(w.entry.ID)),
+		zap.String("worker", string(w.entry.ID)), zap.String("evidence", string(found)), zap.Int("running", w.term.engine.OpenRuns(w.entry.ID)),
 		zap.Bool("listed", w.isListed), zap.Bool("drained", w.hasDrained), zap.Bool("reached", w.isUp), zap.Error(err),
 	}
 	if w.isUp {
@@ -379,7 +418,7 @@
 	if !w.isListed && w.unlistedAt > 0 {
 		fields = append(fields, zap.Duration("sinceUnlisted", now-w.unlistedAt))
 	}
-	w.term.host.metrics.workersGone.WithLabelValues(evidence).Inc()
+	w.term.host.metrics.workersGone.WithLabelValues(string(found)).Inc()
 	w.term.log.Warn("worker gone", fields...)
 }
 
