Count a worker as gone only on proof

Cause: hasShutDown took a worker whose entry was removed shortly after its last answer for one that had shut down in a planned way. Entries of living workers expire while the store is down. Such a worker goes on answering, so the difference turns negative and fits for good; one call that fails ends all its runs on paper, and the owner starts them elsewhere.

Change: the guess is gone. A worker counts as gone if another instance answers, if it has drained and lists no run, or if its lease has expired and the ownership was confirmed after that.

--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -214,16 +214,6 @@
 	w.term.engine.WorkerDrains(w.entry.ID, w.leavesAt)
 }
 
-// hasShutDown reports whether a worker that does not answer has shut down in a planned
-// way: it answered until shortly before its entry was removed. The entry of a worker that
-// crashed or lost its network is removed when three heartbeats are missing, which is at
-// least two heartbeats after its last answer. The caller holds the term's mu.
-func (w *workerLoop) hasShutDown() bool {
-	const maxHeartbeats = 1.3
-	limit := time.Duration(maxHeartbeats * float64(w.term.host.cfg.WorkerHeartbeat))
-	return w.isUp && !w.isListed && w.unlistedAt > 0 && w.unlistedAt-w.answeredAt < limit
-}
-
 // updateVacated derives isVacated from the worker's last report: a worker that has drained gets
 // no starts, so once it reports no run and no start is open, none follows. The fleet is then
 // written, so that a next owner does not wait for the worker. The caller holds the term's mu.
@@ -346,8 +336,8 @@
 	noEvidence evidence = ""
 	// evidenceReplaced: another instance of the worker answers.
 	evidenceReplaced evidence = "replaced"
-	// evidenceShutDown: it answered until shortly before its entry was removed.
-	evidenceShutDown evidence = "shut down"
+	// evidenceVacated: the worker has drained, and its last report lists no run.
+	evidenceVacated evidence = "vacated"
 	// evidenceLeaseExpired: its lease has expired on the slowest clock, and the ownership was
 	// confirmed after that.
 	evidenceLeaseExpired evidence = "lease expired"
@@ -374,7 +364,7 @@
 		t.engine.WorkerUnresponsive(id)
 		return
 	}
-	isReplaced := found == evidenceReplaced || found == evidenceShutDown
+	isReplaced := found == evidenceReplaced
 	if w.isGone && !isReplaced && w.isListed {
 		return
 	}
@@ -391,13 +381,14 @@
 }
 
 // evidenceAfter returns the evidence, after a poll that failed with err, that no task runs on
-// the worker any more. The caller holds the term's mu.
+// the worker any more. The removal of its entry is none: entries of living workers expire
+// while the store is down. The caller holds the term's mu.
 func (w *workerLoop) evidenceAfter(err error, isLeaseExpired bool) evidence {
 	switch {
 	case agent.IsWorkerReplaced(err):
 		return evidenceReplaced
-	case w.hasShutDown():
-		return evidenceShutDown
+	case w.isVacated:
+		return evidenceVacated
 	case isLeaseExpired:
 		return evidenceLeaseExpired
 	default:
