Reserve the room of a move only until its new shard has read it

Cause: a planner reserves the room of its moves of the last 3 s in the loads of the target shards, since these may not include them yet. A load lists the 8 workers with the most room, so after one round each target seemed full for 3 s, although its load is a second old and includes the moves already.

Change: a move is reserved until the target's load says that its owner has read the job record that the move wrote.

Ruled out: that the moves are wanted late; the tasks were among the first of each round. A longer list of workers in the load, which would not stay true for a second.

Conclusion: one cause of the shape is mended.

--- a/process/owner/move.go
+++ b/process/owner/move.go
@@ -86,7 +86,9 @@
 // to the next.
 func (t *term) moveAll(moves []dispatch.Move, loads map[heatherhub.ShardID]record.Load) {
 	m := movePlanner{own: t.shard, owners: t.host.View().Owners, loads: loads}
-	t.recentMoves = slices.DeleteFunc(t.recentMoves, func(r recentMove) bool { return t.now().Steady-r.at > recentMoveTTL })
+	t.recentMoves = slices.DeleteFunc(t.recentMoves, func(r recentMove) bool {
+		return t.now().Steady-r.at > recentMoveTTL || loads[r.to].JobsRead >= r.revision
+	})
 	for _, r := range t.recentMoves {
 		m.reserve(r.to, r.move)
 	}
@@ -98,8 +100,9 @@
 				break
 			}
 			written++
-			t.recentMoves = append(t.recentMoves, recentMove{to: to, move: part, at: t.now().Steady})
-			t.writeMove(part, to)
+			if revision := t.writeMove(part, to); revision > 0 {
+				t.recentMoves = append(t.recentMoves, recentMove{to: to, move: part, revision: revision, at: t.now().Steady})
+			}
 			if len(part.Tasks) == len(move.Tasks) {
 				break
 			}
@@ -108,11 +111,13 @@
 	}
 }
 
-// recentMove is work that was moved recently. The load record of its new shard may not
-// include it yet.
+// recentMove is work that was moved recently. The load record of its new shard does not
+// include it until the owner there has read the move.
 type recentMove struct {
 	to   heatherhub.ShardID
 	move dispatch.Move
+	// revision is that of the job record that the move wrote.
+	revision ledger.Revision
 	// at is the steady time of the move.
 	at time.Duration
 }
@@ -209,14 +214,15 @@
 	return count
 }
 
-// writeMove writes a job record that assigns waiting work to another shard. The engine
-// learns the result from the record that stands afterwards, like that of any other job.
-func (t *term) writeMove(m dispatch.Move, to heatherhub.ShardID) {
+// writeMove writes a job record that assigns waiting work to another shard, and returns its
+// revision, or zero if the work was not moved. The engine learns the result from the record
+// that stands afterwards, like that of any other job.
+func (t *term) writeMove(m dispatch.Move, to heatherhub.ShardID) ledger.Revision {
 	t.mu.Lock()
 	flow, recorded, ok := t.engine.PrepareMove(m, to)
 	t.mu.Unlock()
 	if !ok {
-		return
+		return 0
 	}
 	it, err := t.replaceJobRecord(flow, recorded)
 	if it.Revision > 0 {
@@ -226,9 +232,10 @@
 	}
 	if err != nil {
 		t.log.Info("work not moved", zap.String("job", string(m.Job)), zap.Error(err))
-		return
+		return 0
 	}
 	t.log.Info("work moved", zap.String("job", string(m.Job)), zap.Int("count", len(m.Tasks)), zap.Stringer("to", to), zap.Duration("waited", m.Waited))
+	return it.Revision
 }
 
 // replaceJobRecord replaces the record of a job at revision recorded and returns the new
--- a/process/owner/move_test.go
+++ b/process/owner/move_test.go
@@ -310,3 +310,16 @@
 	}
 	return n
 }
+
+// TestManyLastingTasksLeaveAFullShard guards against moves that wait for the room of earlier
+// moves, which the load of their new shard already leaves out. Far more tasks wait than fit on
+// the workers of one load record, so they move in rounds; each has to run within 6 s.
+func TestManyLastingTasksLeaveAFullShard(t *testing.T) {
+	testOnShardedSite(t, 24, func(site *simSite) {
+		const tasks = 330 // of 3 x 24 x 5 that fit
+		site.submit("wide", newLongRunningStep(tasks))
+		before := site.totalStarts()
+		took := site.await("all tasks", 6*time.Second, func() bool { return site.totalStarts() == before+tasks })
+		t.Logf("all tasks are running after %s", took)
+	})
+}
