Publish a shard's first load once all workers were asked

Cause: the first load is published as soon as no worker of an earlier owner is open, which on a new site is after the first answer.

Change: the first load waits until each worker has answered this owner or failed to.

Ruled out: that the hosts read the loads late; the second loads have all workers, and the jobs submitted after it are spread.

Evidence: TestFirstLoadHasTheRoomOfAllWorkers got a load with the room of 1 worker of 40 in 2 of 3 runs before (it depends on the order of goroutines), and passes.

--- a/process/owner/commit.go
+++ b/process/owner/commit.go
@@ -190,16 +190,28 @@
 }
 
 // publishOnceResolved publishes the first load ahead of time, as soon as it is known what
-// runs on the workers of the previous owner. Before that, running jobs would count as
-// waiting. The caller holds t.mu.
+// runs on the workers of the previous owner and all workers were asked. Before that, running
+// jobs would count as waiting, and the shard would seem to have less room than it has. The
+// caller holds t.mu.
 func (t *term) publishOnceResolved() {
-	if !t.isResolved && !t.engine.HasUnresolved() {
+	if !t.isResolved && !t.engine.HasUnresolved() && t.hasAskedAllWorkers() {
 		t.isResolved = true
 		t.log.Info("takeover resolved", zap.Duration("took", t.now().Steady-t.startedAt))
 		signal(t.wakePublish)
 	}
 }
 
+// hasAskedAllWorkers reports whether each worker has answered this owner or failed to. The
+// caller holds t.mu.
+func (t *term) hasAskedAllWorkers() bool {
+	for _, w := range t.workers {
+		if !w.isUp && !w.isSilent.Load() {
+			return false
+		}
+	}
+	return true
+}
+
 // publicationsPerSnapshot is the number of load publications for each write of the learnt
 // interference estimates, which change within tens of seconds.
 const publicationsPerSnapshot = 3
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -362,6 +362,7 @@
 	found := w.evidenceAfter(err, isExpired)
 	if found == noEvidence {
 		t.engine.WorkerUnresponsive(id)
+		t.publishOnceResolved()
 		return
 	}
 	isReplaced := found == evidenceReplaced
