Draw no conclusions from an incomplete list of ended runs

Callers would see: a task that is done runs again.

Cause: a worker lists at most 500 ended runs at a time. While the first 500 are not durable, for example during an outage of the store, later ends are in neither list. The owner took such a run for lost, stopped it, had the stop refused, and started the task again; a new owner took the worker for known after its first report.

Change: a report with as many ends as fit is incomplete. Nothing that it leaves out counts as ended, and a worker of an earlier owner stays unresolved until its list is complete. A draining worker counts as vacated only with a complete list whose ends are durable.

Ruled out: asking for more ends at a time, since the worker forgets them only in sequence.

Conclusion: an absence is a proof only in a complete list.

--- a/connection/agent/agent.go
+++ b/connection/agent/agent.go
@@ -125,7 +125,17 @@
 type Report struct {
 	Clock   Clock
 	Running []Running
-	Ended   []Ended
+	// Ended has the ended runs with the lowest numbers, at most MaxEnded.
+	Ended []Ended
+}
+
+// MaxEnded is the maximum number of ended runs in one report.
+const MaxEnded = 500
+
+// IsComplete reports whether the report lists all runs that have ended and are not
+// acknowledged.
+func (r *Report) IsComplete() bool {
+	return len(r.Ended) < MaxEnded
 }
 
 // RefusedError means that the agent rejected a command without acting on it.
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -16,7 +16,6 @@
 		e.addNode(&node{worker: w, attempts: make(map[attemptKey]*attempt), unaccounted: make(map[attemptKey]struct{})})
 	}
 	e.Report(now, now.Steady, w.ID, r)
-	e.resolve(w.ID)
 	if !e.hasFenced {
 		e.hasFenced = true
 		e.inheritUntil = now.Steady + e.cfg.FencingGrace
@@ -94,7 +93,10 @@
 		}
 	}
 	n.advanceAcknowledged()
-	e.reconcileUnlisted(now, sentAt, n, listed)
+	if r.IsComplete() {
+		e.resolve(id)
+		e.reconcileUnlisted(now, sentAt, n, listed)
+	}
 	e.updateInterference(n)
 	e.throttleFillers(now, n)
 }
@@ -324,7 +326,7 @@
 	e.enqueueReady(now, t.step.occ)
 }
 
-// reconcileUnlisted handles attempts that a report does not list. It ignores attempts
+// reconcileUnlisted handles attempts that a complete report does not list. It ignores attempts
 // that changed state after the poll was sent, since the report need not include them
 // yet.
 func (e *Engine) reconcileUnlisted(now Moment, sentAt time.Duration, n *node, listed map[attemptKey]struct{}) {
--- a/process/dispatch/unresolved.go
+++ b/process/dispatch/unresolved.go
@@ -80,6 +80,14 @@
 	return t.notBefore <= now && !t.isMoving && !e.mayRunUnresolved(t)
 }
 
+// IsIdle reports whether no run is open on a worker, and all ends that it has reported are
+// durable. It returns false for a worker that has not listed all of its ended runs.
+func (e *Engine) IsIdle(id heatherhub.WorkerID) bool {
+	n := e.nodes[id]
+	_, isUnresolved := e.unresolved[id]
+	return n != nil && !isUnresolved && e.OpenRuns(id) == 0 && len(n.pendingAcks) == 0
+}
+
 // ClosedWorkerTasks returns the tasks that may run on a worker. It reports false unless the
 // worker leaves, so that no further task starts there.
 func (e *Engine) ClosedWorkerTasks(id heatherhub.WorkerID) ([]heatherhub.StepTask, bool) {
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -218,7 +218,7 @@
 // no starts, so once it reports no run and no start is open, none follows. The fleet is then
 // written, so that a next owner does not wait for the worker. The caller holds the term's mu.
 func (w *workerLoop) updateVacated() {
-	isVacated := w.hasDrained && w.isUp && w.term.engine.OpenRuns(w.entry.ID) == 0
+	isVacated := w.hasDrained && w.isUp && w.term.engine.IsIdle(w.entry.ID)
 	if isVacated && !w.isVacated {
 		w.term.closeWorker()
 	}
@@ -321,9 +321,9 @@
 			t.engine.WorkerDrains(w.entry.ID, w.leavesAt)
 			t.closeWorker()
 		}
-		t.publishOnceResolved()
 		t.log.Info("worker up", zap.String("worker", string(w.entry.ID)), zap.Int("running", len(r.Running)), zap.Int("ended", len(r.Ended)))
 	}
+	t.publishOnceResolved()
 	w.updateVacated()
 	t.wakeLoops()
 }
