List tasks of a draining worker until their ends are durable

Callers would see: a task that is done runs again after its owner has died.

Cause: the fleet record of a worker that drains lists the tasks that may run there, for a next owner that does not reach it. A task left the list as soon as its end was reported, before that was durable. If the owner died in between, the next one found the task neither done nor listed, and started it.

Change: a task stays listed until the end of its run is durable.

Conclusion: the list names all tasks that a next owner could run a second time.

--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -201,7 +201,7 @@
 // handleEnded processes one ended run that a worker reports for the first time.
 func (e *Engine) handleEnded(now Moment, n *node, end *agent.Ended) {
 	n.lastEnd = end.Sequence
-	ack := &pendingAck{sequence: end.Sequence}
+	ack := &pendingAck{sequence: end.Sequence, task: end.Task}
 	n.pendingAcks = append(n.pendingAcks, ack)
 	if e.jobs[end.Task.Job] == nil {
 		e.recordUnknownEnd(n, end, ack)
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -349,6 +349,7 @@
 // up to the change numbered change.
 type pendingAck struct {
 	sequence uint64
+	task     heatherhub.StepTask
 	job      *job
 	change   uint64
 	// isJobUnknown means that the job of the run has to be looked up first.
--- a/process/dispatch/unresolved.go
+++ b/process/dispatch/unresolved.go
@@ -88,19 +88,23 @@
 	return n != nil && !isUnresolved && e.OpenRuns(id) == 0 && len(n.pendingAcks) == 0
 }
 
-// ClosedWorkerTasks returns the tasks that may run on a worker. It reports false unless the
-// worker leaves, so that no further task starts there.
+// ClosedWorkerTasks returns the tasks that may run on a worker, or have ended there without that
+// being durable. It reports false unless the worker leaves, so that no further task starts
+// there.
 func (e *Engine) ClosedWorkerTasks(id heatherhub.WorkerID) ([]heatherhub.StepTask, bool) {
 	n := e.nodes[id]
 	if n == nil || !n.worker.Draining {
 		return nil, false
 	}
-	out := make([]heatherhub.StepTask, 0, len(n.attempts)+len(n.unaccounted))
+	out := make([]heatherhub.StepTask, 0, len(n.attempts)+len(n.unaccounted)+len(n.pendingAcks))
 	for _, a := range n.attemptsByRun() {
 		out = append(out, a.task.id())
 	}
 	for key := range n.unaccounted {
 		out = append(out, key.task)
 	}
+	for _, ack := range n.pendingAcks {
+		out = append(out, ack.task)
+	}
 	return out, true
 }
