Count only recent answers of workers as authority

Cause: an owner without the store goes on while a majority of the workers "answered its last poll". That answer had no age. While the current polls hang, the owner counts as reaching workers that a successor has long fenced, and renews a worker that only it reaches for longer than the successor waits.

Change: an answer counts if its poll was sent within confirmationTTL (2.5 s), as a commit does. While the store is late with a confirmation, polls wait 0.5 s instead of 1 s, so that a worker that answers slowly stays recent: two polls of 1 s and two round trips of 0.3 s take longer than 2.5 s.

Ruled out: a bound from the timeouts of the calls (1.6 s for a poll now), which the authority would then silently depend on; skipping the wait for durable ends in a silence of the store, since that wait (0.25 s) fits in with the shorter polls.

--- a/process/owner/authority.go
+++ b/process/owner/authority.go
@@ -1,17 +1,25 @@
 package owner
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
-// An owner that cannot reach the store cannot know whether it was replaced. It goes on
-// only while it reaches a majority of the workers: any two majorities overlap, so if a
-// new owner has reached a majority too, the old one is fenced by a worker they share.
-// Without a majority it stops after minorityGrace, and in any case after
-// Limits.MaxStoreSilence. A new owner relies on this in inheritedRunLimit, which bounds
-// the runs on workers that it cannot reach.
+// An owner that cannot reach the store cannot know whether it was replaced. At any moment it
+// renews leases and starts tasks only if a call that it sent within the last confirmationTTL
+// has confirmed its ownership: a commit with the owner key as a precondition, or polls answered
+// by a majority of the workers. It stops Limits.MaxStoreSilence after the last such commit in
+// any case.
+//
+// A worker that has answered a poll of a new owner refuses those of earlier ones, and any two
+// majorities overlap. So once a majority has answered the new owner, no poll that is sent later
+// confirms the former one. A new owner relies on this in inheritedRunLimit.
 
-// minorityGrace is how long after the last confirmation of its ownership an owner may
-// act without reaching a majority of its workers.
-const minorityGrace = 2500 * time.Millisecond
+// confirmationTTL is how long after a confirmation of its ownership was sent an owner may act.
+const confirmationTTL = 2500 * time.Millisecond
+
+// never is a steady time before all others.
+const never = time.Duration(math.MinInt64)
 
 // confirmOwnership records that a commit sent at sentAt succeeded with the owner key as
 // a precondition. Earlier times than the recorded one are ignored.
@@ -34,28 +42,23 @@
 func (t *term) mayAct(now time.Duration) bool {
 	unconfirmed := now - t.lastConfirmed()
 	switch {
-	case unconfirmed <= minorityGrace:
+	case unconfirmed <= confirmationTTL:
 		return true
 	case unconfirmed > t.host.cfg.MaxStoreSilence:
 		return false
 	default:
-		return t.reachesMajority()
+		return t.isConfirmedByMajority(now - confirmationTTL)
 	}
 }
 
-// reachesMajority reports whether more than half of the workers answered their last
-// poll. It takes the term's lock.
-func (t *term) reachesMajority() bool {
+// isConfirmedByMajority reports whether more than half of the workers have answered a poll that
+// was sent at since or later. It takes the term's lock.
+func (t *term) isConfirmedByMajority(since time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.reachesMajorityLocked()
-}
-
-// reachesMajorityLocked is reachesMajority for callers that hold the term's lock.
-func (t *term) reachesMajorityLocked() bool {
 	n := 0
 	for _, w := range t.workers {
-		if w.isUp && !w.isSilent.Load() {
+		if w.confirmedAt >= since {
 			n++
 		}
 	}
--- a/process/owner/fleet.go
+++ b/process/owner/fleet.go
@@ -191,7 +191,7 @@
 func (t *term) startWorker(entry agent.Worker, isListed bool) {
 	ctx, cancel := context.WithCancel(t.ctx)
 	w := &workerLoop{
-		term: t, entry: entry, isListed: isListed, ctx: ctx, cancel: cancel,
+		term: t, entry: entry, isListed: isListed, ctx: ctx, cancel: cancel, confirmedAt: never,
 		client: t.host.cfg.Dial(entry.ID, entry.Address), queueReady: make(chan struct{}, 1),
 	}
 	if _, isClosed := t.fleet.closed[entry.ID]; isClosed || (isListed && entry.Draining) {
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -24,6 +24,9 @@
 	// missedTargetPollWait replaces pollWait while a task on the worker misses its target:
 	// filler tasks beside it have to be halted well within 4 s.
 	missedTargetPollWait = 400 * time.Millisecond
+	// unconfirmedPollWait replaces pollWait while the store is late to confirm the ownership:
+	// the answers of the workers then have to be younger than confirmationTTL.
+	unconfirmedPollWait = 500 * time.Millisecond
 	// pollRetryDelay is the pause after a poll that failed or could not be sent.
 	pollRetryDelay = 150 * time.Millisecond
 	// maxCommitWait bounds the wait until reported ended runs are durable. Lease renewals
@@ -35,7 +38,7 @@
 	maxOrderAge = time.Second
 	// supersededOwnerGrace is how long an earlier owner may still renew leases after this
 	// one has reached a majority of the workers. It is fenced by its next poll, or stops
-	// after minorityGrace, part of which passed before its session expired.
+	// after confirmationTTL, part of which passed before its session expired.
 	supersededOwnerGrace = 2 * time.Second
 	// maxClockDrift is the fraction by which a worker's clock may run slower than the
 	// owner's.
@@ -52,7 +55,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	// The term's mu guards the fields from entry to unlistedAt.
+	// The term's mu guards the fields from entry to confirmedAt.
 
 	entry agent.Worker
 	// isListed says that the worker's entry is in the store.
@@ -72,6 +75,9 @@
 	// that of the removal of its entry.
 	answeredAt time.Duration
 	unlistedAt time.Duration
+	// confirmedAt is the steady time at which the last poll was sent that the worker has
+	// answered.
+	confirmedAt time.Duration
 
 	// mu guards queue, clock, clockAt and leaseUntil.
 	mu    sync.Mutex
@@ -195,9 +201,7 @@
 // at a worker that this owner has not reached. See authority.go for the reasoning.
 func (t *term) inheritedRunLimit() time.Duration {
 	lease := onSlowestClock(t.host.cfg.WorkerLease) + leaseSlack
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.reachesMajorityLocked() {
+	if t.isConfirmedByMajority(t.now().Steady - confirmationTTL) {
 		return lease + supersededOwnerGrace
 	}
 	return lease + t.host.cfg.MaxStoreSilence
@@ -283,6 +287,8 @@
 	case !isUp || w.isSilent.Load():
 	case isTargetMissed:
 		p.Wait = missedTargetPollWait
+	case sentAt-t.lastConfirmed() > publishInterval:
+		p.Wait = unconfirmedPollWait
 	default:
 		p.Wait = pollWait
 	}
@@ -292,6 +298,9 @@
 		w.handlePollError(now, err)
 		return false
 	}
+	t.mu.Lock()
+	w.confirmedAt = sentAt
+	t.mu.Unlock()
 	w.isSilent.Store(false)
 	w.recordClock(now.Steady, r.Clock)
 	w.applyReport(now, sentAt, &r)
