Grant leases from the moment at which the owner may act

Cause: the poll loop checked the authority with one reading of the clock, and the poll computed the lease with the next. A process that is stopped between the two grants a lease from a moment at which it had no authority any more. Its successor does not wait for that lease.

Change: the poll checks with the reading that the lease counts from. A poll is sent in any case, without a lease if the owner may not act: it tells what runs, fences an earlier owner, and lets an owner without the store regain its authority. A worker's first answer now sets the end of its lease to that of the latest lease which the former owner can have granted, since the next poll may grant none.

Ruled out: the same for starts. They are decided with one reading, and one that is sent up to 1 s later ends within 3 s, which is less than the lease that a successor waits for.

--- a/process/owner/authority_test.go
+++ b/process/owner/authority_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -12,7 +15,9 @@
 	"heatherhub.example/heatherhub"
 	"heatherhub.example/heatherhub/connection/agent"
 	"heatherhub.example/heatherhub/connection/ledger"
+	"heatherhub.example/heatherhub/process/dispatch"
 	"heatherhub.example/heatherhub/process/owner"
+	"heatherhub.example/heatherhub/process/record"
 	"heatherhub.example/heatherhub/version/queues"
 )
 
@@ -82,12 +87,84 @@
 	site.startConfiguredHost(id, func(*owner.Config) {})
 }
 
+// cutExcept cuts the connections from a host to all workers but the given ones.
+func (site *simSite) cutExcept(host heatherhub.HostID, reached ...heatherhub.WorkerID) {
+	for _, m := range site.allWorkers() {
+		if id := m.entry.ID; !slices.Contains(reached, id) {
+			site.setPartitioned(string(host), string(id), true)
+		}
+	}
+}
+
+// allWorkers returns the workers, ordered by id.
+func (site *simSite) allWorkers() []*fakeWorker {
+	site.mu.Lock()
+	defer site.mu.Unlock()
+	var out []*fakeWorker
+	for _, m := range site.workers {
+		out = append(out, m)
+	}
+	slices.SortFunc(out, func(a, b *fakeWorker) int { return strings.Compare(string(a.entry.ID), string(b.entry.ID)) })
+	return out
+}
+
+// idleWorker returns the last worker, on which no task runs.
+func (site *simSite) idleWorker() heatherhub.WorkerID {
+	all := site.allWorkers()
+	last := all[len(all)-1]
+	last.mu.Lock()
+	defer last.mu.Unlock()
+	if len(last.running) > 0 {
+		site.t.Fatalf("got tasks on worker %s, want none", last.entry.ID)
+	}
+	return last.entry.ID
+}
+
 // awaitOwner waits until a host owns the shard.
 func (site *simSite) awaitOwner(id heatherhub.HostID) {
 	site.t.Helper()
 	site.await("ownership of "+string(id), 6*time.Second, func() bool { return site.currentOwner() == id })
 }
 
+// slowReads delays ranges of job and progress records.
+type slowReads struct {
+	ledger.Store
+	delay time.Duration
+}
+
+func (s *slowReads) Range(ctx context.Context, prefix string) (ledger.Snapshot, error) {
+	if prefix == record.JobPrefix || prefix == record.ProgressPrefix {
+		ledger.Sleep(ctx, s.delay)
+	}
+	return s.Store.Range(ctx, prefix)
+}
+
+// TestWorkerAnsweringOnceLosesItsLease guards against a worker whose lease counts as expired
+// because the new owner, which may not act yet, has granted none: that of the former owner runs.
+func TestWorkerAnsweringOnceLosesItsLease(t *testing.T) {
+	testOwnedSite(t, 4, nil, func(site *simSite) {
+		site.startConfiguredHost(nextHost, func(cfg *owner.Config) { cfg.Store = &slowReads{Store: cfg.Store, delay: 1400 * time.Millisecond} })
+		site.cutExcept(nextHost, busyID)
+		time.Sleep(time.Second)
+		site.kill(formerHost)
+		site.awaitOwner(nextHost)
+		busy := site.worker(busyID)
+		formerToken := busy.lastToken()
+		site.await("the first answer", 4*time.Second, func() bool { return busy.lastToken() != formerToken })
+		for _, m := range site.allWorkers() {
+			site.setPartitioned(string(nextHost), string(m.entry.ID), m == busy)
+		}
+		time.Sleep(settleTime)
+	})
+}
+
+// lastToken returns the highest token that the worker has seen.
+func (m *fakeWorker) lastToken() agent.Token {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.token
+}
+
 // hangingAgent lets the polls of a worker hang for hangTime, without effect, once isHanging is
 // set. Answers that arrive then are lost as well.
 type hangingAgent struct {
@@ -132,6 +209,85 @@
 	})
 }
 
+// freezer stops a process while it is between its check of the authority and a poll. Other
+// answers are held back meanwhile.
+type freezer struct {
+	owner.Clock
+	isFrozen atomic.Bool
+	thawed   chan struct{}
+	// sendLine is the line at which poll reads the clock before it sends: the first of them.
+	sendLine atomic.Int64
+}
+
+func (f *freezer) await() {
+	if f.isFrozen.Load() {
+		<-f.thawed
+	}
+}
+
+// Now waits only where poll reads the clock before it sends, without a lock. A wait with a
+// lock would stop the virtual time.
+func (f *freezer) Now() dispatch.Moment {
+	var callers [8]uintptr
+	frames := runtime.CallersFrames(callers[:runtime.Callers(2, callers[:])])
+	for {
+		frame, more := frames.Next()
+		if strings.HasSuffix(frame.Function, "(*workerLoop).poll") {
+			line := int64(frame.Line)
+			if first := f.sendLine.Load(); first == 0 || line < first {
+				f.sendLine.Store(line)
+			}
+			if line == f.sendLine.Load() {
+				f.await()
+			}
+		}
+		if !more {
+			return f.Clock.Now()
+		}
+	}
+}
+
+// frozenAgent holds the answers back while the process is frozen.
+type frozenAgent struct {
+	agent.Agent
+	freezer *freezer
+}
+
+func (a *frozenAgent) Poll(ctx context.Context, p agent.Poll) (agent.Report, error) {
+	r, err := a.Agent.Poll(ctx, p)
+	a.freezer.await()
+	return r, err
+}
+
+// TestProcessFrozenBeforePollRenewsLease guards against a lease that counts from a later moment
+// than the one at which the owner was found to have the authority for it.
+func TestProcessFrozenBeforePollRenewsLease(t *testing.T) {
+	f := &freezer{}
+	freeze := func(cfg *owner.Config) {
+		f.Clock, f.thawed = cfg.Clock, make(chan struct{})
+		cfg.Clock = f
+		dial := cfg.Dial
+		cfg.Dial = func(id heatherhub.WorkerID, address string) agent.Agent {
+			if id == busyID {
+				return dial(id, address)
+			}
+			return &frozenAgent{Agent: dial(id, address), freezer: f}
+		}
+	}
+	testOwnedSite(t, 4, freeze, func(site *simSite) {
+		site.startPlainHost(nextHost)
+		site.setPartitioned(string(nextHost), string(busyID), true)
+		time.Sleep(time.Second)
+		site.setPartitioned(string(formerHost), storeName, true)
+		time.Sleep(time.Second)
+		f.isFrozen.Store(true)
+		time.Sleep(5 * time.Second)
+		f.isFrozen.Store(false)
+		close(f.thawed)
+		time.Sleep(settleTime)
+	})
+}
+
 // meteredAgent takes callTime more for each call and counts the polls that renew no lease.
 type meteredAgent struct {
 	agent.Agent
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -162,6 +162,10 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.clock == 0 {
+		// An earlier owner may have renewed the lease until the worker met this one.
+		w.leaseUntil = c.Add(w.term.host.cfg.WorkerLease)
+	}
 	w.clock, w.clockAt = c, now
 }
 
@@ -229,15 +233,11 @@
 	w.isVacated = isVacated
 }
 
-// pollLoop polls the worker, which renews its lease, and applies its reports until the
-// worker is dropped or the term ends.
+// pollLoop polls the worker, which renews its lease if this owner may act, and applies its
+// reports until the worker is dropped or the term ends.
 func (w *workerLoop) pollLoop() {
 	defer w.client.Close()
 	for w.ctx.Err() == nil {
-		if !w.term.mayAct(w.term.now().Steady) {
-			ledger.Sleep(w.ctx, pollRetryDelay)
-			continue
-		}
 		if !w.poll() {
 			ledger.Sleep(w.ctx, pollRetryDelay)
 			continue
@@ -280,7 +280,9 @@
 	isTargetMissed := t.engine.MissesLatencyTarget(w.entry.ID)
 	p := agent.Poll{Token: t.token, AcknowledgedUpTo: t.engine.Acknowledged(w.entry.ID)}
 	t.mu.Unlock()
-	if !w.isSilent.Load() {
+	// The lease counts from the reading of the clock at which the owner may act. The process
+	// may be stopped between the two.
+	if !w.isSilent.Load() && t.mayAct(sentAt) {
 		p.LeaseUntil = w.grantLease(sentAt, t.host.cfg.WorkerLease)
 	}
 	switch {
