Count the former owner's time from the majority

Cause: a former owner that reaches a majority of the workers acts until a worker refuses it, that is until some time after its successor has reached a majority too. The successor counted those 2 s from its claim. With a store that answers in seconds it reaches the workers much later, and meanwhile the former owner renews a worker that only it reaches for longer than the successor waits.

Change: the successor records once when a majority has first answered it, which fences the former owner there for good. The former owner stops at the latest confirmationTTL after that, or MaxStoreSilence after the answer to the claim, whichever is earlier, both on the slowest clock. Inherited runs that are out of reach end a lease later. The line "former owner fenced by a majority" gives the time it took and the workers.

Ruled out: a longer grace, which is the same guess with another number.

--- a/process/owner/authority.go
+++ b/process/owner/authority.go
@@ -2,7 +2,10 @@
 
 import (
 	"math"
+	"sync/atomic"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 // An owner that cannot reach the store cannot know whether it was replaced. At any moment it
@@ -13,7 +16,7 @@
 //
 // A worker that has answered a poll of a new owner refuses those of earlier ones, and any two
 // majorities overlap. So once a majority has answered the new owner, no poll that is sent later
-// confirms the former one. A new owner relies on this in inheritedRunLimit.
+// confirms the former one.
 
 // confirmationTTL is how long after a confirmation of its ownership was sent an owner may act.
 const confirmationTTL = 2500 * time.Millisecond
@@ -64,3 +67,43 @@
 	}
 	return 2*n > len(t.workers)
 }
+
+// succession tracks when the earlier owners of a shard have stopped acting.
+type succession struct {
+	// isOver says that a majority of the workers has answered this owner. The term's mu guards
+	// it.
+	isOver bool
+	// stopsAt is the steady time, in nanoseconds, after which no earlier owner acts. It
+	// only becomes earlier.
+	stopsAt atomic.Int64
+}
+
+// endSuccession limits the time of the earlier owners once a majority of the workers has
+// answered this owner. The caller holds the term's mu.
+func (t *term) endSuccession(now time.Duration) {
+	s := &t.succession
+	n := 0
+	for _, w := range t.workers {
+		if w.confirmedAt > never {
+			n++
+		}
+	}
+	if s.isOver || 2*n <= len(t.workers) {
+		return
+	}
+	s.isOver = true
+	s.stopsAt.Store(min(s.stopsAt.Load(), int64(now+onSlowestClock(confirmationTTL))))
+	t.log.Info("former owner fenced by a majority", zap.Duration("took", now-t.startedAt), zap.Int("workers", n), zap.Int("known", len(t.workers)))
+}
+
+// formerStopsAt returns the steady time after which no earlier owner acts.
+func (t *term) formerStopsAt() time.Duration {
+	return time.Duration(t.succession.stopsAt.Load())
+}
+
+// inheritedRunsEnd returns the steady time by which runs of earlier owners have ended at a
+// worker that this owner has not reached.
+func (t *term) inheritedRunsEnd() time.Duration {
+	longest := max(t.host.cfg.WorkerLease, maxOrderAge+startValidity)
+	return t.formerStopsAt() + onSlowestClock(longest) + leaseSlack
+}
--- a/process/owner/authority_test.go
+++ b/process/owner/authority_test.go
@@ -139,6 +139,18 @@
 	return s.Store.Range(ctx, prefix)
 }
 
+// TestSlowTakeoverStartsRenewedTasksTwice guards against a successor that counts the time that
+// the former owner may act from its claim, although it reaches the workers much later.
+func TestSlowTakeoverStartsRenewedTasksTwice(t *testing.T) {
+	testOwnedSite(t, 4, nil, func(site *simSite) {
+		site.startConfiguredHost(nextHost, func(cfg *owner.Config) { cfg.Store = &slowReads{Store: cfg.Store, delay: 4 * time.Second} })
+		time.Sleep(time.Second)
+		site.setPartitioned(string(nextHost), string(busyID), true)
+		site.setPartitioned(string(formerHost), storeName, true)
+		time.Sleep(settleTime)
+	})
+}
+
 // TestWorkerAnsweringOnceLosesItsLease guards against a worker whose lease counts as expired
 // because the new owner, which may not act yet, has granted none: that of the former owner runs.
 func TestWorkerAnsweringOnceLosesItsLease(t *testing.T) {
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -29,8 +29,10 @@
 	ctx           context.Context
 	cancel        context.CancelFunc
 	group         conc.WaitGroup
-	// startedAt is the steady time at which the answer to the claim arrived.
-	startedAt time.Duration
+	// startedAt is the steady time at which the answer to the claim arrived. Earlier owners
+	// lost the shard before it.
+	startedAt  time.Duration
+	succession succession
 	// isHandingOver stops new decisions and moves.
 	isHandingOver atomic.Bool
 	// confirmedAt is the steady time, in nanoseconds, at which the last commit was sent
@@ -75,17 +77,20 @@
 // newTerm returns a term for the claim that created the owner key at revision rev.
 func newTerm(h *Host, s heatherhub.ShardID, rev ledger.Revision) *term {
 	ctx, cancel := context.WithCancel(context.Background())
+	now := h.cfg.Clock.Now().Steady
+	formerStopsAt := now + onSlowestClock(h.cfg.MaxStoreSilence)
 	t := &term{
 		host: h, shard: s, token: agent.Token(rev), ownerRevision: rev,
 		log: h.cfg.Log.With(zap.Stringer("shard", s), zap.Uint64("token", uint64(rev))),
-		ctx: ctx, cancel: cancel, startedAt: h.cfg.Clock.Now().Steady,
+		ctx: ctx, cancel: cancel, startedAt: now,
 		engine:  dispatch.New(dispatch.Config{Token: agent.Token(rev), Shard: s, MaxPendingStarts: h.maxPendingStarts()}),
 		workers: make(map[heatherhub.WorkerID]*workerLoop), fleet: fleet{workers: make(map[heatherhub.WorkerID]string), closed: make(map[heatherhub.WorkerID][]heatherhub.StepTask)},
 		committed: make(chan struct{}), wakeDecide: make(chan struct{}, 1), wakeCommit: make(chan struct{}, 1),
 		wakePublish: make(chan struct{}, 1), wakeLookup: make(chan struct{}, 1), writeSem: make(chan struct{}, 1),
 		publishSem: make(chan struct{}, 1), moveSem: make(chan struct{}, 1),
 	}
-	t.confirmedAt.Store(int64(t.startedAt))
+	t.confirmedAt.Store(int64(now))
+	t.succession.stopsAt.Store(int64(formerStopsAt))
 	return t
 }
 
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -36,12 +36,8 @@
 	startValidity = 2 * time.Second
 	// maxOrderAge is the age above which a queued order is dropped as outdated.
 	maxOrderAge = time.Second
-	// supersededOwnerGrace is how long an earlier owner may still renew leases after this
-	// one has reached a majority of the workers. It is fenced by its next poll, or stops
-	// after confirmationTTL, part of which passed before its session expired.
-	supersededOwnerGrace = 2 * time.Second
-	// maxClockDrift is the fraction by which a worker's clock may run slower than the
-	// owner's.
+	// maxClockDrift is the fraction by which the clock of a worker or of another host may run
+	// slower than the owner's.
 	maxClockDrift = 0.02
 	// leaseSlack is the time a worker may take to end its tasks after its lease expired.
 	leaseSlack = 200 * time.Millisecond
@@ -191,7 +187,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.clock == 0 {
-		return w.term.startedAt + w.term.inheritedRunLimit()
+		return w.term.inheritedRunsEnd()
 	}
 	return w.clockAt + onSlowestClock(w.leaseUntil.Sub(w.clock)) + leaseSlack
 }
@@ -201,16 +197,6 @@
 	return time.Duration(float64(d) / (1 - maxClockDrift))
 }
 
-// inheritedRunLimit returns how long after the claim runs of an earlier owner may go on
-// at a worker that this owner has not reached. See authority.go for the reasoning.
-func (t *term) inheritedRunLimit() time.Duration {
-	lease := onSlowestClock(t.host.cfg.WorkerLease) + leaseSlack
-	if t.isConfirmedByMajority(t.now().Steady - confirmationTTL) {
-		return lease + supersededOwnerGrace
-	}
-	return lease + t.host.cfg.MaxStoreSilence
-}
-
 // markDrained records that the worker leaves, after remaining at the earliest. The caller holds
 // the term's mu.
 func (w *workerLoop) markDrained(remaining time.Duration) {
@@ -296,19 +282,29 @@
 	}
 	r, err := w.client.Poll(w.ctx, p)
 	now := t.now()
+	w.recordPoll(now.Steady, sentAt, err)
 	if err != nil {
 		w.handlePollError(now, err)
 		return false
 	}
-	t.mu.Lock()
-	w.confirmedAt = sentAt
-	t.mu.Unlock()
 	w.isSilent.Store(false)
 	w.recordClock(now.Steady, r.Clock)
 	w.applyReport(now, sentAt, &r)
 	return true
 }
 
+// recordPoll records what the result of a poll that was sent at sentAt says of this owner's
+// authority and of the former owner's.
+func (w *workerLoop) recordPoll(now, sentAt time.Duration, err error) {
+	t := w.term
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err == nil {
+		w.confirmedAt = sentAt
+		t.endSuccession(now)
+	}
+}
+
 // applyReport passes the answer to a poll that was sent at sentAt to the engine. The
 // first answer adds the worker to the engine, once the stored fleet has the worker.
 func (w *workerLoop) applyReport(now dispatch.Moment, sentAt time.Duration, r *agent.Report) {
