Let owners count majorities of the same workers

Cause: each owner counted a majority of the workers that it knew. Workers join, leave and lapse between two owners, so two majorities need not have a worker in common. The former owner knows 4 workers and reaches 3; the successor lists 4 more and reaches 5, of which one is old. Neither fences the other, and the successor relies on a majority that says nothing about the former owner.

Change: both count the stored fleet, which lists all workers that may have runs. An owner needs a majority of the list that is known to be written and of each list whose write had no answer, since its successor may find any of them. The successor counts the fleet that it inherits; a worker whose other instance answers counts too, since it never answers the former owner again.

Ruled out: adding new workers to the count of the former owner, which may not hear of them.

Evidence: TestMajoritiesOfDifferentWorkersStartTasksTwice failed before with 4 second starts and passes.

--- a/process/owner/authority.go
+++ b/process/owner/authority.go
@@ -1,22 +1,26 @@
 package owner
 
 import (
+	"maps"
 	"math"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
+
+	"heatherhub.example/heatherhub"
 )
 
 // An owner that cannot reach the store cannot know whether it was replaced. At any moment it
 // renews leases and starts tasks only if a call that it sent within the last confirmationTTL
 // has confirmed its ownership: a commit with the owner key as a precondition, or polls answered
-// by a majority of the workers. It stops Limits.MaxStoreSilence after the last such commit in
-// any case.
+// by a majority of the workers of the stored fleet. It stops Limits.MaxStoreSilence after the
+// last such commit in any case.
 //
-// A worker that has answered a poll of a new owner refuses those of earlier ones, and any two
-// majorities overlap. So once a majority has answered the new owner, no poll that is sent later
-// confirms the former one.
+// A worker that has answered a poll of a new owner refuses those of earlier ones. The former
+// owner counts majorities of the fleet that the new one inherits, and any two of them overlap.
+// So once a majority has answered the new owner, no poll that is sent later confirms the former
+// one. Only workers of the stored fleet run tasks.
 
 // confirmationTTL is how long after a confirmation of its ownership was sent an owner may act.
 const confirmationTTL = 2500 * time.Millisecond
@@ -54,46 +58,71 @@
 	}
 }
 
-// isConfirmedByMajority reports whether more than half of the workers have answered a poll that
-// was sent at since or later. It takes the term's lock.
+// isConfirmedByMajority reports whether more than half of the workers of each list that may be
+// the stored fleet have answered a poll that was sent at since or later. It takes the term's
+// lock.
 func (t *term) isConfirmedByMajority(since time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	n := 0
-	for _, w := range t.workers {
-		if w.confirmedAt >= since {
-			n++
+	for _, m := range t.fleet.stored {
+		n := 0
+		for id := range m {
+			if w := t.workers[id]; w != nil && w.confirmedAt >= since {
+				n++
+			}
+		}
+		if 2*n <= len(m) {
+			return false
 		}
 	}
-	return 2*n > len(t.workers)
+	return len(t.fleet.stored) > 0
 }
 
 // succession tracks when the earlier owners of a shard have stopped acting.
 type succession struct {
-	// isOver says that a majority of the workers has answered this owner. The term's mu guards
-	// it.
-	isOver bool
+	// inherited is the number of workers of the inherited fleet. open has those that may still
+	// answer the former owner: they have neither answered this one nor been replaced. The
+	// term's mu guards both.
+	inherited int
+	open      map[heatherhub.WorkerID]struct{}
+	// isOver is closed once a majority is not open.
+	isOver chan struct{}
 	// stopsAt is the steady time, in nanoseconds, after which no earlier owner acts. It
 	// only becomes earlier.
 	stopsAt atomic.Int64
 }
 
-// endSuccession limits the time of the earlier owners once a majority of the workers has
-// answered this owner. The caller holds the term's mu.
+// inherit sets the workers of the inherited fleet. The caller holds the term's mu.
+func (t *term) inherit(workers members, now time.Duration) {
+	t.fleet.stored = []members{workers}
+	t.succession.inherited, t.succession.open = len(workers), maps.Clone(workers)
+	t.endSuccession(now)
+}
+
+// fenceFormer records that a worker has answered this owner or has been replaced. The caller
+// holds the term's mu.
+func (t *term) fenceFormer(id heatherhub.WorkerID, now time.Duration) {
+	if _, ok := t.succession.open[id]; ok {
+		delete(t.succession.open, id)
+		t.endSuccession(now)
+	}
+}
+
+// endSuccession limits the time of the earlier owners once a majority of the inherited fleet
+// is not open. Without an inherited fleet they have no majority. The caller holds the term's mu.
 func (t *term) endSuccession(now time.Duration) {
 	s := &t.succession
-	n := 0
-	for _, w := range t.workers {
-		if w.confirmedAt > never {
-			n++
-		}
+	if s.inherited > 0 && 2*len(s.open) >= s.inherited {
+		return
 	}
-	if s.isOver || 2*n <= len(t.workers) {
+	select {
+	case <-s.isOver:
 		return
+	default:
 	}
-	s.isOver = true
+	close(s.isOver)
 	s.stopsAt.Store(min(s.stopsAt.Load(), int64(now+onSlowestClock(confirmationTTL))))
-	t.log.Info("former owner fenced by a majority", zap.Duration("took", now-t.startedAt), zap.Int("workers", n), zap.Int("known", len(t.workers)))
+	t.log.Info("former owner fenced by a majority", zap.Duration("took", now-t.startedAt), zap.Int("workers", s.inherited-len(s.open)), zap.Int("inherited", s.inherited))
 }
 
 // formerStopsAt returns the steady time after which no earlier owner acts.
--- a/process/owner/authority_test.go
+++ b/process/owner/authority_test.go
@@ -120,6 +120,15 @@
 	return last.entry.ID
 }
 
+// addNewWorkers adds n workers and returns their ids.
+func (site *simSite) addNewWorkers(n int) []heatherhub.WorkerID {
+	var out []heatherhub.WorkerID
+	for i := range n {
+		out = append(out, site.addWorker(heatherhub.WorkerID(fmt.Sprintf("new%d", i)), onlyDomain).entry.ID)
+	}
+	return out
+}
+
 // awaitOwner waits until a host owns the shard.
 func (site *simSite) awaitOwner(id heatherhub.HostID) {
 	site.t.Helper()
@@ -151,6 +160,29 @@
 	})
 }
 
+// TestMajoritiesOfDifferentWorkersStartTasksTwice guards against owners that count different
+// workers: with those that have joined, the successor reaches a majority that has no worker in
+// common with that of the former owner.
+func TestMajoritiesOfDifferentWorkersStartTasksTwice(t *testing.T) {
+	testOwnedSite(t, 4, nil, func(site *simSite) {
+		shared := site.cutFormerFromStoreAndOneWorker()
+		reached := append(site.addNewWorkers(4), shared)
+		site.startPlainHost(nextHost)
+		site.cutExcept(nextHost, reached...)
+		time.Sleep(settleTime)
+	})
+}
+
+// cutFormerFromStoreAndOneWorker cuts formerHost off from the store and from a worker, whose
+// id it returns. formerHost hears of no further worker.
+func (site *simSite) cutFormerFromStoreAndOneWorker() heatherhub.WorkerID {
+	site.setPartitioned(string(formerHost), storeName, true)
+	id := site.idleWorker()
+	site.setPartitioned(string(formerHost), string(id), true)
+	time.Sleep(200 * time.Millisecond)
+	return id
+}
+
 // TestWorkerAnsweringOnceLosesItsLease guards against a worker whose lease counts as expired
 // because the new owner, which may not act yet, has granted none: that of the former owner runs.
 func TestWorkerAnsweringOnceLosesItsLease(t *testing.T) {
--- a/process/owner/fleet.go
+++ b/process/owner/fleet.go
@@ -22,9 +22,23 @@
 	// record of the previous owner.
 	closed   map[heatherhub.WorkerID][]heatherhub.StepTask
 	revision ledger.Revision
+	// stored has the lists that the store may have: the last one that is known to be written,
+	// and those of later writes without an answer.
+	stored []members
 	// generation counts the changes to workers; writtenGeneration is the generation that
-	// was last written to the store.
-	generation, writtenGeneration uint64
+	// was last written to the store, and sentGeneration that of the last write that was sent.
+	generation, writtenGeneration, sentGeneration uint64
+}
+
+// members are the workers of a fleet.
+type members map[heatherhub.WorkerID]struct{}
+
+func membersOf(f record.Fleet) members {
+	m := make(members, len(f.Workers))
+	for _, w := range f.Workers {
+		m[w.ID] = struct{}{}
+	}
+	return m
 }
 
 // writeFleet writes the list to the store if it has changed. It reports whether the
@@ -37,11 +51,16 @@
 		t.mu.Unlock()
 		return true
 	}
+	sentAt := t.now().Steady
 	var list record.Fleet
 	for id, address := range t.fleet.workers {
 		list.Workers = append(list.Workers, t.fleetWorker(id, address))
 	}
 	generation, revision := t.fleet.generation, t.fleet.revision
+	if t.fleet.sentGeneration != generation {
+		t.fleet.sentGeneration = generation
+		t.fleet.stored = append(t.fleet.stored, membersOf(list))
+	}
 	t.mu.Unlock()
 	value, err := record.Encode(list)
 	if err != nil {
@@ -65,7 +84,9 @@
 		}
 		return false
 	}
+	t.confirmOwnership(sentAt)
 	t.fleet.revision, t.fleet.writtenGeneration = rev, generation
+	t.fleet.stored = []members{membersOf(list)}
 	return t.fleet.writtenGeneration == t.fleet.generation
 }
 
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -82,7 +82,7 @@
 	t := &term{
 		host: h, shard: s, token: agent.Token(rev), ownerRevision: rev,
 		log: h.cfg.Log.With(zap.Stringer("shard", s), zap.Uint64("token", uint64(rev))),
-		ctx: ctx, cancel: cancel, startedAt: now,
+		ctx: ctx, cancel: cancel, startedAt: now, succession: succession{isOver: make(chan struct{})},
 		engine:  dispatch.New(dispatch.Config{Token: agent.Token(rev), Shard: s, MaxPendingStarts: h.maxPendingStarts()}),
 		workers: make(map[heatherhub.WorkerID]*workerLoop), fleet: fleet{workers: make(map[heatherhub.WorkerID]string), closed: make(map[heatherhub.WorkerID][]heatherhub.StepTask)},
 		committed: make(chan struct{}), wakeDecide: make(chan struct{}, 1), wakeCommit: make(chan struct{}, 1),
@@ -256,6 +256,7 @@
 	t.mu.Lock()
 	t.syncPolicies()
 	t.fleet.revision = s.fleet.Revision
+	t.inherit(membersOf(inherited), t.now().Steady)
 	for _, w := range inherited.Workers {
 		t.fleet.workers[w.ID] = w.Address
 		if !w.IsClosed {
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -301,7 +301,9 @@
 	defer t.mu.Unlock()
 	if err == nil {
 		w.confirmedAt = sentAt
-		t.endSuccession(now)
+	}
+	if err == nil || agent.IsWorkerReplaced(err) {
+		t.fenceFormer(w.entry.ID, now)
 	}
 }
 
