Change the stored fleet only once earlier owners stop

Cause: a successor counts the fleet that it inherits, but that of two owners back may differ. The first successor adds 4 new workers to a fleet of 4 and fails before it has reached more than one of the old ones. The second successor reaches 5 of these 8, and relies on that although the first owner still holds 3 of its 4 workers.

Change: an owner writes no changed fleet until all earlier owners stop within confirmationTTL: a majority of the inherited fleet has answered, or 7.7 s have passed since the claim. A majority of a changed fleet then comes after the earlier owners lost theirs. Workers that the stored fleet already lists come up without a write; they used to wait for that of any other worker.

Ruled out: keeping the lists of all earlier owners in the stored fleet, which allows new workers at once but needs a change of the record and majorities of several lists.

Evidence: TestMajoritiesOverTwoTakeoversStartTasksTwice failed before with 4 second starts and passes.

Cost: while a majority of the inherited workers neither answers nor is replaced, new workers get no task for up to 7.7 s after a takeover.

--- a/process/owner/authority.go
+++ b/process/owner/authority.go
@@ -21,6 +21,11 @@
 // owner counts majorities of the fleet that the new one inherits, and any two of them overlap.
 // So once a majority has answered the new owner, no poll that is sent later confirms the former
 // one. Only workers of the stored fleet run tasks.
+//
+// This also holds for the owners before the former one: an owner changes the stored fleet only
+// when all earlier owners stop within confirmationTTL, which is before a later owner relies on
+// a majority of the changed fleet. Workers that it removes have answered it, have been replaced,
+// or are gone since the earlier owners have stopped.
 
 // confirmationTTL is how long after a confirmation of its ownership was sent an owner may act.
 const confirmationTTL = 2500 * time.Millisecond
@@ -122,6 +127,7 @@
 	}
 	close(s.isOver)
 	s.stopsAt.Store(min(s.stopsAt.Load(), int64(now+onSlowestClock(confirmationTTL))))
+	signal(t.wakeCommit)
 	t.log.Info("former owner fenced by a majority", zap.Duration("took", now-t.startedAt), zap.Int("workers", s.inherited-len(s.open)), zap.Int("inherited", s.inherited))
 }
 
@@ -130,6 +136,11 @@
 	return time.Duration(t.succession.stopsAt.Load())
 }
 
+// mayChangeFleet reports whether the stored fleet may be changed at now.
+func (t *term) mayChangeFleet(now time.Duration) bool {
+	return t.formerStopsAt()-now <= onSlowestClock(confirmationTTL)
+}
+
 // inheritedRunsEnd returns the steady time by which runs of earlier owners have ended at a
 // worker that this owner has not reached.
 func (t *term) inheritedRunsEnd() time.Duration {
--- a/process/owner/authority_test.go
+++ b/process/owner/authority_test.go
@@ -173,6 +173,23 @@
 	})
 }
 
+// TestMajoritiesOverTwoTakeoversStartTasksTwice guards against a second successor that counts
+// workers which the first one added before it had reached those of the former owner.
+func TestMajoritiesOverTwoTakeoversStartTasksTwice(t *testing.T) {
+	testOwnedSite(t, 4, nil, func(site *simSite) {
+		shared := site.cutFormerFromStoreAndOneWorker()
+		reached := append(site.addNewWorkers(4), shared)
+		site.startPlainHost(nextHost)
+		site.cutExcept(nextHost, reached...)
+		site.awaitOwner(nextHost)
+		time.Sleep(300 * time.Millisecond)
+		site.kill(nextHost)
+		site.startPlainHost(thirdHost)
+		site.cutExcept(thirdHost, reached...)
+		time.Sleep(settleTime)
+	})
+}
+
 // cutFormerFromStoreAndOneWorker cuts formerHost off from the store and from a worker, whose
 // id it returns. formerHost hears of no further worker.
 func (site *simSite) cutFormerFromStoreAndOneWorker() heatherhub.WorkerID {
--- a/process/owner/fleet.go
+++ b/process/owner/fleet.go
@@ -41,6 +41,35 @@
 	return m
 }
 
+// isStored reports whether the stored list has a worker, whichever list it is.
+func (f *fleet) isStored(id heatherhub.WorkerID) bool {
+	for _, m := range f.stored {
+		if _, ok := m[id]; !ok {
+			return false
+		}
+	}
+	return len(f.stored) > 0
+}
+
+// storeWorker reports whether the stored list has a worker. If it has not, storeWorker writes
+// it, once the earlier owners have been fenced.
+func (t *term) storeWorker(ctx context.Context, id heatherhub.WorkerID) bool {
+	t.mu.Lock()
+	isStored := t.fleet.isStored(id)
+	t.mu.Unlock()
+	if isStored {
+		return true
+	}
+	wait := time.NewTimer(pollRetryDelay)
+	defer wait.Stop()
+	select {
+	case <-t.succession.isOver:
+	case <-wait.C:
+	case <-ctx.Done():
+	}
+	return t.writeFleet(ctx)
+}
+
 // writeFleet writes the list to the store if it has changed. It reports whether the
 // stored list is up to date.
 func (t *term) writeFleet(ctx context.Context) bool {
@@ -52,6 +81,10 @@
 		return true
 	}
 	sentAt := t.now().Steady
+	if !t.mayChangeFleet(sentAt) {
+		t.mu.Unlock()
+		return false
+	}
 	var list record.Fleet
 	for id, address := range t.fleet.workers {
 		list.Workers = append(list.Workers, t.fleetWorker(id, address))
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -314,7 +314,7 @@
 	t.mu.Lock()
 	isUp := w.isUp
 	t.mu.Unlock()
-	if !isUp && !t.writeFleet(w.ctx) {
+	if !isUp && !t.storeWorker(w.ctx, w.entry.ID) {
 		ledger.Sleep(w.ctx, pollRetryDelay)
 		return
 	}
