Take jobs for new only after the former owner stopped

Cause: jobs that the watch delivers count as new, and start although workers of the former owner are out of reach, 3 s after the first worker accepted the new token. That worker says nothing about the former owner, which may reach all others, read new jobs and start them until MaxStoreSilence is over.

Change: the engine is told when no earlier owner acts any more, by the bound that inherited runs use. It has no grace of its own.

Ruled out: counting from a majority with 3 s more, a second number for the same bound.

TestJobOfALaggingWatchIsInherited is unchanged.

Cost: while a majority is out of reach, new jobs wait like inherited ones for up to 10.2 s, before 3 s.

--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -48,10 +48,15 @@
 // jobs that were accepted before it was requested.
 const currentWatchReplies = 3
 
+// InheritUntil records that no previous owner acts after a time, if that is earlier than known.
+func (e *Engine) InheritUntil(at time.Duration) {
+	e.inheritUntil = min(e.inheritUntil, at)
+}
+
 // JobWatchReplied counts a reply of the job watch. Call it before the jobs of that
 // reply are added.
 func (e *Engine) JobWatchReplied(now Moment) {
-	if e.hasFenced && now.Steady >= e.inheritUntil {
+	if now.Steady >= e.inheritUntil {
 		e.watchReplies++
 	}
 }
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -16,10 +16,6 @@
 		e.addNode(&node{worker: w, attempts: make(map[attemptKey]*attempt), unaccounted: make(map[attemptKey]struct{})})
 	}
 	e.Report(now, now.Steady, w.ID, r)
-	if !e.hasFenced {
-		e.hasFenced = true
-		e.inheritUntil = now.Steady + e.cfg.FencingGrace
-	}
 }
 
 // UpdateWorker replaces the entry of a known worker.
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -29,6 +29,9 @@
 	Token agent.Token
 	// Shard is the shard whose tasks the engine runs.
 	Shard heatherhub.ShardID
+	// InheritUntil is the time after which no previous owner acts. Zero means that there is
+	// none.
+	InheritUntil time.Duration
 	// MaxPendingStarts bounds the start orders without an outcome. Zero means no bound.
 	MaxPendingStarts int
 	Tuning
@@ -63,10 +66,9 @@
 	// movedWaiting has the jobs that waited when they were moved to other shards, in the
 	// order of the moves.
 	movedWaiting []movedJob
-	// inheritUntil is the time by which the previous owner has certainly noticed that
-	// it was replaced. It may have started any job accepted before then.
+	// inheritUntil is the time after which no previous owner acts. It may have started any
+	// job accepted before then.
 	inheritUntil time.Duration
-	hasFenced    bool
 	// watchReplies counts the replies of the job watch since inheritUntil.
 	watchReplies int
 	ready        []*stepRun
@@ -107,8 +109,8 @@
 		unknownJobs: make(map[heatherhub.JobID]*unknownJob),
 		absent:      make(map[heatherhub.JobID]time.Duration),
 		movedAway:   make(map[heatherhub.JobID]moveRecord),
-		model:       newInterference(),
-		nextRun:     heatherhub.RunID(cfg.Token) * runsPerToken,
+		model:       newInterference(), inheritUntil: cfg.InheritUntil,
+		nextRun: heatherhub.RunID(cfg.Token) * runsPerToken,
 	}
 }
 
--- a/process/dispatch/tuning.go
+++ b/process/dispatch/tuning.go
@@ -18,10 +18,6 @@
 	// RefusalBackoff is how long a worker gets no tasks after it refused one or a run on
 	// it was stopped as stalled or slow.
 	RefusalBackoff time.Duration
-	// FencingGrace is how long a previous owner may still act after the first worker
-	// accepted this owner's token. An owner polls each worker every second and so
-	// notices within that time.
-	FencingGrace time.Duration
 	// StarvedAfter is how long a filler job may wait with no running task while
 	// reserved capacity is low. The default is below the limit of three seconds that
 	// such a job may wait.
@@ -39,7 +35,6 @@
 	heatherhub.SetDefault(&t.RetryDelay, 100*time.Millisecond)
 	heatherhub.SetDefault(&t.StopRetryInterval, 400*time.Millisecond)
 	heatherhub.SetDefault(&t.RefusalBackoff, time.Second)
-	heatherhub.SetDefault(&t.FencingGrace, 3*time.Second)
 	heatherhub.SetDefault(&t.StarvedAfter, 1500*time.Millisecond)
 	heatherhub.SetDefault(&t.MoveAfter, time.Second)
 	heatherhub.SetDefault(&t.StallAfter, 2500*time.Millisecond)
--- a/process/owner/authority.go
+++ b/process/owner/authority.go
@@ -127,6 +127,7 @@
 	}
 	close(s.isOver)
 	s.stopsAt.Store(min(s.stopsAt.Load(), int64(now+onSlowestClock(confirmationTTL))))
+	t.engine.InheritUntil(t.formerStopsAt())
 	signal(t.wakeCommit)
 	t.log.Info("former owner fenced by a majority", zap.Duration("took", now-t.startedAt), zap.Int("workers", s.inherited-len(s.open)), zap.Int("inherited", s.inherited))
 }
--- a/process/owner/authority_test.go
+++ b/process/owner/authority_test.go
@@ -349,6 +349,55 @@
 	})
 }
 
+// deafStore refuses, once isDeaf is set, all writes and does not tell of other owners. The jobs
+// can still be read.
+type deafStore struct {
+	ledger.Store
+	isDeaf *atomic.Bool
+}
+
+func (s *deafStore) Commit(ctx context.Context, txn ledger.Txn) (ledger.Revision, error) {
+	if s.isDeaf.Load() {
+		return 0, heatherhub.ErrUnavailable.New("the store refuses writes")
+	}
+	return s.Store.Commit(ctx, txn)
+}
+
+func (s *deafStore) RenewLease(ctx context.Context, id ledger.LeaseID) error {
+	if s.isDeaf.Load() {
+		return heatherhub.ErrUnavailable.New("the store refuses writes")
+	}
+	return s.Store.RenewLease(ctx, id)
+}
+
+func (s *deafStore) Watch(ctx context.Context, prefix string, after ledger.Revision, span time.Duration) (ledger.Changes, error) {
+	changes, err := s.Store.Watch(ctx, prefix, after, span)
+	if s.isDeaf.Load() && prefix == record.ShardPrefix {
+		return ledger.Changes{}, heatherhub.ErrUnknown.New("no answer to the watch")
+	}
+	return changes, err
+}
+
+// TestJobReadByBothOwnersStartsTwice guards against a successor that takes a job for new because
+// one worker has met its token, while the former owner goes on starting jobs with the others.
+func TestJobReadByBothOwnersStartsTwice(t *testing.T) {
+	var isDeaf atomic.Bool
+	deaf := func(cfg *owner.Config) { cfg.Store = &deafStore{Store: cfg.Store, isDeaf: &isDeaf} }
+	testOwnedSite(t, 4, deaf, func(site *simSite) {
+		site.startPlainHost(nextHost)
+		only := site.idleWorker()
+		site.cutExcept(nextHost, only)
+		site.setPartitioned(string(formerHost), string(only), true)
+		time.Sleep(time.Second)
+		isDeaf.Store(true)
+		for i := range 20 {
+			site.submit(heatherhub.JobID(fmt.Sprintf("later%d", i)), newStep(1, 3*time.Second))
+			time.Sleep(500 * time.Millisecond)
+		}
+		time.Sleep(settleTime)
+	})
+}
+
 // meteredAgent takes callTime more for each call and counts the polls that renew no lease.
 type meteredAgent struct {
 	agent.Agent
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -83,7 +83,7 @@
 		host: h, shard: s, token: agent.Token(rev), ownerRevision: rev,
 		log: h.cfg.Log.With(zap.Stringer("shard", s), zap.Uint64("token", uint64(rev))),
 		ctx: ctx, cancel: cancel, startedAt: now, succession: succession{isOver: make(chan struct{})},
-		engine:  dispatch.New(dispatch.Config{Token: agent.Token(rev), Shard: s, MaxPendingStarts: h.maxPendingStarts()}),
+		engine:  dispatch.New(dispatch.Config{Token: agent.Token(rev), Shard: s, InheritUntil: formerStopsAt, MaxPendingStarts: h.maxPendingStarts()}),
 		workers: make(map[heatherhub.WorkerID]*workerLoop), fleet: fleet{workers: make(map[heatherhub.WorkerID]string), closed: make(map[heatherhub.WorkerID][]heatherhub.StepTask)},
 		committed: make(chan struct{}), wakeDecide: make(chan struct{}, 1), wakeCommit: make(chan struct{}, 1),
 		wakePublish: make(chan struct{}, 1), wakeLookup: make(chan struct{}, 1), writeSem: make(chan struct{}, 1),
