Count an owner's authority from when its claim was sent

Cause: a new owner counted its ownership as confirmed when the answer to its claim arrived. The shard may have been lost while that answer was under way. The owner then acts for longer after the loss than its successor assumes.

Change: the confirmation counts from when the claim was sent, as that of every other commit.

Ruled out: a shorter timeout for the claim, which would only make the gap smaller.

--- a/process/owner/authority_test.go
+++ b/process/owner/authority_test.go
@@ -398,6 +398,43 @@
 	})
 }
 
+// lateClaims holds back the answer to a claim for claimDelay, and is deaf after it.
+type lateClaims struct {
+	deafStore
+	shard heatherhub.ShardID
+}
+
+// claimDelay is longer than an owner acts on one confirmation and shorter than a worker's
+// lease.
+const claimDelay = 3 * time.Second
+
+func (s *lateClaims) Commit(ctx context.Context, txn ledger.Txn) (ledger.Revision, error) {
+	rev, err := s.deafStore.Commit(ctx, txn)
+	if err == nil && slices.ContainsFunc(txn.Puts, func(p ledger.Put) bool { return p.Key == record.OwnerKey(s.shard) }) {
+		s.isDeaf.Store(true)
+		ledger.Sleep(ctx, claimDelay)
+	}
+	return rev, err
+}
+
+// TestLateAnswerToClaimGivesAuthority guards against an owner whose authority counts from the
+// answer to its claim: it may have lost the shard while that answer was under way.
+func TestLateAnswerToClaimGivesAuthority(t *testing.T) {
+	testOwnedSite(t, 4, nil, func(site *simSite) {
+		site.startConfiguredHost(nextHost, func(cfg *owner.Config) {
+			cfg.Store = &lateClaims{deafStore: deafStore{Store: cfg.Store, isDeaf: new(atomic.Bool)}, shard: site.jobShard}
+		})
+		site.cutExcept(nextHost, busyID)
+		time.Sleep(time.Second)
+		site.kill(formerHost)
+		site.awaitOwner(nextHost)
+		site.startPlainHost(thirdHost)
+		site.setPartitioned(string(thirdHost), string(busyID), true)
+		site.store.removeKey(record.OwnerKey(site.jobShard))
+		time.Sleep(settleTime)
+	})
+}
+
 // meteredAgent takes callTime more for each call and counts the polls that renew no lease.
 type meteredAgent struct {
 	agent.Agent
--- a/process/owner/campaign.go
+++ b/process/owner/campaign.go
@@ -142,12 +142,13 @@
 	}
 	h.claimAttempts++
 	owner := record.Owner{Host: h.cfg.Self, Address: h.cfg.Address, Nonce: string(h.cfg.Self) + "/" + strconv.Itoa(h.claimAttempts) + "/" + strconv.FormatInt(int64(h.cfg.Clock.Now().Wall.UnixNano()), 36)}
+	claimedAt := h.cfg.Clock.Now().Steady
 	rev, err := h.claim(ctx, s, owner, lease)
 	if err != nil {
 		h.cfg.Log.Info("shard not taken", zap.Stringer("shard", s), zap.Error(err))
 		return
 	}
-	t := newTerm(h, s, rev)
+	t := newTerm(h, s, rev, claimedAt)
 	h.mu.Lock()
 	h.terms[s] = t
 	delete(h.ownerlessSince, s)
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -74,8 +74,9 @@
 	writeSem, publishSem, moveSem chan struct{}
 }
 
-// newTerm returns a term for the claim that created the owner key at revision rev.
-func newTerm(h *Host, s heatherhub.ShardID, rev ledger.Revision) *term {
+// newTerm returns a term for the claim that was sent at claimedAt and created the owner key at
+// revision rev.
+func newTerm(h *Host, s heatherhub.ShardID, rev ledger.Revision, claimedAt time.Duration) *term {
 	ctx, cancel := context.WithCancel(context.Background())
 	now := h.cfg.Clock.Now().Steady
 	formerStopsAt := now + onSlowestClock(h.cfg.MaxStoreSilence)
@@ -89,7 +90,8 @@
 		wakePublish: make(chan struct{}, 1), wakeLookup: make(chan struct{}, 1), writeSem: make(chan struct{}, 1),
 		publishSem: make(chan struct{}, 1), moveSem: make(chan struct{}, 1),
 	}
-	t.confirmedAt.Store(int64(now))
+	// The shard may have been lost while the answer was under way.
+	t.confirmedAt.Store(int64(claimedAt))
 	t.succession.stopsAt.Store(int64(formerStopsAt))
 	return t
 }
