Reserve room for the tasks of stopped runs on draining workers

Cause: each run was asked for room elsewhere by itself, so up to 38 were stopped at once for the same room; and when a run had ended, waiting batch work went before its task. With a notice of 4 or 9 s runs were also stopped seconds before that was needed, and a draining worker cannot use their room otherwise.

Change: a run is stopped early only for room that is reserved for its task until the run is over, and the task starts there then. Long-running tasks move in the last 3.2 s before the worker leaves. The estimate of a run that is slowed down counts its speed limit.

Evidence: TestVacatedTasksShareTheRoomElsewhere fails without the change (2 stops for the room of one), as does the case of a long notice in TestRunsThatOutlastADrainMoveBeforeIt (stopped at the notice).

--- a/process/dispatch/drain.go
+++ b/process/dispatch/drain.go
@@ -17,6 +17,10 @@
 	drainStopTime = 1200 * time.Millisecond
 	// drainReportTime is the time that the end of a run takes to be reported.
 	drainReportTime = 100 * time.Millisecond
+	// drainMoveTime is how long before the last moment long-running tasks move as soon as they
+	// have room elsewhere. Earlier they keep the room that a draining worker cannot use
+	// otherwise.
+	drainMoveTime = 2 * time.Second
 )
 
 // WorkerDrains records that a worker has announced that it leaves, at leavesAt at the earliest.
@@ -28,33 +32,58 @@
 }
 
 // vacateDraining requests a stop of the runs on draining workers that would not end before
-// their worker leaves: as soon as the task has room elsewhere, and in time for the stop to be
-// reported at the latest.
+// their worker leaves: once room is reserved for the task elsewhere, and in time for the stop
+// to be reported at the latest.
 func (e *Engine) vacateDraining(now Moment) {
 	for _, n := range e.sortedNodes {
 		if !n.isLeaving || n.isUnresponsive {
 			continue
 		}
-		isDue := now.Steady >= n.leavesAt-drainStopTime
 		for _, a := range n.attemptsByRun() {
-			if a.state != running || a.stop != noStop || e.endsBefore(now.Steady, a, n.leavesAt-drainReportTime) {
-				continue
-			}
-			if isDue || e.chooseWorker(now, a.task.step, a.task) != nil {
-				a.stop = stopPending
-				e.recordTaskEvent(EventRunVacated, a, "worker drains")
+			if a.state == running && a.stop == noStop && !e.endsBefore(now.Steady, a, n.leavesAt-drainReportTime) {
+				e.vacate(now, a)
 			}
 		}
 	}
 }
 
+// vacate requests a stop of a run on a draining worker, if it is time for it.
+func (e *Engine) vacate(now Moment, a *attempt) {
+	step, last := a.task.step, a.node.leavesAt-drainStopTime
+	if step.spec.LongRunning && now.Steady < last-drainMoveTime {
+		return
+	}
+	if to := e.chooseWorker(now, step, a.task); to != nil && !step.spec.Gang {
+		a.moveTo, to.promised = to, to.promised.Add(step.need)
+	} else if now.Steady < last {
+		return
+	}
+	a.stop = stopPending
+	e.recordTaskEvent(EventRunVacated, a, "worker drains")
+}
+
+// startMoved starts the task of an attempt that is over where room was reserved for it, unless
+// that worker no longer accepts it.
+func (e *Engine) startMoved(now Moment, a *attempt) {
+	t, to := a.task, a.moveTo
+	if to == nil || e.nodes[to.worker.ID] != to || !t.isPending || t.step.blockers > 0 || e.isAtStartLimit() {
+		return
+	}
+	if !e.isStartable(now.Steady, t) || !e.isEligible(now, to, t.step, t) {
+		return
+	}
+	e.nextRun++
+	e.start(now, t, to, e.nextRun)
+	e.recordStarts(now, t.step, 1, to.worker.ID)
+}
+
 // endsBefore reports whether a run is expected to end by itself before limit.
 func (e *Engine) endsBefore(now time.Duration, a *attempt, limit time.Duration) bool {
 	step := a.task.step
-	if step.spec.LongRunning || a.speedLimit < fullSpeed {
+	if step.spec.LongRunning || a.speedLimit == 0 {
 		return false
 	}
-	left := float64(e.expectedDuration(step)) * (1 - float64(a.progress)/100)
+	left := float64(e.expectedDuration(step)) * (1 - float64(a.progress)/100) * float64(fullSpeed) / float64(a.speedLimit)
 	if v := a.node.speed; v.count >= slowMinSamples {
 		left /= max(v.value, minMeasuredSpeed)
 	}
--- a/process/dispatch/drain_test.go
+++ b/process/dispatch/drain_test.go
@@ -35,11 +35,14 @@
 		step heatherhub.Step
 		// room is the capacity of the other worker that is left.
 		room heatherhub.MilliCPU
+		// left is the time of the notice; zero for 3 s.
+		left time.Duration
 		// stopsAfter is the time from the notice to the stop; negative for no stop.
 		stopsAfter time.Duration
 	}{
 		"long-running, room elsewhere": {step: long, room: 8000, stopsAfter: 0},
 		"long-running, no room":        {step: long, stopsAfter: 1800 * time.Millisecond},
+		"long-running, long notice":    {step: long, left: 9 * time.Second, room: 8000, stopsAfter: 5800 * time.Millisecond},
 		"batch, too long":              {step: tasks(1, 8000, 5*time.Second), room: 8000, stopsAfter: 0},
 		"batch, ends in time":          {step: tasks(1, 8000, 2500*time.Millisecond), room: 8000, stopsAfter: -1},
 	} {
@@ -48,7 +51,8 @@
 			b.add("moves", c.step)
 			b.advance(100 * time.Millisecond)
 			b.addWorkerWithRoom(c.room)
-			b.drain(0, 3*time.Second)
+			heatherhub.SetDefault(&c.left, 3*time.Second)
+			b.drain(0, c.left)
 			stoppedAfter := time.Duration(-1)
 			b.outcome = func(o dispatch.Order) dispatch.Outcome {
 				if o.Kind == dispatch.StopTask && stoppedAfter < 0 {
@@ -57,7 +61,7 @@
 				return dispatch.Confirmed
 			}
 			start := b.now.Steady
-			b.advance(2900 * time.Millisecond)
+			b.advance(c.left - 100*time.Millisecond)
 			if stoppedAfter >= 0 {
 				stoppedAfter -= start
 			}
@@ -70,3 +74,34 @@
 		})
 	}
 }
+
+// TestVacatedTasksShareTheRoomElsewhere guards against stops of more tasks than have room
+// elsewhere, and against other work that takes the room before the task of a stopped run starts.
+func TestVacatedTasksShareTheRoomElsewhere(t *testing.T) {
+	b := newSimulation(t, dispatch.Policy{}, 1)
+	long := tasks(2, 4000, time.Hour)
+	long.LongRunning = true
+	b.add("long", long)
+	b.step(100 * time.Millisecond)
+	b.drain(0, 3*time.Second)
+	b.addWorkerWithRoom(4000)
+	stops := 0
+	b.outcome = func(o dispatch.Order) dispatch.Outcome {
+		if o.Kind == dispatch.StopTask {
+			stops++
+		}
+		return dispatch.Confirmed
+	}
+	b.decide()
+	b.add("short", tasks(4, 4000, time.Second))
+	b.advance(500 * time.Millisecond)
+	if stops > 1 {
+		t.Errorf("got %d stops with room for one task elsewhere, want at most 1", stops)
+	}
+	if got, want := len(b.started), 3; got != want {
+		t.Fatalf("got %d starts, want %d", got, want)
+	}
+	if got, want := b.started[2].Job, heatherhub.JobID("long"); got != want {
+		t.Errorf("got a start of job %s in the reserved room, want one of job %s", got, want)
+	}
+}
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -186,6 +186,9 @@
 		e.pendingStarts--
 	}
 	a.node.removeAttempt(a)
+	if a.moveTo != nil {
+		a.moveTo.promised = a.moveTo.promised.Sub(a.task.step.need)
+	}
 	t := a.task
 	t.attempts = slices.DeleteFunc(t.attempts, func(o *attempt) bool { return o == a })
 	t.step.occ.job.openAttempts--
@@ -320,6 +323,7 @@
 	}
 	t.step.addPending(t)
 	e.enqueueReady(now, t.step.occ)
+	e.startMoved(now, a)
 }
 
 // reconcileUnlisted handles attempts that a complete report does not list. It ignores attempts
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -263,9 +263,11 @@
 	// stateSince is the time at which the state was reached.
 	stateSince time.Duration
 	// startedAt is the time at which the start was ordered.
-	startedAt  time.Duration
-	stop       stopState
-	stopSince  time.Duration
+	startedAt time.Duration
+	stop      stopState
+	stopSince time.Duration
+	// moveTo is the worker that has room reserved for the task until this attempt is over.
+	moveTo     *node
 	checkpoint heatherhub.CheckpointRef
 	progress   heatherhub.Percent
 	progressAt time.Duration
@@ -313,8 +315,10 @@
 
 // node is a worker and its attempts.
 type node struct {
-	worker   agent.Worker
-	used     heatherhub.Resources
+	worker agent.Worker
+	used   heatherhub.Resources
+	// promised is reserved for tasks that are moved here; see attempt.moveTo.
+	promised heatherhub.Resources
 	attempts map[attemptKey]*attempt
 	// unaccounted has the runs of the last report whose jobs are unknown or absent. Their
 	// need is not in used.
@@ -365,7 +369,7 @@
 }
 
 func (n *node) free() heatherhub.Resources {
-	return n.worker.Capacity.Sub(n.used)
+	return n.worker.Capacity.Sub(n.used).Sub(n.promised)
 }
 
 // servingUtilisation is the fraction of their reserved processors that serving tasks
