Notice the end of a lost worker's lease at once

Cause: whether the lease is over was judged only when a poll had failed, which takes up to 0.6 s, and once more after the confirmation of the ownership that the first judgement asks for.

Change: a poll of a silent worker ends with its lease, and the lease is looked at again after the pause that follows a poll.

Ruled out: a shorter lease; the lease itself and its margin are as they were.

--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -224,14 +224,25 @@
 func (w *workerLoop) pollLoop() {
 	defer w.client.Close()
 	for w.ctx.Err() == nil {
-		if !w.poll() {
+		if err := w.poll(); err != nil {
+			w.handlePollError(w.term.now(), err)
 			ledger.Sleep(w.ctx, pollRetryDelay)
+			w.handleLeaseExpiry(err)
 			continue
 		}
 		w.awaitDurableEnds()
 	}
 }
 
+// handleLeaseExpiry handles a lease that has expired by now, after a poll that failed with err.
+// The next poll may take long to fail.
+func (w *workerLoop) handleLeaseExpiry(err error) {
+	now := w.term.now()
+	if now.Steady >= w.leaseExpiry() {
+		w.handlePollError(now, err)
+	}
+}
+
 // awaitDurableEnds waits, for at most maxCommitWait, until the ended runs in the last
 // report are durable. Until they are acknowledged the worker answers each poll at once
 // with the same ended runs.
@@ -257,12 +268,12 @@
 	}
 }
 
-// poll sends one poll and applies the answer. It reports whether the worker answered.
-func (w *workerLoop) poll() bool {
+// poll sends one poll and applies the answer. It returns an error if the worker did not answer.
+func (w *workerLoop) poll() error {
 	t := w.term
 	sentAt := t.now().Steady
 	t.mu.Lock()
-	isUp := w.isUp
+	isUp, isGone := w.isUp, w.isGone
 	isTargetMissed := t.engine.MissesLatencyTarget(w.entry.ID)
 	p := agent.Poll{Token: t.token, AcknowledgedUpTo: t.engine.Acknowledged(w.entry.ID)}
 	t.mu.Unlock()
@@ -280,17 +291,28 @@
 	default:
 		p.Wait = pollWait
 	}
-	r, err := w.client.Poll(w.ctx, p)
+	ctx, cancel := w.pollContext(sentAt, isGone)
+	defer cancel()
+	r, err := w.client.Poll(ctx, p)
 	now := t.now()
 	w.recordPoll(now.Steady, sentAt, err)
 	if err != nil {
-		w.handlePollError(now, err)
-		return false
+		return err
 	}
 	w.isSilent.Store(false)
 	w.recordClock(now.Steady, r.Clock)
 	w.applyReport(now, sentAt, &r)
-	return true
+	return nil
+}
+
+// pollContext returns the context of a poll that is sent at now. Until a silent worker counts
+// as gone, it ends with the worker's lease, so that the tasks need not wait for the poll as
+// well.
+func (w *workerLoop) pollContext(now time.Duration, isGone bool) (context.Context, context.CancelFunc) {
+	if isGone || !w.isSilent.Load() {
+		return context.WithCancel(w.ctx)
+	}
+	return context.WithTimeout(w.ctx, max(w.leaseExpiry()-now, pollRetryDelay))
 }
 
 // recordPoll records what the result of a poll that was sent at sentAt says of this owner's
