--- a/process/owner/fleet.go
+++ b/process/owner/fleet.go
@@ -197,7 +197,7 @@
 		if entry.Draining {
 			t.drainWorker(w, entry.DrainRemaining)
 		}
-		if !w.isListed {
+		if !w.isListed && w.unlistedAt > 0 {
 			t.log.Info("worker listed again", zap.String("worker", string(entry.ID)), zap.Duration("sinceUnlisted", t.now().Steady-w.unlistedAt))
 		}
 		entry.Draining = entry.Draining || w.hasDrained
