Count a peer's heartbeat from when it can have been sent

What callers saw: nothing yet; a replica of a service or a batch task runs at two workers in the simulation. An owner is paused for 7 s after one of its workers fell silent, and the connection to its peers breaks during the pause. A peer begins to renew the worker's tasks. The owner wakes, reads the heartbeats from before the cut, takes them for fresh and the peer for one that holds nothing, counts the worker as absent and starts the tasks elsewhere, while the peer renews them.

Cause: rule (c) of the absent worker counted a heartbeat from its arrival, which may be any time after it was sent.

The change: each heartbeat names the last one that its sender received from the receiver. For rule (c) it counts from when that one left, on the receiver's own steady clock, and for 3.5 s only. This is a proof: a peer that heard the owner at that time begins to renew 5 s later at the earliest, so not before the statement is too old. No clocks are compared and no bound has changed. Ruled out: the sender's wall clock, which may jump, and a longer bound.

The simulation of process/shard/core now reads what arrived during a pause before or after the first tick, and can lose a worker's answers to one host, drop living hosts and workers from the list and delay heartbeats.

--- a/process/shard/core/faults_test.go
+++ b/process/shard/core/faults_test.go
@@ -178,7 +178,9 @@
 func (sim *simulation) heal() {
 	sim.isHealed = true
 	sim.cutUntil = make(map[string]time.Time)
+	sim.unlistedUntil, sim.mutedUntil = make(map[string]time.Time), make(map[string]time.Time)
 	sim.storeDownUntil, sim.storeSlowUntil, sim.answersLostUntil, sim.callsLateUntil = sim.now, sim.now, sim.now, sim.now
+	sim.heartbeatsLateUntil = sim.now
 	for _, h := range sim.hosts {
 		h.pausedUntil = sim.now
 	}
--- a/process/shard/core/host.go
+++ b/process/shard/core/host.go
@@ -197,8 +197,8 @@
 	return calls
 }
 
-// heartbeat returns this host's heartbeat.
-func (h *host) heartbeat() Heartbeat {
+// heartbeat returns this host's heartbeat, which is sent to a peer now.
+func (h *host) heartbeat(now time.Time, to heatherhub.HostID) Heartbeat {
 	b := Heartbeat{HeldShards: h.heldShards(), Leaving: h.isDraining(), OwnersUnread: h.listingSentAt.IsZero()}
 	for id := range h.sessionStarts {
 		if h.isFlapping(id) {
@@ -206,6 +206,7 @@
 		}
 	}
 	slices.Sort(b.Flapping)
+	h.peers.stamp(now, to, &b)
 	return b
 }
 
--- a/process/shard/core/node.go
+++ b/process/shard/core/node.go
@@ -239,11 +239,11 @@
 	return n.applyChanges(now)
 }
 
-// Heartbeat returns this host's heartbeat.
-func (n *Node) Heartbeat() Heartbeat {
+// Heartbeat returns this host's heartbeat, to be sent to a peer now.
+func (n *Node) Heartbeat(now time.Time, to heatherhub.HostID) Heartbeat {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.host.heartbeat()
+	return n.host.heartbeat(now, to)
 }
 
 // AddJob accepts a job. The ticket's reply follows once the job is durable.
--- a/process/shard/core/peers.go
+++ b/process/shard/core/peers.go
@@ -27,21 +27,42 @@
 	// Flapping lists the hosts that started too many sessions lately. It is shared with
 	// the peers because a restarted host does not remember its own sessions.
 	Flapping []heatherhub.HostID
+	// Stamp identifies the heartbeat. Later heartbeats of a process have higher stamps.
+	Stamp Stamp
+	// Echo is the stamp of the last heartbeat that the sender received from the receiver.
+	Echo Stamp
 }
 
+// Stamp identifies a heartbeat of a host. It is its time on the host's wall clock, in
+// nanoseconds since 1970, so that another process of the host uses other stamps.
+type Stamp int64
+
 // peerState is what the host knows of one peer.
 type peerState struct {
 	lastHeardAt time.Time
 	// heartbeat is the last heartbeat received.
 	heartbeat Heartbeat
-	listed    bool
-	state     hostlist.State
+	// statement is the heartbeat that was certainly sent last, and statedAfter a time
+	// before which it was not sent: when the heartbeat left that it echoes. A heartbeat may
+	// arrive long after it was sent, for example at a host that was paused.
+	statement   Heartbeat
+	statedAfter time.Time
+	listed      bool
+	state       hostlist.State
+}
+
+// sentHeartbeat is a heartbeat that this host has sent.
+type sentHeartbeat struct {
+	stamp Stamp
+	at    time.Time
 }
 
 // peers holds the state of the other entry hosts of the failure domain.
 type peers struct {
 	self  heatherhub.HostID
 	known map[heatherhub.HostID]*peerState
+	// sent holds the heartbeats of the last heartbeatTimeout, in order.
+	sent []sentHeartbeat
 	// startedAt is when the first peer became known.
 	startedAt time.Time
 }
@@ -86,6 +107,35 @@
 	s := p.getOrAdd(now, id)
 	s.lastHeardAt = now
 	s.heartbeat = b
+	after, ok := p.sentAt(b.Echo)
+	if !ok || after.Before(s.statedAfter) || after.Equal(s.statedAfter) && b.Stamp < s.statement.Stamp {
+		return
+	}
+	s.statement, s.statedAfter = b, after
+}
+
+// sentAt returns when the heartbeat with a stamp was sent. It reports false for one that
+// this process has not sent or that is older than heartbeatTimeout.
+func (p *peers) sentAt(s Stamp) (time.Time, bool) {
+	for _, b := range p.sent {
+		if b.stamp == s {
+			return b.at, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// stamp completes a heartbeat that is sent to a peer now.
+func (p *peers) stamp(now time.Time, to heatherhub.HostID, b *Heartbeat) {
+	p.sent = slices.DeleteFunc(p.sent, func(o sentHeartbeat) bool { return now.Sub(o.at) > heartbeatTimeout })
+	b.Stamp = Stamp(now.UnixNano())
+	if n := len(p.sent); n > 0 {
+		b.Stamp = max(b.Stamp, p.sent[n-1].stamp+1)
+	}
+	p.sent = append(p.sent, sentHeartbeat{stamp: b.Stamp, at: now})
+	if s, ok := p.known[to]; ok {
+		b.Echo = s.heartbeat.Stamp
+	}
 }
 
 // isFresh reports whether the peer was heard within heartbeatTimeout.
@@ -103,11 +153,17 @@
 	return ok && (s.heartbeat.Leaving || s.state == hostlist.StateLeaving)
 }
 
+// holds reports whether the heartbeat names a shard as held.
+func (b *Heartbeat) holds(s heatherhub.ShardID) bool {
+	return slices.ContainsFunc(b.HeldShards, func(h HeldShard) bool { return h.Shard == s })
+}
+
 // exclusivity states for which kinds of tasks of a shard no other host can be renewing
 // leases.
 type exclusivity struct {
-	// batch is set if each peer either is heard and does not hold the shard, or has
-	// been silent for so long that it has stopped renewing batch tasks.
+	// batch is set if each peer either does not hold the shard, as it said after it heard
+	// this host lately, or has been silent for so long that it has stopped renewing batch
+	// tasks.
 	batch bool
 	// services is set under the same condition, except that a silent peer must also
 	// be missing from the platform's host list, since a host never stops renewing
@@ -119,8 +175,8 @@
 	q := exclusivity{batch: true, services: true}
 	for _, peer := range p.known {
 		switch {
-		case peer.isFresh(now):
-			if slices.ContainsFunc(peer.heartbeat.HeldShards, func(h HeldShard) bool { return h.Shard == s }) {
+		case now.Sub(peer.statedAfter) <= heartbeatTimeout:
+			if peer.statement.holds(s) || peer.heartbeat.holds(s) {
 				return exclusivity{}
 			}
 		case now.Sub(peer.lastHeardAt) <= peerGoneAfter:
--- a/process/shard/core/sim_network_test.go
+++ b/process/shard/core/sim_network_test.go
@@ -135,6 +135,10 @@
 		sim.countEffect("late call")
 		d.delay += time.Duration(sim.rnd.Int64N(int64(worker.TaskLease)))
 	}
+	if sim.now.Before(sim.mutedUntil[cutKey(string(h.id), target)]) {
+		sim.countEffect("muted worker")
+		d.answerLost = true
+	}
 	if sim.now.Before(sim.answersLostUntil) && sim.rnd.IntN(4) == 0 {
 		sim.countEffect("lost answer")
 		d.answerLost = true
--- a/process/shard/core/sim_test.go
+++ b/process/shard/core/sim_test.go
@@ -11,6 +11,7 @@
 	"heatherhub.example/heatherhub"
 	"heatherhub.example/heatherhub/connection/hostlist"
 	"heatherhub.example/heatherhub/connection/store/memory"
+	"heatherhub.example/heatherhub/connection/worker"
 	"heatherhub.example/heatherhub/process/placement"
 	"heatherhub.example/heatherhub/process/shard/core"
 	"heatherhub.example/heatherhub/process/shard/layout"
@@ -82,8 +83,12 @@
 	byID     map[heatherhub.WorkerID]*simWorker
 	// cutUntil holds the end of each cut connection, by its cutKey.
 	cutUntil map[string]time.Time
-	// storeDownUntil and the next three are the ends of the present faults.
-	storeDownUntil, storeSlowUntil, answersLostUntil, callsLateUntil time.Time
+	// mutedUntil holds until when the answers of a worker to a host are lost, by its cutKey.
+	mutedUntil map[string]time.Time
+	// unlistedUntil holds until when the platform's list lacks a living host or worker, by id.
+	unlistedUntil map[string]time.Time
+	// storeDownUntil and the next four are the ends of the present faults.
+	storeDownUntil, storeSlowUntil, answersLostUntil, callsLateUntil, heartbeatsLateUntil time.Time
 
 	// effects counts the faults that had an effect, by kind.
 	effects  map[string]int
@@ -128,9 +133,9 @@
 		rnd:      rand.New(rand.NewPCG(cfg.seed, 7)),
 		store:    memory.New(memory.Config{Clock: clock}),
 		layout:   layout.Layout{Shards: map[heatherhub.FailureDomain]int{simDomain: cfg.shards}},
-		cutUntil: make(map[string]time.Time),
-		byID:     make(map[heatherhub.WorkerID]*simWorker),
-		effects:  make(map[string]int),
+		cutUntil: make(map[string]time.Time), unlistedUntil: make(map[string]time.Time), mutedUntil: make(map[string]time.Time),
+		byID:    make(map[heatherhub.WorkerID]*simWorker),
+		effects: make(map[string]int),
 	}
 	sim.requests = newRequestLog(sim)
 	sim.snapshot = simSnapshot(cfg.serviceReplicas)
@@ -202,7 +207,8 @@
 			return
 		}
 		if sim.now.Before(h.pausedUntil) {
-			sim.at(h.pausedUntil, next)
+			// What arrived during the pause may be read before or after the first tick.
+			sim.at(h.pausedUntil.Add(sim.latency()-time.Millisecond), next)
 			return
 		}
 		f()
@@ -254,7 +260,7 @@
 func (sim *simulation) hostList() []hostlist.Host {
 	var hosts []hostlist.Host
 	for _, h := range sim.hosts {
-		if h.dead && sim.now.Sub(h.deadAt) > hostListLag {
+		if h.dead && sim.now.Sub(h.deadAt) > hostListLag || sim.isUnlisted(string(h.id)) {
 			continue
 		}
 		state := hostlist.StateLive
@@ -264,19 +270,38 @@
 		hosts = append(hosts, hostlist.Host{ID: string(h.id), Role: hostlist.RoleEntry, Domain: simDomain, State: state})
 	}
 	for _, wk := range sim.workers {
-		if !wk.model.IsDead() || sim.now.Sub(wk.deadAt) <= hostListLag {
+		isListed := !wk.model.IsDead() || sim.now.Sub(wk.deadAt) <= hostListLag
+		if isListed && !sim.isUnlisted(string(wk.id)) {
 			hosts = append(hosts, wk.host)
 		}
 	}
 	return hosts
 }
 
+func (sim *simulation) isUnlisted(id string) bool {
+	if sim.now.Before(sim.unlistedUntil[id]) {
+		sim.countEffect("living " + id[:1] + " unlisted")
+		return true
+	}
+	return false
+}
+
+// heartbeatDelay is how long a heartbeat takes to arrive.
+func (sim *simulation) heartbeatDelay() time.Duration {
+	d := sim.latency()
+	if sim.now.Before(sim.heartbeatsLateUntil) {
+		sim.countEffect("late heartbeat")
+		d += time.Duration(sim.rnd.Int64N(int64(worker.TaskLease)))
+	}
+	return d
+}
+
 func (sim *simulation) sendHeartbeats(h *simHost) {
-	b := h.node.Heartbeat()
 	for _, other := range sim.hosts {
 		if other != h && !sim.isCut(string(h.id), string(other.id)) {
 			incarnation := other.incarnation
-			sim.after(sim.latency(), func() {
+			b := h.node.Heartbeat(sim.now, other.id)
+			sim.after(sim.heartbeatDelay(), func() {
 				sim.runOn(other, incarnation, func() { sim.handleOutput(other, other.node.ReceiveHeartbeat(sim.now, h.id, b)) })
 			})
 		}
--- a/process/shard/heartbeat.go
+++ b/process/shard/heartbeat.go
@@ -39,6 +39,10 @@
 	OwnersUnread bool `msgpack:"b,omitempty"`
 	// Flapping lists the hosts that started too many sessions lately.
 	Flapping []heatherhub.HostID `msgpack:"f,omitempty"`
+	// Stamp identifies the heartbeat, and Echo names the last one that the sender received
+	// from the receiver.
+	Stamp core.Stamp `msgpack:"s,omitempty"`
+	Echo  core.Stamp `msgpack:"e,omitempty"`
 }
 
 // DecodeMsgpack decodes a heartbeat and checks it.
@@ -55,10 +59,13 @@
 	return nil
 }
 
-// Heartbeat returns this host's heartbeat to peers of its own failure domain.
-func (rt *Runtime) Heartbeat() Heartbeat {
-	own := rt.node.Heartbeat()
-	b := Heartbeat{Domain: rt.cfg.Domain, Version: rt.configVersion(), Leaving: own.Leaving, OwnersUnread: own.OwnersUnread, Flapping: own.Flapping}
+// Heartbeat returns this host's heartbeat to a peer of its own failure domain.
+func (rt *Runtime) Heartbeat(to heatherhub.HostID) Heartbeat {
+	own := rt.node.Heartbeat(rt.clock.Now(), to)
+	b := Heartbeat{
+		Domain: rt.cfg.Domain, Version: rt.configVersion(), Leaving: own.Leaving, OwnersUnread: own.OwnersUnread, Flapping: own.Flapping,
+		Stamp: own.Stamp, Echo: own.Echo,
+	}
 	for _, h := range own.HeldShards {
 		b.HeldShards = append(b.HeldShards, HeldShard{Index: h.Shard.Index, Epoch: h.Epoch, RenewOnly: h.RenewOnly})
 	}
@@ -97,13 +104,13 @@
 		rt.node.UpdateRemoteOwners(owners)
 		return rt.domainHeartbeat()
 	}
-	received := core.Heartbeat{Leaving: b.Leaving, OwnersUnread: b.OwnersUnread, Flapping: b.Flapping}
+	received := core.Heartbeat{Leaving: b.Leaving, OwnersUnread: b.OwnersUnread, Flapping: b.Flapping, Stamp: b.Stamp, Echo: b.Echo}
 	for _, h := range b.HeldShards {
 		s := heatherhub.ShardID{Domain: b.Domain, Index: h.Index}
 		received.HeldShards = append(received.HeldShards, core.HeldShard{Shard: s, Epoch: h.Epoch, RenewOnly: h.RenewOnly})
 	}
 	rt.handleOutput(rt.node.ReceiveHeartbeat(rt.clock.Now(), from, received))
-	return rt.Heartbeat()
+	return rt.Heartbeat(from)
 }
 
 // entryHost is an entry host in the host list.
@@ -139,7 +146,7 @@
 			others = append(others, e)
 			continue
 		}
-		rt.group.Go(func() { rt.exchangeHeartbeats(ctx, e.id, rt.Heartbeat()) })
+		rt.group.Go(func() { rt.exchangeHeartbeats(ctx, e.id, rt.Heartbeat(e.id)) })
 	}
 	round := rt.heartbeatRound
 	rt.mu.Unlock()
@@ -165,7 +172,7 @@
 		return
 	}
 	if s.Domain == rt.cfg.Domain {
-		rt.exchangeHeartbeats(ctx, to, rt.Heartbeat())
+		rt.exchangeHeartbeats(ctx, to, rt.Heartbeat(to))
 		return
 	}
 	rt.exchangeHeartbeats(ctx, to, rt.domainHeartbeat())
--- a/process/shard/runtime_test.go
+++ b/process/shard/runtime_test.go
@@ -18,6 +18,7 @@
 	"heatherhub.example/heatherhub/connection/worker"
 	"heatherhub.example/heatherhub/process/placement"
 	"heatherhub.example/heatherhub/process/shard"
+	"heatherhub.example/heatherhub/process/shard/core"
 	"heatherhub.example/heatherhub/process/standin/model"
 	"heatherhub.example/heatherhub/request/route"
 )
@@ -345,6 +346,20 @@
 	}
 }
 
+// TestHeartbeatEchoesThatOfThePeer guards against heartbeats whose age a peer cannot tell.
+func TestHeartbeatEchoesThatOfThePeer(t *testing.T) {
+	rt := shard.NewRuntime(shard.Config{
+		Self: "e1", Domain: domain, Layout: shard.Layout{Shards: map[heatherhub.FailureDomain]int{domain: 1}},
+	})
+	first := rt.ReceiveHeartbeat("e2", shard.Heartbeat{Domain: domain, Stamp: 7})
+	if got, want := first.Echo, core.Stamp(7); got != want {
+		t.Errorf("got stamp %d echoed, want %d", got, want)
+	}
+	if second := rt.Heartbeat("e2"); second.Stamp <= first.Stamp {
+		t.Errorf("got stamp %d after %d, want a higher one", second.Stamp, first.Stamp)
+	}
+}
+
 // TestRuntimeRejectsDifferentLayout guards against hosts that assign workers, jobs and
 // keys to different shards.
 func TestRuntimeRejectsDifferentLayout(t *testing.T) {
