Let a new process wait for holders that it has never heard of

What callers saw: nothing yet; a replica of a service runs at two workers in the simulation. An owner and half of the workers are cut off, the platform's list drops the owner, and the other hosts restart (a rolling replacement). The new processes have never heard of the owner, which goes on renewing. They count the workers that they cannot reach as absent after 15 s and start their tasks elsewhere.

"Nobody known holds it" was taken for "nobody holds it": an end inferred from a registry.

The change: a process that has read the host list for less than 90 s does not count a worker as absent, if the shard had an owner before. Whoever it cannot know of has been silent for that long then, as with a known peer. A first owner (epoch 1) has no predecessor and is not delayed. Ruled out: naming the possible holders in the owner record, since renewers write no record.

Cost: if a worker is dead when a process younger than 90 s takes its shard over, the shard starts nothing until the process is that old, as when an owner and a worker die together. A worker that dies later keeps its tasks waiting for as long. Workers that answer are not concerned, so takeovers and hand-overs are as fast as before (TestTakeoverTime and TestHandoverNeedsNoLeaseWait pass).

Evidence: TestNewProcessWaitsForUnheardHolders failed before the change ("task svc:compile:gent/0:0 in two places: w4 from 4.8 s, w3 from 44.6 s") and passes with it.

--- a/process/shard/core/claim.go
+++ b/process/shard/core/claim.go
@@ -7,6 +7,9 @@
 	"heatherhub.example/heatherhub/connection/store"
 )
 
+// firstEpoch is the epoch of a shard's first owner.
+const firstEpoch heatherhub.Epoch = 1
+
 // reconcileRecord adapts this host's ownership of a shard to the record in the store.
 // It gives up a shard that has another owner, and becomes the owner of one whose
 // record names this host, which happens when the answer to the write was lost.
@@ -112,7 +115,7 @@
 		}
 	}
 	h.stopRenewing(s)
-	h.owned[s] = &ownedShard{record: r}
+	h.owned[s] = &ownedShard{record: r, hadOwner: r.Epoch > firstEpoch}
 	h.changes = append(h.changes, c)
 }
 
--- a/process/shard/core/host.go
+++ b/process/shard/core/host.go
@@ -41,6 +41,8 @@
 	// releasing is set once the shard has ended its work for a handover; the owner
 	// record is released next.
 	releasing bool
+	// hadOwner means that another process may have owned the shard before this one.
+	hadOwner bool
 }
 
 // host decides which shards this host owns. It performs no I/O and is not safe for
--- a/process/shard/core/node.go
+++ b/process/shard/core/node.go
@@ -157,10 +157,10 @@
 func (n *Node) hostStateFor(now time.Time, id heatherhub.ShardID) hostState {
 	state := hostState{
 		validUntil:    n.host.validUntil(id),
-		exclusive:     n.host.peers.exclusive(now, id),
 		allPeersHeard: n.host.peers.allHeardRecently(now),
 	}
 	if o, ok := n.host.owned[id]; ok {
+		state.exclusive = n.host.peers.exclusive(now, id, o.hadOwner)
 		state.releasing = o.releasing
 		state.draining = o.releasing
 	}
--- a/process/shard/core/peers.go
+++ b/process/shard/core/peers.go
@@ -63,8 +63,9 @@
 	known map[heatherhub.HostID]*peerState
 	// sent holds the heartbeats of the last heartbeatTimeout, in order.
 	sent []sentHeartbeat
-	// startedAt is when the first peer became known.
-	startedAt time.Time
+	// listeningSince is when this process read its first host list, from which on a peer
+	// that it does not know can have been silent.
+	listeningSince time.Time
 }
 
 func newPeers(self heatherhub.HostID) *peers {
@@ -74,9 +75,6 @@
 // getOrAdd returns the state of a peer. A new peer counts as last heard
 // heartbeatTimeout ago, so that it is silent until its first heartbeat.
 func (p *peers) getOrAdd(now time.Time, id heatherhub.HostID) *peerState {
-	if p.startedAt.IsZero() {
-		p.startedAt = now
-	}
 	s, ok := p.known[id]
 	if !ok {
 		s = &peerState{lastHeardAt: now.Add(-heartbeatTimeout), state: hostlist.StateLive}
@@ -86,6 +84,9 @@
 }
 
 func (p *peers) setHosts(now time.Time, hosts []hostlist.Host, domain heatherhub.FailureDomain) {
+	if p.listeningSince.IsZero() {
+		p.listeningSince = now
+	}
 	for _, s := range p.known {
 		s.listed = false
 	}
@@ -171,7 +172,13 @@
 	services bool
 }
 
-func (p *peers) exclusive(now time.Time, s heatherhub.ShardID) exclusivity {
+// exclusive tells whether other hosts can renew tasks of a shard. A shard that had an
+// owner before may be held by a host that this process does not know, if that host was cut
+// off and dropped from the list before the process started.
+func (p *peers) exclusive(now time.Time, s heatherhub.ShardID, hadOwner bool) exclusivity {
+	if hadOwner && (p.listeningSince.IsZero() || now.Sub(p.listeningSince) <= peerGoneAfter) {
+		return exclusivity{}
+	}
 	q := exclusivity{batch: true, services: true}
 	for _, peer := range p.known {
 		switch {
--- a/process/shard/core/proof_test.go
+++ b/process/shard/core/proof_test.go
@@ -8,6 +8,37 @@
 	"heatherhub.example/heatherhub/process/shard/core"
 )
 
+// newSplitSimulation returns a simulation in which the owner of shard 0 and half of the workers
+// are cut off from the store and all others for duration. It returns that owner.
+func newSplitSimulation(t *testing.T, duration time.Duration) (*simulation, *simHost) {
+	t.Helper()
+	cfg := defaultSim(31)
+	cfg.withoutOperators = true
+	cfg.scheduler = newFirstFit(0)
+	sim := newSimulation(cfg)
+	sim.run(20 * time.Second)
+	owner := sim.ownerOf(t, heatherhub.ShardID{Domain: simDomain, Index: 0})
+	sim.split(owner, duration)
+	return sim, owner
+}
+
+// TestNewProcessWaitsForUnheardHolders guards against a second run of tasks that a host renews of
+// which the successor's process, started after the cut, has never heard.
+func TestNewProcessWaitsForUnheardHolders(t *testing.T) {
+	const duration = 80 * time.Second
+	sim, owner := newSplitSimulation(t, duration)
+	sim.unlistedUntil[string(owner.id)] = sim.now.Add(duration)
+	sim.run(5 * time.Second)
+	for _, h := range sim.hosts {
+		if h != owner {
+			sim.killHost(h, time.Second)
+		}
+	}
+	sim.run(duration)
+	sim.checkNoViolations(t)
+	sim.converge(t, 3*time.Minute)
+}
+
 // TestWokenOwnerDistrustsBufferedHeartbeats guards against a second run of tasks that a peer began
 // to renew while the owner was paused, which then reads heartbeats from before that.
 func TestWokenOwnerDistrustsBufferedHeartbeats(t *testing.T) {
