Name a shard's workers in its log

What callers saw: nothing yet; a replica of a service runs at two workers in the simulation. An owner is cut off with half of the workers, and the platform's list lacks these workers when a successor takes over. It neither asks nor waits for them, and starts their tasks elsewhere while the former owner renews them.

Cause: a successor knew only the workers in the platform's list, and took a worker that the list lacks for one without tasks.

The change: the job log names each worker before its first start, like the fleet record of process/owner. The owner takes the worker out of the log once the list lacks it and nothing runs there. Workers that join together share one write. An older version cannot read a log with such records; it says so and waits. Ruled out: what hosts remember of earlier lists, as a new process remembers nothing, and the owner record, which would have 500 names at each claim.

Evidence: TestSuccessorKnowsUnlistedWorkers failed before the change ("task svc:compile:gent/0:0 in two places: w4 from 4.8 s, w1 from 39.5 s") and passes with it.

--- a/process/shard/core/proof_test.go
+++ b/process/shard/core/proof_test.go
@@ -22,6 +22,22 @@
 	return sim, owner
 }
 
+// TestSuccessorKnowsUnlistedWorkers guards against a second run of the tasks of a living worker
+// that the platform's list lacks when a successor takes over, while the former owner renews
+// them.
+func TestSuccessorKnowsUnlistedWorkers(t *testing.T) {
+	const duration = 50 * time.Second
+	sim, owner := newSplitSimulation(t, duration)
+	for _, wk := range sim.workers {
+		if !sim.isCut(string(owner.id), string(wk.id)) {
+			sim.unlistedUntil[string(wk.id)] = sim.now.Add(duration)
+		}
+	}
+	sim.run(duration + 10*time.Second)
+	sim.checkNoViolations(t)
+	sim.converge(t, 3*time.Minute)
+}
+
 // TestNewProcessWaitsForUnheardHolders guards against a second run of tasks that a host renews of
 // which the successor's process, started after the cut, has never heard.
 func TestNewProcessWaitsForUnheardHolders(t *testing.T) {
--- a/process/shard/core/requests.go
+++ b/process/shard/core/requests.go
@@ -73,6 +73,7 @@
 	}
 	if out.Opened {
 		s.ledgerOpenedAt = now
+		s.addRecordedWorkers(now)
 	}
 	for _, c := range out.Durable {
 		s.recordDurable(now, c)
@@ -98,6 +99,8 @@
 		s.dequeueJob(now, r.ID)
 	case ledger.KindFinished, ledger.KindCheckpoint:
 		s.taskRecorded(now, c)
+	case ledger.KindWorker:
+		s.workerRecorded(now, c)
 	case ledger.KindClaim:
 		s.grantClaim(now, c)
 		return
--- a/process/shard/core/shard.go
+++ b/process/shard/core/shard.go
@@ -65,6 +65,8 @@
 	// hasUnlisted means that some workers are not in that list.
 	listVersion uint64
 	hasUnlisted bool
+	// hasUnrecorded means that the log may lack listed workers.
+	hasUnrecorded bool
 
 	tasks  map[heatherhub.TaskID]*placedTask
 	queued map[heatherhub.TaskID]bool
@@ -118,6 +120,11 @@
 	// lastCommandAt is when the last start or stop command was answered.
 	lastCommandAt time.Time
 	addedAt       time.Time
+	// isRecorded means that the log names the worker, so that a successor knows of it even if
+	// the platform's list lacks it. It gets no starts before. awaitedRecord is the number of
+	// that record until it is durable.
+	isRecorded    bool
+	awaitedRecord uint64
 }
 
 func newShard(cfg *Config, c change, now time.Time) *shard {
@@ -190,6 +197,7 @@
 		if !ok {
 			w = newWorkerState(now)
 			s.workers[id] = w
+			s.hasUnrecorded = true
 		}
 		w.listed = true
 		w.host = h
@@ -202,18 +210,18 @@
 		}
 		if len(w.tasks)+len(w.unwanted) == 0 && (s.servicesRecovered || s.isAbsent(now, w, heatherhub.KindService)) {
 			s.sched.RemoveWorker(now, id)
-			delete(s.workers, id)
+			s.forgetWorker(now, id, w)
 			continue
 		}
 		s.hasUnlisted = true
 	}
 }
 
-// updateScheduler passes a worker to the scheduler. A worker that does not answer is
-// marked as leaving, so that it gets no new work.
+// updateScheduler passes a worker to the scheduler. A worker that does not answer or is not
+// recorded is marked as leaving, so that it gets no new work.
 func (s *shard) updateScheduler(now time.Time, w *workerState) {
 	h := w.host
-	if w.lastReadAt.IsZero() || w.failures >= maxRenewFailures {
+	if w.lastReadAt.IsZero() || w.failures >= maxRenewFailures || !w.isRecorded {
 		h.State = hostlist.StateLeaving
 	}
 	if h != w.scheduled {
@@ -252,6 +260,7 @@
 // tick advances the shard to now: it renews leases, finishes the recovery, retries
 // commands and runs the scheduler.
 func (s *shard) tick(now time.Time) {
+	s.recordWorkers(now)
 	s.callLedger(now)
 	isDue := !now.Before(s.nextTaskTick)
 	if isDue {
--- a/process/shard/core/task.go
+++ b/process/shard/core/task.go
@@ -146,11 +146,11 @@
 	return s.hostState.validUntil
 }
 
-// mayStart reports whether the worker is reachable and has room for the task, and the
+// mayStart reports whether the worker is recorded and reachable and has room for the task, and the
 // task is wanted and not placed anywhere.
 func (s *shard) mayStart(now time.Time, a placement.Action) bool {
 	w, ok := s.workers[a.Worker]
-	if !ok || !w.listed || !w.isReachable(now) || !s.isWanted(a.Task) {
+	if !ok || !w.listed || !w.isRecorded || !w.isReachable(now) || !s.isWanted(a.Task) {
 		return false
 	}
 	_, isPlaced := s.tasks[a.Task.ID]
--- a/process/shard/ledger/ledger.go
+++ b/process/shard/ledger/ledger.go
@@ -1,5 +1,5 @@
-// Package ledger keeps the durable state of one shard, its jobs and its claimed
-// idempotency keys, as a log of records in small segments of the store. It makes no
+// Package ledger keeps the durable state of one shard, its jobs, its claimed
+// idempotency keys and its workers, as a log of records in small segments of the store. It makes no
 // calls itself: Next returns the next store call and Answer takes its result.
 //
 // One compare-and-swap commits all records that were appended within a commit
--- a/process/shard/ledger/maintain.go
+++ b/process/shard/ledger/maintain.go
@@ -116,7 +116,7 @@
 		l.clearLive(e)
 	}
 	l.state.apply(r)
-	if r.Kind == KindRelease {
+	if r.endsEntity() {
 		l.clearLive(e)
 		return
 	}
--- a/process/shard/ledger/record.go
+++ b/process/shard/ledger/record.go
@@ -31,6 +31,10 @@
 	KindAnswer Kind = "s"
 	// KindRelease withdraws a grant whose run did not happen.
 	KindRelease Kind = "r"
+	// KindWorker adds a worker on which tasks of the shard may run.
+	KindWorker Kind = "w"
+	// KindWorkerGone removes a worker on which none runs any more.
+	KindWorkerGone Kind = "g"
 )
 
 // MaxAnswerBytes is the largest answer body that is recorded.
@@ -55,6 +59,7 @@
 	Ref     heatherhub.CheckpointRef `msgpack:"c,omitempty"`
 	Reason  string                   `msgpack:"r,omitempty"`
 	Key     *Key                     `msgpack:"k,omitempty"`
+	Worker  heatherhub.WorkerID      `msgpack:"w,omitempty"`
 	Status  int                      `msgpack:"s,omitempty"`
 	Body    []byte                   `msgpack:"b,omitempty"`
 	Digest  uint64                   `msgpack:"d,omitempty"`
@@ -88,14 +93,21 @@
 		if r.Key == nil {
 			return heatherhub.ErrInvalid.New("ledger record of kind %q has no key: restore the segment", r.Kind)
 		}
+	case KindWorker, KindWorkerGone:
+		if r.Worker == "" {
+			return heatherhub.ErrInvalid.New("ledger record of kind %q has no worker: restore the segment", r.Kind)
+		}
 	default:
 		return heatherhub.ErrInvalid.New("ledger record of unknown kind %q: run a newer version", r.Kind)
 	}
 	return nil
 }
 
-// entity returns the job or key that the record changes.
+// entity returns the job, key or worker that the record changes.
 func (r Record) entity() entity {
+	if r.Worker != "" {
+		return entity{worker: r.Worker}
+	}
 	if r.Key != nil {
 		return entity{key: *r.Key}
 	}
@@ -108,13 +120,20 @@
 // supersedesEarlier reports whether the state of the entity follows from this record
 // alone, so that its earlier records are not needed any more.
 func (r Record) supersedesEarlier() bool {
-	return r.Kind == KindJob || r.Kind == KindClaim || r.Kind == KindAnswer
+	return r.Kind == KindJob || r.Kind == KindClaim || r.Kind == KindAnswer || r.Kind == KindWorker
 }
 
-// entity is a job or an idempotency key. Exactly one of the fields is set.
+// endsEntity reports whether the entity does not exist any more, so that no record of it
+// is needed.
+func (r Record) endsEntity() bool {
+	return r.Kind == KindRelease || r.Kind == KindWorkerGone
+}
+
+// entity is a job, an idempotency key or a worker. Exactly one of the fields is set.
 type entity struct {
-	job heatherhub.JobID
-	key Key
+	job    heatherhub.JobID
+	key    Key
+	worker heatherhub.WorkerID
 }
 
 // Grant is the state of a claimed key.
@@ -135,6 +154,8 @@
 type State struct {
 	Jobs map[heatherhub.JobID]*heatherhub.Job
 	Keys map[Key]*Grant
+	// Workers holds the workers on which tasks of the shard may run.
+	Workers map[heatherhub.WorkerID]struct{}
 	// endedAt holds the time at which each job reached its final state.
 	endedAt map[heatherhub.JobID]time.Time
 }
@@ -143,6 +164,7 @@
 	return &State{
 		Jobs:    make(map[heatherhub.JobID]*heatherhub.Job),
 		Keys:    make(map[Key]*Grant),
+		Workers: make(map[heatherhub.WorkerID]struct{}),
 		endedAt: make(map[heatherhub.JobID]time.Time),
 	}
 }
@@ -161,6 +183,10 @@
 		s.recordAnswer(r)
 	case KindRelease:
 		delete(s.Keys, *r.Key)
+	case KindWorker:
+		s.Workers[r.Worker] = struct{}{}
+	case KindWorkerGone:
+		delete(s.Workers, r.Worker)
 	default:
 		if job, ok := s.Jobs[r.ID]; ok {
 			applyToJob(job, r)
@@ -228,6 +254,10 @@
 // snapshot returns one record that holds the whole state of an entity, or false if the
 // entity does not exist any more.
 func (s *State) snapshot(e entity) (Record, bool) {
+	if e.worker != "" {
+		_, ok := s.Workers[e.worker]
+		return Record{Kind: KindWorker, Worker: e.worker}, ok
+	}
 	if e.job != "" {
 		job, ok := s.Jobs[e.job]
 		if !ok {
