Drop living workers and hosts from the list in random episodes

The random episodes of process/shard/core had no fault of the incident's class: nothing removed a living worker or host from the platform's list. New kinds: unlist workers, unlist host, unlisted split (the list loses what is cut off), drained worker (it leaves, loses its entry and works on), mute worker (its answers to one host are lost), failed calls (one in eight, to workers and the store) and late beats.

--- a/process/shard/core/config.go
+++ b/process/shard/core/config.go
@@ -66,6 +66,14 @@
 	// LostAnswerIsFailure treats a lost answer as proof that a start or a ledger write
 	// had no effect, and that a stop has succeeded.
 	LostAnswerIsFailure bool
+	// TrustHostList counts a worker that the platform's list lacks as absent.
+	TrustHostList bool
+	// IgnoreRecordedWorkers makes a successor ignore workers that only the log names.
+	IgnoreRecordedWorkers bool
+	// TrustKnownPeers lets a new process ignore holders that it has not heard of.
+	TrustKnownPeers bool
+	// TrustArrival counts a heartbeat from its arrival.
+	TrustArrival bool
 }
 
 // Config configures a node. Zero durations and a zero CommitRate stand for the
--- a/process/shard/core/faults_test.go
+++ b/process/shard/core/faults_test.go
@@ -67,13 +67,46 @@
 		h.node.Drain()
 		sim.after(f.Duration, func() { sim.killHost(h, 2*time.Second) })
 	},
-	"store down":  func(sim *simulation, f fault) { sim.storeDownUntil = sim.now.Add(f.Duration) },
-	"store slow":  func(sim *simulation, f fault) { sim.storeSlowUntil = sim.now.Add(f.Duration) },
-	"lost answer": func(sim *simulation, f fault) { sim.answersLostUntil = sim.now.Add(f.Duration) },
-	"late calls":  func(sim *simulation, f fault) { sim.callsLateUntil = sim.now.Add(f.Duration) },
+	"store down":   func(sim *simulation, f fault) { sim.storeDownUntil = sim.now.Add(f.Duration) },
+	"store slow":   func(sim *simulation, f fault) { sim.storeSlowUntil = sim.now.Add(f.Duration) },
+	"lost answer":  func(sim *simulation, f fault) { sim.answersLostUntil = sim.now.Add(f.Duration) },
+	"failed calls": func(sim *simulation, f fault) { sim.callsFailUntil = sim.now.Add(f.Duration) },
+	"late beats":   func(sim *simulation, f fault) { sim.heartbeatsLateUntil = sim.now.Add(f.Duration) },
+	"late calls":   func(sim *simulation, f fault) { sim.callsLateUntil = sim.now.Add(f.Duration) },
 	"cut store": func(sim *simulation, f fault) {
 		sim.cutUntil[cutKey(string(sim.hosts[f.Target%len(sim.hosts)].id), "store")] = sim.now.Add(f.Duration)
 	},
+	// The platform's list loses what it can't reach.
+	"unlisted split": func(sim *simulation, f fault) {
+		h := sim.hosts[f.Target%len(sim.hosts)]
+		sim.split(h, f.Duration)
+		sim.unlist(string(h.id), f.Duration)
+		for _, wk := range sim.workers {
+			if !sim.isCut(string(h.id), string(wk.id)) {
+				sim.unlist(string(wk.id), f.Duration)
+			}
+		}
+	},
+	"unlist host": func(sim *simulation, f fault) { sim.unlist(string(sim.hosts[f.Target%len(sim.hosts)].id), f.Duration) },
+	"unlist workers": func(sim *simulation, f fault) {
+		for i, wk := range sim.workers {
+			if i%2 == f.Target%2 {
+				sim.unlist(string(wk.id), f.Duration)
+			}
+		}
+	},
+	// It works on without an entry.
+	"drained worker": func(sim *simulation, f fault) {
+		wk := sim.workers[f.Target%len(sim.workers)]
+		sim.countEffect("worker drains")
+		wk.host.State = hostlist.StateLeaving
+		sim.after(f.Duration/4, func() { sim.unlist(string(wk.id), f.Duration*3/4) })
+		sim.after(f.Duration, func() { wk.host.State = hostlist.StateLive })
+	},
+	"mute worker": func(sim *simulation, f fault) {
+		key := cutKey(string(sim.hosts[f.Target%len(sim.hosts)].id), string(sim.workers[f.SecondTarget%len(sim.workers)].id))
+		sim.mutedUntil[key] = sim.now.Add(f.Duration)
+	},
 	"split domain": func(sim *simulation, f fault) { sim.split(sim.hosts[f.Target%len(sim.hosts)], f.Duration) },
 	"cut worker": func(sim *simulation, f fault) {
 		key := cutKey(string(sim.hosts[f.Target%len(sim.hosts)].id), string(sim.workers[f.SecondTarget%len(sim.workers)].id))
@@ -122,6 +155,11 @@
 	},
 }
 
+// unlist drops a living host or worker from the platform's list.
+func (sim *simulation) unlist(id string, d time.Duration) {
+	sim.unlistedUntil[id] = sim.now.Add(d)
+}
+
 // killHost ends the process of a host and starts a new one after downtime.
 func (sim *simulation) killHost(h *simHost, downtime time.Duration) {
 	if h.dead {
@@ -180,7 +218,7 @@
 	sim.cutUntil = make(map[string]time.Time)
 	sim.unlistedUntil, sim.mutedUntil = make(map[string]time.Time), make(map[string]time.Time)
 	sim.storeDownUntil, sim.storeSlowUntil, sim.answersLostUntil, sim.callsLateUntil = sim.now, sim.now, sim.now, sim.now
-	sim.heartbeatsLateUntil = sim.now
+	sim.heartbeatsLateUntil, sim.callsFailUntil = sim.now, sim.now
 	for _, h := range sim.hosts {
 		h.pausedUntil = sim.now
 	}
@@ -245,7 +283,11 @@
 	if !testing.Short() && steps < 100_000 {
 		t.Errorf("got %d steps, want at least 100000", steps)
 	}
-	for _, k := range []string{"pause of an owner", "death of an owner", "store down", "lost answer", "late call", "cut e-s", "cut e-w", "worker killed", "eviction"} {
+	wanted := []string{
+		"pause of an owner", "death of an owner", "store down", "lost answer", "late call", "cut e-s", "cut e-w", "worker killed", "eviction",
+		"living w unlisted", "living e unlisted", "worker drains", "muted worker", "late heartbeat", "single failed call",
+	}
+	for _, k := range wanted {
 		if effects[k] == 0 && !testing.Short() {
 			t.Errorf("got no effect of %q, want some", k)
 		}
@@ -262,17 +304,24 @@
 }
 
 // TestDisabledSafeguardsAreDetected disables one safeguard at a time and checks that random
-// episodes find a violation. Each episode also has a pause and late calls, against which
-// the safeguards protect.
+// episodes find a violation. Each episode also has the faults against which the safeguard
+// protects.
 func TestDisabledSafeguardsAreDetected(t *testing.T) {
 	const limit = 200
+	pauseAndLateCalls := []string{"pause host", "late calls"}
 	tests := []struct {
 		name   string
 		unsafe core.Unsafe
+		kinds  []string
 	}{
-		{"skip the epoch check", core.Unsafe{SkipEpochCheck: true}},
-		{"skip the lease wait", core.Unsafe{SkipLeaseWait: true}},
-		{"a lost answer is failure", core.Unsafe{LostAnswerIsFailure: true}},
+		{"skip the epoch check", core.Unsafe{SkipEpochCheck: true}, pauseAndLateCalls},
+		{"skip the lease wait", core.Unsafe{SkipLeaseWait: true}, pauseAndLateCalls},
+		{"a lost answer is failure", core.Unsafe{LostAnswerIsFailure: true}, pauseAndLateCalls},
+		{"ignore recorded workers", core.Unsafe{IgnoreRecordedWorkers: true}, []string{"unlisted split"}},
+		{"trust the list, split", core.Unsafe{TrustHostList: true}, []string{"unlisted split"}},
+		{"trust the list, unlisted", core.Unsafe{TrustHostList: true}, []string{"unlist workers"}},
+		{"trust the list, drained", core.Unsafe{TrustHostList: true}, []string{"drained worker"}},
+		{"trust the list, failed calls", core.Unsafe{TrustHostList: true}, []string{"failed calls", "unlist workers"}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -280,7 +329,7 @@
 			for seed := range uint64(limit) {
 				cfg := defaultSim(seed)
 				cfg.unsafe = tt.unsafe
-				sim := runEpisode(cfg, faultsWithPauseAndLateCalls(seed))
+				sim := runEpisode(cfg, faultsWith(seed, tt.kinds...))
 				steps += sim.steps
 				if len(sim.violations) > 0 {
 					t.Logf("violation with seed %d after %d steps in all: %s", seed, steps, sim.violations[0])
@@ -292,11 +341,11 @@
 	}
 }
 
-// faultsWithPauseAndLateCalls returns random faults with a pause of a host and late calls added.
-func faultsWithPauseAndLateCalls(seed uint64) []fault {
+// faultsWith returns random faults with some of the given kinds added.
+func faultsWith(seed uint64, kinds ...string) []fault {
 	rnd := rand.New(rand.NewPCG(seed, 11))
 	faults := randomFaults(rnd)
-	for _, kind := range []string{"pause host", "late calls"} {
+	for _, kind := range kinds {
 		f := randomFaults(rnd)[0]
 		f.Kind = kind
 		faults = append(faults, f)
@@ -312,9 +361,13 @@
 		n = 5
 	}
 	for seed := range n {
-		sim := runEpisode(defaultSim(seed), faultsWithPauseAndLateCalls(seed))
+		kinds := []string{"pause host", "late calls"}
+		if seed%2 == 1 {
+			kinds = []string{"unlisted split", "failed calls", "mute worker"}
+		}
+		sim := runEpisode(defaultSim(seed), faultsWith(seed, kinds...))
 		if len(sim.violations) > 0 {
-			t.Errorf("seed %d, faults %v: %s", seed, faultsWithPauseAndLateCalls(seed), sim.violations[0])
+			t.Errorf("seed %d, faults %v: %s", seed, faultsWith(seed, kinds...), sim.violations[0])
 		}
 	}
 }
--- a/process/shard/core/fleet.go
+++ b/process/shard/core/fleet.go
@@ -37,6 +37,9 @@
 func (s *shard) addRecordedWorkers(now time.Time) {
 	for id := range s.log.State().Workers {
 		w, ok := s.workers[id]
+		if !ok && s.cfg.Unsafe.IgnoreRecordedWorkers {
+			continue
+		}
 		if !ok {
 			w = newWorkerState(now)
 			w.host = hostlist.Host{ID: string(id), Role: hostlist.RoleWorker, Domain: s.id.Domain, State: hostlist.StateLeaving}
--- a/process/shard/core/host.go
+++ b/process/shard/core/host.go
@@ -95,7 +95,7 @@
 func newHost(cfg Config) *host {
 	h := &host{
 		cfg:            cfg,
-		peers:          newPeers(cfg.Self),
+		peers:          newPeers(&cfg),
 		owned:          make(map[heatherhub.ShardID]*ownedShard),
 		renewingSince:  make(map[heatherhub.ShardID]time.Time),
 		writesInFlight: make(map[heatherhub.ShardID]bool),
--- a/process/shard/core/peers.go
+++ b/process/shard/core/peers.go
@@ -59,8 +59,9 @@
 
 // peers holds the state of the other entry hosts of the failure domain.
 type peers struct {
-	self  heatherhub.HostID
-	known map[heatherhub.HostID]*peerState
+	self   heatherhub.HostID
+	unsafe Unsafe
+	known  map[heatherhub.HostID]*peerState
 	// sent holds the heartbeats of the last heartbeatTimeout, in order.
 	sent []sentHeartbeat
 	// listeningSince is when this process read its first host list, from which on a peer
@@ -68,8 +69,8 @@
 	listeningSince time.Time
 }
 
-func newPeers(self heatherhub.HostID) *peers {
-	return &peers{self: self, known: make(map[heatherhub.HostID]*peerState)}
+func newPeers(cfg *Config) *peers {
+	return &peers{self: cfg.Self, unsafe: cfg.Unsafe, known: make(map[heatherhub.HostID]*peerState)}
 }
 
 // getOrAdd returns the state of a peer. A new peer counts as last heard
@@ -109,6 +110,9 @@
 	s.lastHeardAt = now
 	s.heartbeat = b
 	after, ok := p.sentAt(b.Echo)
+	if p.unsafe.TrustArrival {
+		after, ok = now, true
+	}
 	if !ok || after.Before(s.statedAfter) || after.Equal(s.statedAfter) && b.Stamp < s.statement.Stamp {
 		return
 	}
@@ -176,7 +180,7 @@
 // owner before may be held by a host that this process does not know, if that host was cut
 // off and dropped from the list before the process started.
 func (p *peers) exclusive(now time.Time, s heatherhub.ShardID, hadOwner bool) exclusivity {
-	if hadOwner && (p.listeningSince.IsZero() || now.Sub(p.listeningSince) <= peerGoneAfter) {
+	if hadOwner && !p.unsafe.TrustKnownPeers && (p.listeningSince.IsZero() || now.Sub(p.listeningSince) <= peerGoneAfter) {
 		return exclusivity{}
 	}
 	q := exclusivity{batch: true, services: true}
--- a/process/shard/core/proof_test.go
+++ b/process/shard/core/proof_test.go
@@ -8,42 +8,45 @@
 	"heatherhub.example/heatherhub/process/shard/core"
 )
 
-// newSplitSimulation returns a simulation in which the owner of shard 0 and half of the workers
-// are cut off from the store and all others for duration. It returns that owner.
-func newSplitSimulation(t *testing.T, duration time.Duration) (*simulation, *simHost) {
+// shortSessionTTL is that of the random episodes.
+const shortSessionTTL = 8 * time.Second
+
+// newProofSimulation returns a simulation without operators that has run until shard 0 has an
+// owner, and that owner.
+func newProofSimulation(t *testing.T, unsafe core.Unsafe, sessionTTL, settle time.Duration) (*simulation, *simHost) {
 	t.Helper()
 	cfg := defaultSim(31)
-	cfg.withoutOperators = true
+	cfg.withoutOperators, cfg.unsafe, cfg.sessionTTL = true, unsafe, sessionTTL
 	cfg.scheduler = newFirstFit(0)
 	sim := newSimulation(cfg)
-	sim.run(20 * time.Second)
-	owner := sim.ownerOf(t, heatherhub.ShardID{Domain: simDomain, Index: 0})
-	sim.split(owner, duration)
-	return sim, owner
+	sim.run(settle)
+	return sim, sim.ownerOf(t, heatherhub.ShardID{Domain: simDomain, Index: 0})
 }
 
-// TestSuccessorKnowsUnlistedWorkers guards against a second run of the tasks of a living worker
-// that the platform's list lacks when a successor takes over, while the former owner renews
-// them.
-func TestSuccessorKnowsUnlistedWorkers(t *testing.T) {
+// runUnlistedSplit cuts the owner and half of the workers off, and drops these workers from the
+// list.
+func runUnlistedSplit(t *testing.T, unsafe core.Unsafe) *simulation {
+	t.Helper()
 	const duration = 50 * time.Second
-	sim, owner := newSplitSimulation(t, duration)
+	sim, owner := newProofSimulation(t, unsafe, shortSessionTTL, 20*time.Second)
+	sim.split(owner, duration)
 	for _, wk := range sim.workers {
 		if !sim.isCut(string(owner.id), string(wk.id)) {
-			sim.unlistedUntil[string(wk.id)] = sim.now.Add(duration)
+			sim.unlist(string(wk.id), duration)
 		}
 	}
 	sim.run(duration + 10*time.Second)
-	sim.checkNoViolations(t)
-	sim.converge(t, 3*time.Minute)
+	return sim
 }
 
-// TestNewProcessWaitsForUnheardHolders guards against a second run of tasks that a host renews of
-// which the successor's process, started after the cut, has never heard.
-func TestNewProcessWaitsForUnheardHolders(t *testing.T) {
+// runReplacementInSplit cuts the owner and half of the workers off, drops the owner from the list
+// and restarts all other hosts.
+func runReplacementInSplit(t *testing.T, unsafe core.Unsafe) *simulation {
+	t.Helper()
 	const duration = 80 * time.Second
-	sim, owner := newSplitSimulation(t, duration)
-	sim.unlistedUntil[string(owner.id)] = sim.now.Add(duration)
+	sim, owner := newProofSimulation(t, unsafe, shortSessionTTL, 20*time.Second)
+	sim.split(owner, duration)
+	sim.unlist(string(owner.id), duration)
 	sim.run(5 * time.Second)
 	for _, h := range sim.hosts {
 		if h != owner {
@@ -51,32 +54,59 @@
 		}
 	}
 	sim.run(duration)
+	return sim
+}
+
+// runPauseOfOwner pauses the owner 21 s after a worker fell silent to it, and cuts it off from its
+// peers during the pause.
+func runPauseOfOwner(t *testing.T, unsafe core.Unsafe, offset time.Duration) *simulation {
+	t.Helper()
+	sim, owner := newProofSimulation(t, unsafe, core.DefaultSessionTTL, 20*time.Second+offset)
+	silent := owner.node.Replicas(sim.now, "compile")[0].Worker
+	sim.mutedUntil[cutKey(string(owner.id), string(silent))] = sim.now.Add(5 * time.Minute)
+	sim.run(21 * time.Second)
+	owner.pausedUntil = sim.now.Add(7 * time.Second)
+	sim.run(4 * time.Second)
+	for _, h := range sim.hosts {
+		sim.cutUntil[cutKey(string(owner.id), string(h.id))] = sim.now.Add(30 * time.Second)
+	}
+	sim.run(30 * time.Second)
+	return sim
+}
+
+// checkProof checks that a scenario breaks nothing, and that it does without its safeguard.
+func checkProof(t *testing.T, planted core.Unsafe, run func(core.Unsafe) *simulation) {
+	t.Helper()
+	sim := run(core.Unsafe{})
 	sim.checkNoViolations(t)
-	sim.converge(t, 3*time.Minute)
+	sim.heal()
+	sim.converge(t, 4*time.Minute)
+	if got := run(planted); len(got.violations) == 0 {
+		t.Errorf("got no violation without the safeguard, want one")
+	}
+}
+
+// TestSuccessorKnowsUnlistedWorkers guards against a second run of the tasks of a living worker
+// that the platform's list lacks when a successor takes over, while the former owner renews
+// them.
+func TestSuccessorKnowsUnlistedWorkers(t *testing.T) {
+	checkProof(t, core.Unsafe{IgnoreRecordedWorkers: true}, func(u core.Unsafe) *simulation { return runUnlistedSplit(t, u) })
+}
+
+// TestNewProcessWaitsForUnheardHolders guards against a second run of tasks that a host renews of
+// which the successor's process, started after the cut, has never heard.
+func TestNewProcessWaitsForUnheardHolders(t *testing.T) {
+	checkProof(t, core.Unsafe{TrustKnownPeers: true}, func(u core.Unsafe) *simulation { return runReplacementInSplit(t, u) })
 }
 
 // TestWokenOwnerDistrustsBufferedHeartbeats guards against a second run of tasks that a peer began
 // to renew while the owner was paused, which then reads heartbeats from before that.
 func TestWokenOwnerDistrustsBufferedHeartbeats(t *testing.T) {
 	for offset := range 20 {
-		cfg := defaultSim(31)
-		cfg.withoutOperators, cfg.sessionTTL = true, core.DefaultSessionTTL
-		cfg.scheduler = newFirstFit(0)
-		sim := newSimulation(cfg)
-		sim.run(20*time.Second + time.Duration(offset)*150*time.Millisecond)
-		owner := sim.ownerOf(t, heatherhub.ShardID{Domain: simDomain, Index: 0})
-		replicas := owner.node.Replicas(sim.now, "compile")
-		muted := cutKey(string(owner.id), string(replicas[0].Worker))
-		sim.mutedUntil[muted] = sim.now.Add(5 * time.Minute)
-		sim.run(21 * time.Second)
-		owner.pausedUntil = sim.now.Add(7 * time.Second)
-		sim.run(4 * time.Second)
-		for _, h := range sim.hosts {
-			sim.cutUntil[cutKey(string(owner.id), string(h.id))] = sim.now.Add(30 * time.Second)
-		}
-		sim.run(30 * time.Second)
+		sim := runPauseOfOwner(t, core.Unsafe{}, time.Duration(offset)*150*time.Millisecond)
 		if len(sim.violations) > 0 {
 			t.Errorf("offset %d: %s", offset, sim.violations[0])
 		}
 	}
+	checkProof(t, core.Unsafe{TrustArrival: true}, func(u core.Unsafe) *simulation { return runPauseOfOwner(t, u, 0) })
 }
--- a/process/shard/core/shard.go
+++ b/process/shard/core/shard.go
@@ -249,6 +249,9 @@
 // is unreachable, every lease that was sent to it has lapsed, and no other host can
 // have renewed one since.
 func (s *shard) isAbsent(now time.Time, w *workerState, k heatherhub.Kind) bool {
+	if s.cfg.Unsafe.TrustHostList && !w.listed {
+		return true
+	}
 	if w.isReachable(now) || !s.mayAct(now) {
 		return false
 	}
--- a/process/shard/core/sim_network_test.go
+++ b/process/shard/core/sim_network_test.go
@@ -117,7 +117,11 @@
 		target = string(c.Worker)
 	}
 	isDown := target == "store" && sim.now.Before(sim.storeDownUntil)
-	if isDown || sim.isCut(string(h.id), target) {
+	isFailed := sim.now.Before(sim.callsFailUntil) && sim.rnd.IntN(8) == 0
+	if isFailed {
+		sim.countEffect("single failed call")
+	}
+	if isDown || isFailed || sim.isCut(string(h.id), target) {
 		if isDown {
 			sim.countEffect("store down")
 		}
--- a/process/shard/core/sim_test.go
+++ b/process/shard/core/sim_test.go
@@ -87,8 +87,8 @@
 	mutedUntil map[string]time.Time
 	// unlistedUntil holds until when the platform's list lacks a living host or worker, by id.
 	unlistedUntil map[string]time.Time
-	// storeDownUntil and the next four are the ends of the present faults.
-	storeDownUntil, storeSlowUntil, answersLostUntil, callsLateUntil, heartbeatsLateUntil time.Time
+	// storeDownUntil and the next five are the ends of the present faults.
+	storeDownUntil, storeSlowUntil, answersLostUntil, callsLateUntil, heartbeatsLateUntil, callsFailUntil time.Time
 
 	// effects counts the faults that had an effect, by kind.
 	effects  map[string]int
