Don't quarantine a worker for starts that its owner holds back

What callers saw: nothing yet; in the simulation, workers whose entries were missing from the platform's list for a minute got no batch work for the following minutes, and jobs stood in the queue with room beside them.

Cause: the owner keeps an unlisted worker that has tasks, and refuses starts there itself. Each refusal was told to the scheduler as a start that did not take effect, which counts as a failure of the worker: quarantine of 30 s and longer, then five minutes of one task at a time, which a replica uses up. A missing entry was taken for a fault of a worker that nobody had asked.

The change: such a start ends as "not sent", which pauses the worker for the scheduler as before but is no failure. Ruled out: telling the scheduler that the worker leaves; it would then stop the replicas there after 30 s, although they work.

TestUnlistedWorkerIsNotQuarantined failed before the change ("got worker w1 quarantined, want it open") and passes with it.

--- a/process/placement/health.go
+++ b/process/placement/health.go
@@ -67,6 +67,8 @@
 		n.health.recordFailure(e.task.Job)
 		c.pauseNode(now, n)
 		c.quarantineIfSuspect(now, n)
+	case EndNotSent:
+		c.pauseNode(now, n)
 	}
 }
 
@@ -79,7 +81,7 @@
 	}
 }
 
-// pauseNode suspends a node on which a start did not take effect. The pause doubles
+// pauseNode suspends a node on which a start was held back or did not take effect. The pause doubles
 // with each such start.
 func (c *Colocator) pauseNode(now time.Time, n *node) {
 	h := &n.health
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -67,6 +67,9 @@
 	EndStopped  EndReason = "stopped"
 	// EndNotStarted means that the start is known not to have taken effect.
 	EndNotStarted EndReason = "notStarted"
+	// EndNotSent means that the owner held the start back, which says nothing about the
+	// health of the worker.
+	EndNotSent EndReason = "notSent"
 	// EndLost means that the worker is gone and the task's lease has expired.
 	EndLost EndReason = "lost"
 )
--- a/process/placement/property_test.go
+++ b/process/placement/property_test.go
@@ -191,7 +191,7 @@
 		o.addGang()
 	case 5:
 		if len(o.order) > 0 {
-			why := rapid.SampledFrom([]placement.EndReason{placement.EndFinished, placement.EndFailed, placement.EndNotStarted}).Draw(t, "why")
+			why := rapid.SampledFrom([]placement.EndReason{placement.EndFinished, placement.EndFailed, placement.EndNotStarted, placement.EndNotSent}).Draw(t, "why")
 			o.end(rapid.SampledFrom(o.order).Draw(t, "task"), why)
 		}
 	case 6:
--- a/process/shard/core/proof_test.go
+++ b/process/shard/core/proof_test.go
@@ -1,10 +1,12 @@
 package core_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/process/placement"
 	"heatherhub.example/heatherhub/process/shard/core"
 )
 
@@ -110,3 +112,40 @@
 	}
 	checkProof(t, core.Unsafe{TrustArrival: true}, func(u core.Unsafe) *simulation { return runPauseOfOwner(t, u, 0) })
 }
+
+// TestUnlistedWorkerIsNotQuarantined guards against living workers that get no work for minutes
+// after the platform's list lacked them, because their owner held starts back.
+func TestUnlistedWorkerIsNotQuarantined(t *testing.T) {
+	cfg := defaultSim(31)
+	cfg.withoutOperators = true
+	cfg.scheduler = func(*simulation) placement.Scheduler { return placement.New(placement.Config{}) }
+	sim := newSimulation(cfg)
+	sim.run(20 * time.Second)
+	s := heatherhub.ShardID{Domain: simDomain, Index: 0}
+	ids := jobsInShard(sim, s, 8)
+	for _, wk := range sim.workers {
+		sim.unlist(string(wk.id), 40*time.Second)
+	}
+	for i := range 8 {
+		if err := sim.addJobAtOwner(t, ids[i], 1); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, w := range sim.ownerOf(t, s).node.Workers(sim.now) {
+		if w.Quarantined {
+			t.Errorf("got worker %s quarantined, want it open", w.Host.ID)
+		}
+	}
+	sim.converge(t, 3*time.Minute)
+}
+
+// jobsInShard returns the ids of n jobs of a shard.
+func jobsInShard(sim *simulation, s heatherhub.ShardID, n int) []heatherhub.JobID {
+	var ids []heatherhub.JobID
+	for i := 0; len(ids) < n; i++ {
+		if id := heatherhub.JobID(fmt.Sprintf("job-%d", i)); sim.layout.ShardOfJob(id) == s {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
--- a/process/shard/core/task.go
+++ b/process/shard/core/task.go
@@ -122,7 +122,7 @@
 func (s *shard) start(now time.Time, a placement.Action) {
 	delete(s.queued, a.Task.ID)
 	if !s.mayStart(now, a) {
-		s.sched.Ended(now, a.Task.ID, placement.EndNotStarted)
+		s.sched.Ended(now, a.Task.ID, placement.EndNotSent)
 		s.requeue(now, a.Task)
 		return
 	}
