Reproduce two hosts that route to one replica as known red

A successor routes to replicas 5 s after its claim (serveNotBefore). If the successor reaches a worker only later, both route to its replicas until the former owner's next renewal, and its slots count twice. Nothing runs twice.

TestReplicaIsRoutedToByOneHost fails: "1m6.456758475s: got svc:compile:gent/0:0 routed to by e0 and e1, want one host". Tried and not kept: counting from the first renewal of each worker.

--- a/process/shard/core/proof_test.go
+++ b/process/shard/core/proof_test.go
@@ -149,3 +149,33 @@
 	}
 	return ids
 }
+
+// TestReplicaIsRoutedToByOneHost guards against a replica whose slots two hosts count, because the
+// successor reaches its worker only after it has waited for the former owner to meet its epoch.
+func TestReplicaIsRoutedToByOneHost(t *testing.T) {
+	sim, owner := newProofSimulation(t, core.Unsafe{}, shortSessionTTL, 20*time.Second)
+	sim.split(owner, 70*time.Second)
+	sim.run(45 * time.Second)
+	for _, h := range sim.hosts {
+		for _, wk := range sim.workers {
+			if h != owner {
+				delete(sim.cutUntil, cutKey(string(h.id), string(wk.id)))
+			}
+		}
+	}
+	for range 200 {
+		sim.run(tickInterval)
+		routes := make(map[heatherhub.TaskID]heatherhub.HostID)
+		for _, h := range sim.hosts {
+			for _, r := range h.node.Replicas(sim.now, "compile") {
+				if r.Draining {
+					continue
+				}
+				if other, ok := routes[r.Task]; ok {
+					t.Fatalf("%s: got %s routed to by %s and %s, want one host", sim.now.Sub(simStart), r.Task, other, h.id)
+				}
+				routes[r.Task] = h.id
+			}
+		}
+	}
+}
