Probe a lost store without waiting

Cause: a watch that fails is repeated with its whole wait of 2 s, and fails for another 0.6 s if the store still does not answer. So hosts notice its return up to 2.75 s late.

Change: after a failure a watch does not wait until one has succeeded.

Ruled out: a shorter watch at all times, which would cost calls of the store in calm.

Evidence: TestOwnerlessShardIsClaimedAfterASilentOutage failed before with 2 of 3 lengths of the outage (more than 1.2 s to a new owner) and passes.

--- a/connection/ledger/follow.go
+++ b/connection/ledger/follow.go
@@ -49,7 +49,7 @@
 			w.recordSuccess(&isStoreLost)
 			w.OnSnapshot(snap)
 		}
-		changes, err := w.Store.Watch(ctx, w.Prefix, from.Revision, w.WatchTimeout)
+		changes, err := w.Store.Watch(ctx, w.Prefix, from.Revision, w.watchTimeout(isStoreLost))
 		switch {
 		case err == nil:
 			w.recordSuccess(&isStoreLost)
@@ -68,6 +68,15 @@
 	}
 }
 
+// watchTimeout returns how long a watch waits. After a failure it does not wait, so that the
+// return of a store that does not answer is noticed within the timeout of a call.
+func (w *Watcher) watchTimeout(isStoreLost bool) time.Duration {
+	if isStoreLost {
+		return 0
+	}
+	return w.WatchTimeout
+}
+
 // recordSuccess logs the end of an outage and calls OnReply.
 func (w *Watcher) recordSuccess(isStoreLost *bool) {
 	if *isStoreLost {
