Hand a shard on only once its predecessor's starts have ended

What callers saw: nothing yet; a batch task runs at two workers in the simulation. An owner dies while a start is on its way. Its successor drains, or gives the shard to a host that has come back, and marks the record as released at once. The next owner takes that for the proof that nothing is under way, reads the workers before the start arrives, and starts the task elsewhere. The late start still has a lease and runs.

Cause: an owner counted as idle when it had nothing under way itself, though it was still waiting for the starts of its own predecessor. "Released" is a proof only if whoever writes it has one.

Evidence: TestHandoverWaitsForLateStarts failed before the change with 4 of its 14 offsets ("offset 0: task job:long-3:0 in two places: w4 from 28.9 s, w3 from 29.8 s") and passes with it. A planned hand-over without a takeover just before is as fast as before (TestHandoverNeedsNoLeaseWait passes).

--- a/process/shard/core/balance.go
+++ b/process/shard/core/balance.go
@@ -73,7 +73,8 @@
 		if o.releasing && !h.isDraining() {
 			return nil
 		}
-		if h.isDraining() || preferred[i] != "" && preferred[i] != h.cfg.Self && h.mayHandOver(now, s) {
+		shouldMove := preferred[i] != "" && preferred[i] != h.cfg.Self && !now.Before(o.startNotBefore)
+		if h.isDraining() || shouldMove && h.mayHandOver(now, s) {
 			out = append(out, s)
 		} else if preferred[i] == h.cfg.Self {
 			delete(h.handoverBegan, s)
--- a/process/shard/core/claim.go
+++ b/process/shard/core/claim.go
@@ -115,7 +115,7 @@
 		}
 	}
 	h.stopRenewing(s)
-	h.owned[s] = &ownedShard{record: r, hadOwner: r.Epoch > firstEpoch}
+	h.owned[s] = &ownedShard{record: r, hadOwner: r.Epoch > firstEpoch, startNotBefore: c.startNotBefore}
 	h.changes = append(h.changes, c)
 }
 
--- a/process/shard/core/host.go
+++ b/process/shard/core/host.go
@@ -43,6 +43,9 @@
 	releasing bool
 	// hadOwner means that another process may have owned the shard before this one.
 	hadOwner bool
+	// startNotBefore is that of the change that acquired the shard. The shard is not handed
+	// over before.
+	startNotBefore time.Time
 }
 
 // host decides which shards this host owns. It performs no I/O and is not safe for
--- a/process/shard/core/proof_test.go
+++ b/process/shard/core/proof_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/connection/worker"
 	"heatherhub.example/heatherhub/process/placement"
 	"heatherhub.example/heatherhub/process/shard/core"
 )
@@ -179,3 +181,32 @@
 		}
 	}
 }
+
+// TestHandoverWaitsForLateStarts guards against a second run of a task whose start by a dead owner
+// arrives after its successor has handed the shard on.
+func TestHandoverWaitsForLateStarts(t *testing.T) {
+	for offset := range 14 {
+		sim, owner := newProofSimulation(t, core.Unsafe{}, shortSessionTTL, 20*time.Second+time.Duration(offset)*tickInterval)
+		s := heatherhub.ShardID{Domain: simDomain, Index: 0}
+		job := heatherhub.Job{ID: jobInShard(sim, s), Workload: "letter", Tasks: 1, State: heatherhub.JobQueued}
+		sim.startDelay = worker.TaskLease - 200*time.Millisecond
+		sim.handleOutput(owner, owner.node.AddJob(sim.now, owner.node.NewTicket(), job))
+		sim.run(time.Second)
+		sim.startDelay = 0
+		sim.killHost(owner, time.Second)
+		var successor *simHost
+		for range 200 {
+			sim.run(tickInterval)
+			for _, h := range sim.hosts {
+				if successor == nil && !h.dead && slices.Contains(h.node.Owned(), s) {
+					successor = h
+					h.leaving = true
+					h.node.Drain()
+				}
+			}
+		}
+		if len(sim.violations) > 0 {
+			t.Errorf("offset %d: %s", offset, sim.violations[0])
+		}
+	}
+}
--- a/process/shard/core/shard.go
+++ b/process/shard/core/shard.go
@@ -359,8 +359,11 @@
 
 // isIdle reports whether the shard can be handed over: no start, stop, command,
 // ledger write or recently granted run is under way whose outcome a successor would
-// have to wait for.
+// have to wait for, also none of a predecessor.
 func (s *shard) isIdle(now time.Time) bool {
+	if now.Before(s.startNotBefore) {
+		return false
+	}
 	for _, p := range s.tasks {
 		if p.phase == phaseStarting || p.phase == phaseStopping || p.commandInFlight {
 			return false
--- a/process/shard/core/sim_network_test.go
+++ b/process/shard/core/sim_network_test.go
@@ -139,6 +139,9 @@
 		sim.countEffect("late call")
 		d.delay += time.Duration(sim.rnd.Int64N(int64(worker.TaskLease)))
 	}
+	if c.Kind == core.CallStart {
+		d.delay += sim.startDelay
+	}
 	if sim.now.Before(sim.mutedUntil[cutKey(string(h.id), target)]) {
 		sim.countEffect("muted worker")
 		d.answerLost = true
--- a/process/shard/core/sim_test.go
+++ b/process/shard/core/sim_test.go
@@ -90,6 +90,9 @@
 	// storeDownUntil and the next five are the ends of the present faults.
 	storeDownUntil, storeSlowUntil, answersLostUntil, callsLateUntil, heartbeatsLateUntil, callsFailUntil time.Time
 
+	// startDelay is how long starts take to arrive, beyond the latency.
+	startDelay time.Duration
+
 	// effects counts the faults that had an effect, by kind.
 	effects  map[string]int
 	requests *requestLog
