Start moved tasks only as part of a decision

Callers would see: a long-running task at two workers, or a start on a draining worker.

Cause: the start of a task whose room is reserved was ordered when the end of its former run was reported. While the owner may not act, the order stayed in the engine, and was sent even after its worker had counted as gone and the task had started elsewhere.

Change: the next decision starts these tasks first, and checks the worker and the task then.

Evidence: TestMovedTaskStartsOnceAfterItsNewWorkerIsGone (starts at both workers) and TestMovedTaskStaysAwayFromADrainingWorker failed before and pass.

Conclusion: all starts are decided in one place.

--- a/process/dispatch/decide.go
+++ b/process/dispatch/decide.go
@@ -63,6 +63,7 @@
 // outcome with OrderResult.
 func (e *Engine) Decide(now Moment) []Order {
 	e.enqueueScheduled(now)
+	e.startMoved(now)
 	e.stopStalledRuns(now)
 	e.vacateDraining(now)
 	e.orderStops(now)
--- a/process/dispatch/drain.go
+++ b/process/dispatch/drain.go
@@ -62,19 +62,29 @@
 	e.recordTaskEvent(EventRunVacated, a, "worker drains")
 }
 
-// startMoved starts the task of an attempt that is over where room was reserved for it, unless
-// that worker no longer accepts it.
-func (e *Engine) startMoved(now Moment, a *attempt) {
-	t, to := a.task, a.moveTo
-	if to == nil || e.nodes[to.worker.ID] != to || !t.isPending || t.step.blockers > 0 || e.isAtStartLimit() {
-		return
-	}
-	if !e.isStartable(now.Steady, t) || !e.isEligible(now, to, t.step, t) {
-		return
+// move is a task whose former run is over, and the worker that had room reserved for it.
+type move struct {
+	task *task
+	to   *node
+}
+
+// startMoved starts the tasks of runs that were stopped on draining workers where room was
+// reserved for them, unless that worker no longer accepts them.
+func (e *Engine) startMoved(now Moment) {
+	moved := e.moved
+	e.moved = nil
+	for _, m := range moved {
+		t := m.task
+		if e.nodes[m.to.worker.ID] != m.to || !t.isPending || t.step.blockers > 0 || t.step.occ.job.isOver() || e.isAtStartLimit() {
+			continue
+		}
+		if !e.isStartable(now.Steady, t) || !e.isEligible(now, m.to, t.step, t) {
+			continue
+		}
+		e.nextRun++
+		e.start(now, t, m.to, e.nextRun)
+		e.recordStarts(now, t.step, 1, m.to.worker.ID)
 	}
-	e.nextRun++
-	e.start(now, t, to, e.nextRun)
-	e.recordStarts(now, t.step, 1, to.worker.ID)
 }
 
 // endsBefore reports whether a run is expected to end by itself before limit.
--- a/process/dispatch/drain_test.go
+++ b/process/dispatch/drain_test.go
@@ -105,3 +105,64 @@
 		t.Errorf("got a start of job %s in the reserved room, want one of job %s", got, want)
 	}
 }
+
+// TestMovedTaskStartsOnceAfterItsNewWorkerIsGone guards against a start that waits while the owner
+// may not act, and is sent to a worker that counts as gone by then.
+func TestMovedTaskStartsOnceAfterItsNewWorkerIsGone(t *testing.T) {
+	b := newSimulation(t, dispatch.Policy{}, 1)
+	long := tasks(1, 4000, time.Hour)
+	long.LongRunning = true
+	b.add("long", long)
+	b.step(100 * time.Millisecond)
+	id := heatherhub.StepTask{Job: "long"}
+	from := b.placed[id]
+	b.drain(0, 3*time.Second)
+	b.addWorkerWithRoom(4000)
+	to := b.workers[1]
+	for _, o := range b.e.Decide(b.now) {
+		b.e.OrderResult(b.now, o, dispatch.Confirmed)
+	}
+	b.now.Steady += 500 * time.Millisecond
+	end := agent.Ended{Sequence: 1, Task: id, Run: b.runs[from][0].order.Run, Kind: agent.EndStopped}
+	b.e.Report(b.now, b.now.Steady, from, &agent.Report{Clock: 1, Ended: []agent.Ended{end}})
+	b.now.Steady += 10 * time.Second
+	b.e.WorkerGone(b.now, to)
+	b.addWorkerWithRoom(4000)
+	starts := map[heatherhub.WorkerID]int{}
+	for _, o := range b.e.Decide(b.now) {
+		if o.Kind == dispatch.StartTask && o.Task == id {
+			starts[o.Worker]++
+		}
+	}
+	if len(starts) > 1 || starts[to] > 0 {
+		t.Errorf("got starts at %v, want one, and none at %s", starts, to)
+	}
+}
+
+// TestMovedTaskStaysAwayFromADrainingWorker guards against a start on a worker that began to drain
+// after room was reserved there.
+func TestMovedTaskStaysAwayFromADrainingWorker(t *testing.T) {
+	b := newSimulation(t, dispatch.Policy{}, 1)
+	long := tasks(1, 4000, time.Hour)
+	long.LongRunning = true
+	b.add("long", long)
+	b.step(100 * time.Millisecond)
+	id := heatherhub.StepTask{Job: "long"}
+	from := b.placed[id]
+	b.drain(0, 3*time.Second)
+	b.addWorkerWithRoom(4000)
+	to := b.workers[1]
+	for _, o := range b.e.Decide(b.now) {
+		b.e.OrderResult(b.now, o, dispatch.Confirmed)
+	}
+	b.now.Steady += 500 * time.Millisecond
+	end := agent.Ended{Sequence: 1, Task: id, Run: b.runs[from][0].order.Run, Kind: agent.EndStopped}
+	b.e.Report(b.now, b.now.Steady, from, &agent.Report{Clock: 1, Ended: []agent.Ended{end}})
+	b.now.Steady += 3 * time.Second
+	b.drain(1, 5*time.Second)
+	for _, o := range b.e.Decide(b.now) {
+		if o.Kind == dispatch.StartTask && o.Worker == to {
+			t.Errorf("got a start at %s, which drains, want none there", to)
+		}
+	}
+}
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -323,7 +323,9 @@
 	}
 	t.step.addPending(t)
 	e.enqueueReady(now, t.step.occ)
-	e.startMoved(now, a)
+	if a.moveTo != nil {
+		e.moved = append(e.moved, move{task: t, to: a.moveTo})
+	}
 }
 
 // reconcileUnlisted handles attempts that a complete report does not list. It ignores attempts
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -75,8 +75,10 @@
 	scheduled    []*job
 	changedJobs  []*job
 	orders       []Order
-	events       []EventRecord
-	nextRun      heatherhub.RunID
+	// moved has the tasks that the next decision starts where room was reserved for them.
+	moved   []move
+	events  []EventRecord
+	nextRun heatherhub.RunID
 	// pendingStarts counts the attempts that are sent, and isHoldingStarts says that the last
 	// decision held starts back because of them.
 	pendingStarts   int
