Take a worker's tasks for known only from a whole list

Callers would see: a task that is done on a draining worker runs again.

Cause: a worker could be written as closed, or count as idle, although its last list of ended runs was full, so that further ends may be missing from it.

Change: whether the last report was complete is kept for each worker, and both ask for it. Until then the tasks that a former owner listed stay listed, and runs of unknown jobs stay accounted for.

Evidence: TestClosedWorkerListsTasksOnlyFromAWholeList (1 start by the next owner) and TestWorkerWithAnIncompleteListIsNotIdle failed before and pass.

--- a/process/dispatch/proof_test.go
+++ b/process/dispatch/proof_test.go
@@ -94,3 +94,48 @@
 		t.Errorf("got %d starts by the next owner before the worker was asked, want %d", got, want)
 	}
 }
+
+// TestClosedWorkerListsTasksOnlyFromAWholeList guards against a second run of a task that is done
+// on a draining worker, whose end was not listed when the fleet was written.
+func TestClosedWorkerListsTasksOnlyFromAWholeList(t *testing.T) {
+	b := newSimulation(t, dispatch.Policy{}, 1)
+	const w = heatherhub.WorkerID("full")
+	b.e.MarkUnresolved(w)
+	flow := &heatherhub.Workflow{ID: "late", Queue: queue, Steps: []heatherhub.Step{tasks(1, 1000, time.Second)}, Accepted: b.now.Wall}
+	b.workflows["late"] = flow
+	b.e.AddJob(b.now, dispatch.JobRecord{Workflow: flow, RecordRevision: 1, Origin: dispatch.OriginPreviousOwner})
+	full := newFullReport()
+	b.e.WorkerUp(b.now, agent.Worker{ID: w, Pool: pool, Draining: true, Capacity: heatherhub.Resources{CPU: 10_000, Memory: 10_000}}, &full)
+	listed, isClosed := b.e.ClosedWorkerTasks(w)
+	if !isClosed {
+		return
+	}
+	next := newSimulation(t, dispatch.Policy{}, 1)
+	next.e.MarkUnresolvedClosed(w, listed)
+	next.workflows["late"] = flow
+	next.e.AddJob(next.now, dispatch.JobRecord{Workflow: flow, RecordRevision: 1, Origin: dispatch.OriginPreviousOwner})
+	next.decide()
+	if got, want := len(next.started), 0; got != want {
+		t.Errorf("got %d starts by the next owner, want %d", got, want)
+	}
+}
+
+// TestWorkerWithAnIncompleteListIsNotIdle guards against a worker that counts as vacated while the
+// end of a run hides behind a full list.
+func TestWorkerWithAnIncompleteListIsNotIdle(t *testing.T) {
+	b := newSimulation(t, dispatch.Policy{}, 1)
+	w := b.workers[0]
+	absent := heatherhub.StepTask{Job: "absent"}
+	unknown := heatherhub.StepTask{Job: "unknown"}
+	b.e.Report(b.now, b.now.Steady, w, &agent.Report{Clock: 1, Running: []agent.Running{{Task: absent, Run: 1}, {Task: unknown, Run: 1}}})
+	b.e.MarkAbsent(b.now, "absent", 0)
+	full := agent.Report{Clock: 1}
+	for n := range endsPerReport {
+		full.Ended = append(full.Ended, agent.Ended{Sequence: uint64(n + 1), Task: heatherhub.StepTask{Job: "absent", Index: n}, Run: 1, Kind: agent.EndStopped})
+	}
+	b.now.Steady += 100 * time.Millisecond
+	b.e.Report(b.now, b.now.Steady, w, &full)
+	if b.e.IsIdle(w) {
+		t.Error("got an idle worker, want one whose ends are not all listed")
+	}
+}
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -74,8 +74,10 @@
 	if n == nil {
 		return
 	}
-	n.isUnresponsive = false
-	clear(n.unaccounted)
+	n.isUnresponsive, n.hasListedAll = false, r.IsComplete()
+	if n.hasListedAll {
+		clear(n.unaccounted)
+	}
 	listed := make(map[attemptKey]struct{}, len(r.Running))
 	for i := range r.Running {
 		run := &r.Running[i]
@@ -89,7 +91,7 @@
 		}
 	}
 	n.advanceAcknowledged()
-	if r.IsComplete() {
+	if n.hasListedAll {
 		e.resolve(id)
 		e.reconcileUnlisted(now, sentAt, n, listed)
 	}
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -333,6 +333,8 @@
 	servingTasks  int
 	servingCPU    heatherhub.MilliCPU
 	servingImages []servingImage
+	// hasListedAll means that the last report was complete.
+	hasListedAll bool
 	// isUnresponsive means that the last call to the worker got no reply.
 	isUnresponsive bool
 	// isLeaving means that the worker has announced that it leaves, which it does at
--- a/process/dispatch/unresolved.go
+++ b/process/dispatch/unresolved.go
@@ -84,16 +84,15 @@
 // durable. It returns false for a worker that has not listed all of its ended runs.
 func (e *Engine) IsIdle(id heatherhub.WorkerID) bool {
 	n := e.nodes[id]
-	_, isUnresolved := e.unresolved[id]
-	return n != nil && !isUnresolved && e.OpenRuns(id) == 0 && len(n.pendingAcks) == 0
+	return n != nil && n.hasListedAll && e.OpenRuns(id) == 0 && len(n.pendingAcks) == 0
 }
 
 // ClosedWorkerTasks returns the tasks that may run on a worker, or have ended there without that
 // being durable. It reports false unless the worker leaves, so that no further task starts
-// there.
+// there, and has listed all of its ended runs.
 func (e *Engine) ClosedWorkerTasks(id heatherhub.WorkerID) ([]heatherhub.StepTask, bool) {
 	n := e.nodes[id]
-	if n == nil || !n.worker.Draining {
+	if n == nil || !n.worker.Draining || !n.hasListedAll {
 		return nil, false
 	}
 	out := make([]heatherhub.StepTask, 0, len(n.attempts)+len(n.unaccounted)+len(n.pendingAcks))
