Decide the end of a lease and the sending of a start together

Callers would see: a task at two workers.

Cause: that a worker's lease had expired was judged before the lock of the term was taken, and the queue of a worker was sent on after the worker had counted as gone, for up to 1 s. So a start that was decided, or waited in the queue, in between went to a worker whose tasks had been given to others.

Change: the end of the lease is judged under the lock, and a start is granted its lease under the same lock, if its attempt still stands. A poll of a silent worker is cut short only until its lease ends: a worker that answers within 0.2 s was not heard again while the store was silent.

Ruled out: emptying the queue when the worker counts as gone, which leaves the order that is just being sent.

Conclusion: no start leaves for a worker that counts as gone.

--- a/process/dispatch/decide.go
+++ b/process/dispatch/decide.go
@@ -106,6 +106,12 @@
 	}
 }
 
+// HasAttempt reports whether the attempt of an order is not known to be over.
+func (e *Engine) HasAttempt(o Order) bool {
+	n := e.nodes[o.Worker]
+	return n != nil && n.attempts[attemptKey{o.Task, o.Run}] != nil
+}
+
 // OrderResult records the outcome of an order.
 func (e *Engine) OrderResult(now Moment, o Order, result Outcome) {
 	n := e.nodes[o.Worker]
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -235,12 +235,15 @@
 }
 
 // handleLeaseExpiry handles a lease that has expired by now, after a poll that failed with err.
-// The next poll may take long to fail.
+// The next poll may take long to fail. The first look asks for a confirmation of the ownership,
+// which takes a commit.
 func (w *workerLoop) handleLeaseExpiry(err error) {
-	now := w.term.now()
-	if now.Steady >= w.leaseExpiry() {
-		w.handlePollError(now, err)
+	if w.term.now().Steady < w.leaseExpiry() {
+		return
 	}
+	w.handlePollError(w.term.now(), err)
+	ledger.Sleep(w.ctx, pollRetryDelay)
+	w.handlePollError(w.term.now(), err)
 }
 
 // awaitDurableEnds waits, for at most maxCommitWait, until the ended runs in the last
@@ -273,7 +276,7 @@
 	t := w.term
 	sentAt := t.now().Steady
 	t.mu.Lock()
-	isUp, isGone := w.isUp, w.isGone
+	isUp := w.isUp
 	isTargetMissed := t.engine.MissesLatencyTarget(w.entry.ID)
 	p := agent.Poll{Token: t.token, AcknowledgedUpTo: t.engine.Acknowledged(w.entry.ID)}
 	t.mu.Unlock()
@@ -291,7 +294,7 @@
 	default:
 		p.Wait = pollWait
 	}
-	ctx, cancel := w.pollContext(sentAt, isGone)
+	ctx, cancel := w.pollContext(sentAt)
 	defer cancel()
 	r, err := w.client.Poll(ctx, p)
 	now := t.now()
@@ -305,14 +308,14 @@
 	return nil
 }
 
-// pollContext returns the context of a poll that is sent at now. Until a silent worker counts
-// as gone, it ends with the worker's lease, so that the tasks need not wait for the poll as
-// well.
-func (w *workerLoop) pollContext(now time.Duration, isGone bool) (context.Context, context.CancelFunc) {
-	if isGone || !w.isSilent.Load() {
+// pollContext returns the context of a poll that is sent at now. The poll of a silent worker ends
+// with the worker's lease, so that the tasks need not wait for the poll as well.
+func (w *workerLoop) pollContext(now time.Duration) (context.Context, context.CancelFunc) {
+	left := w.leaseExpiry() - now
+	if left <= 0 || !w.isSilent.Load() {
 		return context.WithCancel(w.ctx)
 	}
-	return context.WithTimeout(w.ctx, max(w.leaseExpiry()-now, pollRetryDelay))
+	return context.WithTimeout(w.ctx, max(left, pollRetryDelay))
 }
 
 // recordPoll records what the result of a poll that was sent at sentAt says of this owner's
@@ -386,9 +389,9 @@
 	if w.endTermIfFenced(err) {
 		return
 	}
-	isExpired := w.isLeaseExpired(now.Steady)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	isExpired := w.isLeaseExpired(now.Steady)
 	id := w.entry.ID
 	found := w.evidenceAfter(err, isExpired)
 	if found == noEvidence {
@@ -480,7 +483,11 @@
 	var clock agent.Clock
 	var err error
 	if now.Steady-o.decidedAt <= maxOrderAge {
-		clock, err = w.callWorker(now.Steady, o.Order)
+		until, ok := w.grantStart(now.Steady, o.Order)
+		if !ok {
+			return
+		}
+		clock, err = w.callWorker(o.Order, until)
 		if w.ctx.Err() != nil || w.endTermIfFenced(err) {
 			return
 		}
@@ -519,8 +526,25 @@
 	w.applyReport(t.now(), sentAt, &r)
 }
 
-// callWorker makes the call for an order and returns the worker's clock from the answer.
-func (w *workerLoop) callWorker(now time.Duration, o dispatch.Order) (agent.Clock, error) {
+// grantStart returns the end of the lease of a start that is sent at now, and zero for other
+// orders. It reports false for a start that no longer stands: the worker counts as gone. Both
+// are decided under the term's mu, like the end of the worker's lease.
+func (w *workerLoop) grantStart(now time.Duration, o dispatch.Order) (agent.Clock, bool) {
+	if o.Kind != dispatch.StartTask {
+		return 0, true
+	}
+	t := w.term
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.engine.HasAttempt(o) {
+		return 0, false
+	}
+	return w.grantLease(now, startValidity), true
+}
+
+// callWorker makes the call for an order and returns the worker's clock from the answer. A start
+// is valid until until.
+func (w *workerLoop) callWorker(o dispatch.Order, until agent.Clock) (agent.Clock, error) {
 	token := w.term.token
 	switch o.Kind {
 	case dispatch.StopTask:
@@ -529,7 +553,7 @@
 		return w.client.Throttle(w.ctx, agent.Throttle{Task: o.Task, Run: o.Run, Percent: o.Percent, Token: token})
 	default:
 		return w.client.Start(w.ctx, agent.Start{
-			Task: o.Task, Run: o.Run, Payload: o.Payload, LeaseUntil: w.grantLease(now, startValidity),
+			Task: o.Task, Run: o.Run, Payload: o.Payload, LeaseUntil: until,
 			Token: token, Checkpoint: o.Checkpoint,
 		})
 	}
