Reproduce a second replica of an unlisted holder as known red

go test ./process/shard/core -run TestReplicaOfAnUnlistedHolderRunsOnce: svc:compile:gent/0:0 at two workers.

Not mended: a mend has to bound how long a holder renews replicas without the store, which is a decision about availability, or to fence the workers in the store.

--- a/process/shard/core/proof_test.go
+++ b/process/shard/core/proof_test.go
@@ -210,3 +210,14 @@
 		}
 	}
 }
+
+// TestReplicaOfAnUnlistedHolderRunsOnce guards against a second replica of a service whose holder is
+// cut off, missing from the platform's list, and silent for longer than a peer is waited for.
+func TestReplicaOfAnUnlistedHolderRunsOnce(t *testing.T) {
+	const d = 200 * time.Second
+	sim, owner := newProofSimulation(t, core.Unsafe{}, shortSessionTTL, 20*time.Second)
+	sim.split(owner, d)
+	sim.unlist(string(owner.id), d)
+	sim.run(d + 10*time.Second)
+	sim.checkNoViolations(t)
+}
