Let the soak remove entries of living workers, reset calls and drain

What was missing: the soak had the store refuse or drop and cut off workers, but a living worker always kept its entry, a call failed only with all others to its worker, no worker drained, and no task was long-running.

Change: five kinds of faults are new. Entries of half of the workers or more lapse outside an outage, or in an outage of the store over which the owners keep or lose their leases; they are back about 2 s after the store. A share of the calls to some workers is reset, always beside lapsed entries. A worker announces that it drains, works on, also without an entry, and leaves; calls to it are reset until another worker answers at its address. Faults come in series with one of each kind in random order, and a run has one series at least, so whether it is idle does not depend on its timing: it is idle if a kind, a reset call, a start or an accepted long-running job is missing, and TestIdleRunFails now wants each missing kind named. Outages that overlap end with the last of them. Larger sites have several hosts and workers in trouble at once.

Three callers submit jobs, as one alone waited for paused hosts most of the time. Long-running jobs take half of the site. After the faults all their tasks have to run, and none after their cancellation. A job now counts until the cancellation is acknowledged, and is cancelled again when the faults have ended.

TestTaskOfWorkerWithoutEntryRunsOnce plays only the faults that make up the incident.

--- a/experiment/soak/callers_test.go
+++ b/experiment/soak/callers_test.go
@@ -6,9 +6,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"heatherhub.example/heatherhub"
 	"heatherhub.example/heatherhub/connection/ledger"
 )
@@ -17,37 +20,128 @@
 const (
 	// callTimeout is the timeout of an HTTP request.
 	callTimeout = 3 * time.Second
+	// callerCount is the number of callers that submit jobs at a time. A caller waits while
+	// its host is paused.
+	callerCount = 3
 	// jobGap is the mean time between job submissions.
 	jobGap = 120 * time.Millisecond
 	// completionTimeout is how long jobs may take to end once the faults have ended.
 	completionTimeout = 30 * time.Second
 )
 
+// Shape of long-running jobs.
+const (
+	longRunningTasks = 4
+	longRunningCPU   = 1500
+	// longRunningPart is the part of the site's capacity for such jobs: one in longRunningPart.
+	longRunningPart = 2
+)
+
 // job is the state of a job as its caller knows it.
 type job struct {
 	id        heatherhub.JobID
 	accepted  bool
 	cancelled bool
+	// isCancelAcknowledged is set if the cancellation was acknowledged.
+	isCancelAcknowledged bool
 	// uncertain is set if the outcome of a submission or cancellation is unknown.
 	uncertain bool
+	// isLongRunning is set if the tasks run until the job is cancelled.
+	isLongRunning bool
+}
+
+// mayRun reports whether tasks of the job may run: it may have been accepted, and no
+// cancellation was acknowledged.
+func (j *job) mayRun() bool {
+	return !j.isCancelAcknowledged && (j.accepted || j.uncertain)
+}
+
+// isWanted reports whether the caller expects the job's tasks to run or to have run.
+func (j *job) isWanted() bool {
+	return j.accepted && !j.cancelled
 }
 
-// callers submits and cancels jobs and checks that accepted jobs end.
-type callers struct {
+// counts are the numbers of responses and of jobs.
+type counts struct{ Accepted, Refused, Unknown, Cancelled int }
+
+// caller submits and cancels jobs, one request at a time, and checks that accepted jobs end.
+type caller struct {
 	site       *site
 	client     *http.Client
+	index      int
+	rng        *rand.Rand
 	jobs       []*job
-	counts     struct{ Accepted, Refused, Unknown, Cancelled int }
+	counts     counts
 	violations []string
 }
 
-func newCallers(s *site) *callers {
-	return &callers{site: s, client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 4}}}
+// callers are all callers of a run.
+type callers []*caller
+
+func newCallers(s *site) callers {
+	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: callerCount}}
+	out := make(callers, callerCount)
+	for i := range out {
+		out[i] = &caller{site: s, client: client, index: i, rng: rand.New(rand.NewPCG(s.opts.Seed, uint64(100+i)))}
+	}
+	return out
+}
+
+// run submits jobs, and cancels some of the latest, until ctx is canceled.
+func (cs callers) run(ctx context.Context) {
+	var g conc.WaitGroup
+	for _, c := range cs {
+		g.Go(func() { c.run(ctx) })
+	}
+	g.Wait()
+}
+
+// waitForJobs waits until the jobs of all callers are where they have to get after the faults.
+func (cs callers) waitForJobs(ctx context.Context) {
+	var g conc.WaitGroup
+	for _, c := range cs {
+		g.Go(func() { c.waitForJobs(ctx) })
+	}
+	g.Wait()
+}
+
+// total returns the sums of the callers' counts.
+func (cs callers) total() counts {
+	var n counts
+	for _, c := range cs {
+		n.Accepted += c.counts.Accepted
+		n.Refused += c.counts.Refused
+		n.Unknown += c.counts.Unknown
+		n.Cancelled += c.counts.Cancelled
+	}
+	return n
+}
+
+// violations returns the violations that the callers have found.
+func (cs callers) violations() []string {
+	var out []string
+	for _, c := range cs {
+		out = append(out, c.violations...)
+	}
+	return out
+}
+
+// longRunning returns the number of accepted long-running jobs.
+func (cs callers) longRunning() int {
+	n := 0
+	for _, c := range cs {
+		for _, j := range c.jobs {
+			if j.isLongRunning && j.accepted {
+				n++
+			}
+		}
+	}
+	return n
 }
 
 // waitUntilAccepted submits jobs until one is accepted. It returns false if none is
 // accepted within startTimeout.
-func (c *callers) waitUntilAccepted(ctx context.Context) bool {
+func (c *caller) waitUntilAccepted(ctx context.Context) bool {
 	for limit := time.Now().Add(startTimeout); time.Now().Before(limit) && ctx.Err() == nil; {
 		c.submit(ctx)
 		if c.counts.Accepted > 0 {
@@ -58,30 +152,26 @@
 }
 
 // run submits jobs, and cancels some of the latest, until ctx is canceled.
-func (c *callers) run(ctx context.Context) {
+func (c *caller) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		c.submit(ctx)
-		if len(c.jobs) > 3 && c.randInt(12) == 0 {
-			c.cancel(ctx, c.jobs[len(c.jobs)-1-c.randInt(3)])
+		if len(c.jobs) > 3 && c.rng.IntN(12) == 0 {
+			c.cancel(ctx, c.jobs[len(c.jobs)-1-c.rng.IntN(3)])
+		}
+		if c.rng.IntN(40) == 0 {
+			c.cancelLongRunning(ctx)
 		}
-		ledger.Sleep(ctx, time.Duration(c.randInt(int(2*jobGap))))
+		ledger.Sleep(ctx, time.Duration(c.rng.Int64N(int64(2*callerCount*jobGap))))
 	}
 }
 
-// randInt returns a random number in [0, n).
-func (c *callers) randInt(n int) int {
-	c.site.mu.Lock()
-	defer c.site.mu.Unlock()
-	return c.site.rng.IntN(n)
-}
-
 // url returns the URL of a job at a random host.
-func (c *callers) url(id heatherhub.JobID) string {
-	return fmt.Sprintf("http://%s:%s/soak/%s", c.site.hosts[c.randInt(len(c.site.hosts))].ip, frontPort, id)
+func (c *caller) url(id heatherhub.JobID) string {
+	return fmt.Sprintf("http://%s:%s/soak/%s", c.site.hosts[c.rng.IntN(len(c.site.hosts))].ip, frontPort, id)
 }
 
 // call sends a request for a job to a random host and returns the status and body.
-func (c *callers) call(ctx context.Context, method string, id heatherhub.JobID, body []byte) (int, []byte, error) {
+func (c *caller) call(ctx context.Context, method string, id heatherhub.JobID, body []byte) (int, []byte, error) {
 	req, err := http.NewRequestWithContext(ctx, method, c.url(id), bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, err
@@ -98,12 +188,10 @@
 
 // submit submits a job. Unless it is accepted, it tries again with the same ID, at most
 // three times and each time at a random host.
-func (c *callers) submit(ctx context.Context) {
-	j := &job{id: heatherhub.JobID(fmt.Sprintf("%016x", c.site.opts.Seed<<32+uint64(len(c.jobs))))}
-	steps := []heatherhub.Step{c.newStep()}
-	if c.randInt(2) == 0 {
-		steps = append(steps, c.newStep(0))
-	}
+func (c *caller) submit(ctx context.Context) {
+	j := &job{id: heatherhub.JobID(fmt.Sprintf("%016x", c.site.opts.Seed<<32+uint64(c.index)<<24+uint64(len(c.jobs))))}
+	j.isLongRunning = c.needsLongRunning()
+	steps := c.newSteps(j)
 	c.site.mu.Lock()
 	c.site.jobSteps[j.id] = steps
 	c.site.mu.Unlock()
@@ -130,11 +218,35 @@
 	}
 }
 
+// needsLongRunning reports whether fewer long-running jobs of the caller may run than there
+// should be.
+func (c *caller) needsLongRunning() bool {
+	n := 0
+	for _, j := range c.jobs {
+		if j.isLongRunning && j.mayRun() {
+			n++
+		}
+	}
+	return n < max(len(c.site.machines)*workerCPU/(longRunningPart*longRunningTasks*longRunningCPU*callerCount), 1)
+}
+
+// newSteps returns random steps for a job.
+func (c *caller) newSteps(j *job) []heatherhub.Step {
+	if j.isLongRunning {
+		return []heatherhub.Step{{Tasks: longRunningTasks, Need: heatherhub.Resources{CPU: longRunningCPU, Memory: 10}, LongRunning: true, MaxPerWorker: 1}}
+	}
+	steps := []heatherhub.Step{c.newStep()}
+	if c.rng.IntN(2) == 0 {
+		steps = append(steps, c.newStep(0))
+	}
+	return steps
+}
+
 // newStep returns a random step that depends on the steps with the given indexes.
-func (c *callers) newStep(after ...int) heatherhub.Step {
+func (c *caller) newStep(after ...int) heatherhub.Step {
 	return heatherhub.Step{
-		Tasks: 1 + c.randInt(4), Need: heatherhub.Resources{CPU: 1000 + 500*heatherhub.MilliCPU(c.randInt(3)), Memory: 10},
-		Estimate: time.Duration(100+c.randInt(1500)) * time.Millisecond, After: after,
+		Tasks: 1 + c.rng.IntN(4), Need: heatherhub.Resources{CPU: 1000 + 500*heatherhub.MilliCPU(c.rng.IntN(3)), Memory: 10},
+		Estimate: time.Duration(100+c.rng.IntN(1500)) * time.Millisecond, After: after,
 	}
 }
 
@@ -144,14 +256,14 @@
 	for _, s := range steps {
 		out = append(out, map[string]any{
 			"count": s.Tasks, "cpu": int64(s.Need.CPU), "mem_mb": int64(s.Need.Memory), "estimated_ms": s.Estimate.Milliseconds(),
-			"after": append([]int{}, s.After...),
+			"after": append([]int{}, s.After...), "long_running": s.LongRunning, "anti_affinity": s.MaxPerWorker,
 		})
 	}
 	return out
 }
 
 // cancel cancels an accepted job once.
-func (c *callers) cancel(ctx context.Context, j *job) {
+func (c *caller) cancel(ctx context.Context, j *job) {
 	if j.cancelled || !j.accepted {
 		return
 	}
@@ -159,11 +271,23 @@
 	c.counts.Cancelled++
 	if status, _, err := c.call(ctx, http.MethodDelete, j.id, nil); err != nil || status != http.StatusOK {
 		j.uncertain = true
+		return
+	}
+	j.isCancelAcknowledged = true
+}
+
+// cancelLongRunning cancels a long-running job, if there is one, so that another follows.
+func (c *caller) cancelLongRunning(ctx context.Context) {
+	for _, j := range c.jobs {
+		if j.isLongRunning && j.isWanted() {
+			c.cancel(ctx, j)
+			return
+		}
 	}
 }
 
 // state asks a host for the state of a job. The state is "" if it gives none.
-func (c *callers) state(ctx context.Context, j *job) (string, int) {
+func (c *caller) state(ctx context.Context, j *job) (string, int) {
 	status, data, err := c.call(ctx, http.MethodGet, j.id, nil)
 	var out struct {
 		State string `json:"state"`
@@ -174,25 +298,74 @@
 	return out.State, status
 }
 
-// waitForJobs waits until all accepted jobs have ended. It reports as violations the jobs
-// that do not end within completionTimeout, fail, or are cancelled without a request.
-func (c *callers) waitForJobs(ctx context.Context) {
+// waitForJobs waits until all accepted jobs have ended, and all tasks of accepted
+// long-running jobs run, which are then cancelled. It reports as violations the jobs that do
+// not get there within completionTimeout, fail, or are cancelled without a request.
+func (c *caller) waitForJobs(ctx context.Context) {
 	limit := time.Now().Add(completionTimeout)
+	// Long-running jobs that are not wanted, but may run, would take the room of others.
+	c.endLongRunning(ctx, limit, func(j *job) bool { return !j.isWanted() })
 	for _, j := range c.jobs {
-		if !j.accepted {
-			continue
+		switch {
+		case j.isLongRunning && j.isWanted():
+			c.waitUntilRunning(ctx, j, limit)
+		case !j.isLongRunning && j.accepted:
+			c.waitUntilEnded(ctx, j, limit)
 		}
+	}
+	c.endLongRunning(ctx, time.Now().Add(completionTimeout), (*job).isWanted)
+}
+
+// waitUntil polls until isReached returns true, and reports false if it doesn't by limit.
+func waitUntil(ctx context.Context, limit time.Time, isReached func() bool) bool {
+	for !isReached() {
+		if ctx.Err() != nil || time.Now().After(limit) {
+			return false
+		}
+		ledger.Sleep(ctx, 100*time.Millisecond)
+	}
+	return true
+}
+
+// waitUntilEnded waits until an accepted job has ended.
+func (c *caller) waitUntilEnded(ctx context.Context, j *job, limit time.Time) {
+	var state string
+	var status int
+	waitUntil(ctx, limit, func() bool {
+		state, status = c.state(ctx, j)
+		return isFinal(state)
+	})
+	switch {
+	case ctx.Err() != nil, state == "completed", state == "cancelled" && j.cancelled:
+	default:
+		c.violations = append(c.violations, fmt.Sprintf("accepted job %s has state %q (HTTP status %d), expected to complete within %s after the faults", j.id, state, status, completionTimeout))
+	}
+}
+
+// waitUntilRunning waits until all tasks of a long-running job run.
+func (c *caller) waitUntilRunning(ctx context.Context, j *job, limit time.Time) {
+	if !waitUntil(ctx, limit, func() bool { return c.site.audit.RunningTasks(j.id) == longRunningTasks }) && ctx.Err() == nil {
 		state, status := c.state(ctx, j)
-		for !isFinal(state) && time.Now().Before(limit) && ctx.Err() == nil {
-			ledger.Sleep(ctx, 100*time.Millisecond)
-			state, status = c.state(ctx, j)
+		c.violations = append(c.violations, fmt.Sprintf("long-running job %s has state %q (HTTP status %d) and %d tasks at work, expected %d within %s after the faults",
+			j.id, state, status, c.site.audit.RunningTasks(j.id), longRunningTasks, completionTimeout))
+	}
+}
+
+// endLongRunning cancels the selected long-running jobs that may run, and waits until none of
+// their tasks runs.
+func (c *caller) endLongRunning(ctx context.Context, limit time.Time, isSelected func(*job) bool) {
+	for _, j := range c.jobs {
+		if !j.isLongRunning || !isSelected(j) || !(j.accepted || j.uncertain) {
+			continue
 		}
-		switch {
-		case ctx.Err() != nil:
-			return
-		case state == "completed", state == "cancelled" && j.cancelled:
-		default:
-			c.violations = append(c.violations, fmt.Sprintf("accepted job %s has state %q (HTTP status %d), expected to complete within %s after the faults", j.id, state, status, completionTimeout))
+		var status int
+		hasEnded := waitUntil(ctx, limit, func() bool {
+			status, _, _ = c.call(ctx, http.MethodDelete, j.id, nil)
+			return (status == http.StatusOK || status == http.StatusGone) && c.site.audit.RunningTasks(j.id) == 0
+		})
+		if !hasEnded && ctx.Err() == nil {
+			c.violations = append(c.violations, fmt.Sprintf("long-running job %s has %d tasks at work after its cancellation (HTTP status %d), expected none within %s",
+				j.id, c.site.audit.RunningTasks(j.id), status, completionTimeout))
 		}
 	}
 }
--- a/experiment/soak/faultproxy_test.go
+++ b/experiment/soak/faultproxy_test.go
@@ -33,11 +33,11 @@
 // faultProxy is a TCP proxy on the loopback interface in front of a target address.
 type faultProxy struct {
 	listener net.Listener
-	target   string
 	group    *conc.WaitGroup
 
-	mu    sync.Mutex
-	state proxyState
+	mu     sync.Mutex
+	target string
+	state  proxyState
 	// changed is closed and replaced when the state changes.
 	changed chan struct{}
 	conns   map[net.Conn]struct{}
@@ -58,6 +58,19 @@
 	return p.listener.Addr().String()
 }
 
+// setTarget changes the target of new connections.
+func (p *faultProxy) setTarget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = address
+}
+
+func (p *faultProxy) currentTarget() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.target
+}
+
 // setState changes the state. The state reset closes all open connections.
 func (p *faultProxy) setState(state proxyState) {
 	p.mu.Lock()
@@ -112,7 +125,7 @@
 	if !p.track(in) {
 		return
 	}
-	out, err := net.Dial("tcp4", p.target)
+	out, err := net.Dial("tcp4", p.currentTarget())
 	if err != nil || !p.track(out) {
 		p.closeConn(in)
 		return
--- /dev/null
+++ b/experiment/soak/machine_test.go
@@ -0,0 +1,172 @@
+package soak_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/platform/standin"
+)
+
+// machine runs one worker at a time behind a proxy. Its methods are safe for concurrent use.
+type machine struct {
+	site  *site
+	index int
+
+	mu     sync.Mutex
+	worker *standin.Worker
+	proxy  *faultProxy
+	// leavesAt is when the worker may leave. It is zero if the worker doesn't drain.
+	leavesAt time.Time
+	hasLeft  bool
+	// lapses is the number of faults during which the worker has no entry in the store.
+	lapses int
+}
+
+// startWorker starts a new worker at the machine's address, or at a new one if the machine has
+// no proxy, and registers it. The caller holds mu.
+func (m *machine) startWorker() error {
+	s := m.site
+	w := &standin.Worker{
+		ID: s.newWorkerID(m.index), CPU: workerCPU, TaskDemand: s.taskDemand, Audit: s.audit, AutoAcknowledge: s.opts.autoAcknowledge,
+	}
+	w.Init()
+	s.audit.AddWorker(w)
+	address, err := s.serve("127.0.0.1", w)
+	if err != nil {
+		return err
+	}
+	if m.proxy == nil {
+		if m.proxy, err = newFaultProxy(&s.group, address); err != nil {
+			return err
+		}
+	}
+	m.proxy.setTarget(address)
+	m.proxy.setState(passing)
+	m.worker, m.leavesAt, m.hasLeft, m.lapses = w, time.Time{}, false, 0
+	return m.register()
+}
+
+// entryKey returns the store key of the worker's entry. The caller holds mu.
+func (m *machine) entryKey() string {
+	return "servers/" + string(m.worker.ID)
+}
+
+// register writes the worker's entry. The caller holds mu.
+func (m *machine) register() error {
+	entry := map[string]any{
+		"service": "pool", "address": m.proxy.address(), "zone": domainOf(m.index), "state": "ready",
+		"capacity": map[string]any{"cpu": workerCPU, "mem_mb": 100_000}, "labels": []string{"plain", "r-" + domainOf(m.index)},
+	}
+	if !m.leavesAt.IsZero() {
+		entry["state"], entry["drain_remaining_ms"] = "draining", max(time.Until(m.leavesAt).Milliseconds(), 0)
+	}
+	return m.site.store.Put(m.entryKey(), entry)
+}
+
+// crash crashes the worker, removes its entry and starts a new worker at another address.
+func (m *machine) crash() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.worker.Crash()
+	m.proxy.close()
+	m.site.store.Remove(m.entryKey())
+	m.proxy = nil
+	return m.startWorker()
+}
+
+// lapse removes the entry of the worker, which works on. It returns a function that writes
+// the entry again, unless another fault still keeps it away or the worker has gone.
+func (m *machine) lapse() func() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	w := m.worker
+	m.lapses++
+	m.site.store.Remove(m.entryKey())
+	return func() error {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if m.worker != w || m.hasLeft || m.lapses == 0 {
+			return nil
+		}
+		if m.lapses--; m.lapses > 0 {
+			return nil
+		}
+		return m.register()
+	}
+}
+
+// drain announces that the worker leaves, after remaining at the earliest. It returns the
+// worker, or nil if it drains already.
+func (m *machine) drain(remaining time.Duration) (*standin.Worker, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.leavesAt.IsZero() {
+		return nil, nil
+	}
+	m.leavesAt, m.lapses = time.Now().Add(remaining), 0
+	return m.worker, m.register()
+}
+
+// heartbeat updates the entry of a draining worker, unless it has lapsed.
+func (m *machine) heartbeat(w *standin.Worker) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.worker != w || m.lapses > 0 {
+		return nil
+	}
+	return m.register()
+}
+
+// leave ends a worker that has drained: its connections are reset. The entry is removed
+// unless it is left to lapse. It reports false if the worker has gone before.
+func (m *machine) leave(w *standin.Worker, removesEntry bool) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.worker != w {
+		return false
+	}
+	w.Crash()
+	m.hasLeft = true
+	m.proxy.setState(reset)
+	if removesEntry {
+		m.site.store.Remove(m.entryKey())
+	}
+	return true
+}
+
+// succeed starts another worker at the address of w, which has left, and removes the entry
+// of w.
+func (m *machine) succeed(w *standin.Worker) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.worker != w {
+		return nil
+	}
+	m.site.store.Remove(m.entryKey())
+	return m.startWorker()
+}
+
+// resetCalls resets the connections of a share of the calls to the worker for d.
+func (m *machine) resetCalls(share float64, d time.Duration, rng *rand.Rand) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.worker.ResetCalls(share, d, rng)
+}
+
+// currentProxy returns the proxy of the current worker.
+func (m *machine) currentProxy() *faultProxy {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.proxy
+}
+
+// newWorkerID returns an unused worker ID for the i-th machine.
+func (s *site) newWorkerID(i int) heatherhub.WorkerID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.incarnations++
+	return heatherhub.WorkerID(fmt.Sprintf("w%d-%d", i, s.incarnations))
+}
--- a/experiment/soak/site_test.go
+++ b/experiment/soak/site_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -28,6 +27,8 @@
 	routeHost = "soak.example"
 	// stopGracePeriod is how long a host may take to stop.
 	stopGracePeriod = 6 * time.Second
+	// heartbeat is the interval at which workers update their entries.
+	heartbeat = time.Second
 	// frontPort is the port of the hosts for callers.
 	frontPort = "7000"
 	// networksPerSeed is the number of loopback networks for runs with the same seed.
@@ -36,17 +37,14 @@
 
 // site is the stand-in platform and the real hosts that use it.
 type site struct {
-	opts    *options
-	store   *standin.Store
-	audit   *standin.Audit
-	group   conc.WaitGroup
-	servers []*http.Server
+	opts  *options
+	store *standin.Store
+	audit *standin.Audit
+	group conc.WaitGroup
 	// storeProxies connect each host to the store.
 	storeProxies []*faultProxy
-	// workerProxies connect all hosts to each worker.
-	workerProxies []*faultProxy
-	workers       []*standin.Worker
-	hosts         []*process
+	machines     []*machine
+	hosts        []*process
 	// network is the first three bytes of the hosts' addresses. reservation is held until
 	// close, so that no other run uses it.
 	network     string
@@ -54,14 +52,14 @@
 
 	// mu guards the fields below.
 	mu       sync.Mutex
-	rng      *rand.Rand
+	servers  []*http.Server
 	jobSteps map[heatherhub.JobID][]heatherhub.Step
 	// incarnations is the number of workers started so far, including replacements.
 	incarnations int
 }
 
 func newSite(o *options) *site {
-	s := &site{opts: o, store: standin.NewStore(), rng: rand.New(rand.NewPCG(o.Seed, 1)), jobSteps: make(map[heatherhub.JobID][]heatherhub.Step)}
+	s := &site{opts: o, store: standin.NewStore(), jobSteps: make(map[heatherhub.JobID][]heatherhub.Step)}
 	s.audit = standin.NewAudit(s.stepsOf)
 	return s
 }
@@ -89,7 +87,9 @@
 		return "", heatherhub.ErrUnavailable.Wrap(err, "cannot listen on %s", ip)
 	}
 	server := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	s.mu.Lock()
 	s.servers = append(s.servers, server)
+	s.mu.Unlock()
 	s.group.Go(func() { _ = server.Serve(l) })
 	return l.Addr().String(), nil
 }
@@ -146,7 +146,7 @@
 		return err
 	}
 	for i := range s.opts.Workers {
-		if err := s.addWorker(i); err != nil {
+		if err := s.addMachine(i); err != nil {
 			return err
 		}
 	}
@@ -185,45 +185,24 @@
 	return fmt.Sprintf("d%d", i%domains)
 }
 
-// addWorker starts a new incarnation of the i-th worker behind a new proxy and registers
-// it in the store.
-func (s *site) addWorker(i int) error {
-	s.mu.Lock()
-	s.incarnations++
-	id := heatherhub.WorkerID(fmt.Sprintf("w%d-%d", i, s.incarnations))
-	s.mu.Unlock()
-	w := &standin.Worker{
-		ID: id, CPU: workerCPU, TaskDemand: s.taskDemand, Audit: s.audit,
-		AutoAcknowledge: s.opts.autoAcknowledge,
-	}
-	w.Init()
-	s.audit.AddWorker(w)
-	address, err := s.serve("127.0.0.1", w)
-	if err != nil {
-		return err
-	}
-	proxy, err := newFaultProxy(&s.group, address)
-	if err != nil {
-		return err
-	}
-	if i < len(s.workers) {
-		s.workers[i], s.workerProxies[i] = w, proxy
-	} else {
-		s.workers, s.workerProxies = append(s.workers, w), append(s.workerProxies, proxy)
-	}
-	return s.store.Put("servers/"+string(id), map[string]any{
-		"service": "pool", "address": proxy.address(), "zone": domainOf(i), "state": "ready",
-		"capacity": map[string]any{"cpu": workerCPU, "mem_mb": 100_000}, "labels": []string{"plain", "r-" + domainOf(i)},
-	})
+// addMachine adds the i-th machine and starts its first worker.
+func (s *site) addMachine(i int) error {
+	m := &machine{site: s, index: i}
+	s.machines = append(s.machines, m)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.startWorker()
 }
 
-// replaceWorker crashes the i-th worker, removes its registration and starts a new
-// incarnation.
-func (s *site) replaceWorker(i int) error {
-	s.workers[i].Crash()
-	s.workerProxies[i].close()
-	s.store.RemovePrefix("servers/" + string(s.workers[i].ID))
-	return s.addWorker(i)
+// proxies returns the proxies of all hosts and machines.
+func (s *site) proxies() []*faultProxy {
+	out := append([]*faultProxy(nil), s.storeProxies...)
+	for _, m := range s.machines {
+		if p := m.currentProxy(); p != nil {
+			out = append(out, p)
+		}
+	}
+	return out
 }
 
 // writeSettings writes the settings file of the i-th host and returns its path.
@@ -231,7 +210,7 @@
 	lines := []string{
 		fmt.Sprintf("node_name=host-%d", i), "zone=" + domainOf(i), "ip=" + ip, "listen.front=" + ip + ":" + frontPort,
 		"listen.readiness=" + ip + ":7001", "internal_ports=7002,7009", "platform.address=" + store, "platform.ttl_min_ms=1000",
-		"bounds.max_hold_ms=6000", "heartbeat_ms=1000", fmt.Sprintf("bounds.grace_s=%g", stopGracePeriod.Seconds()),
+		"bounds.max_hold_ms=6000", fmt.Sprintf("heartbeat_ms=%d", heartbeat.Milliseconds()), fmt.Sprintf("bounds.grace_s=%g", stopGracePeriod.Seconds()),
 		"limits.cpu_share=0.2", "limits.cores=1", "limits.memory_mb=256",
 	}
 	path := filepath.Join(s.opts.Dir, fmt.Sprintf("host-%d.conf", i))
@@ -244,7 +223,7 @@
 // endFaults ends all faults and ensures that every host is running.
 func (s *site) endFaults() error {
 	s.store.SetMode(standin.Serving)
-	for _, p := range append(s.storeProxies, s.workerProxies...) {
+	for _, p := range s.proxies() {
 		p.setState(passing)
 	}
 	for _, p := range s.hosts {
@@ -264,7 +243,7 @@
 			violations = append(violations, err.Error())
 		}
 	}
-	for _, p := range append(s.storeProxies, s.workerProxies...) {
+	for _, p := range s.proxies() {
 		p.close()
 	}
 	for _, server := range s.servers {
--- a/experiment/soak/soak_test.go
+++ b/experiment/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -16,7 +17,7 @@
 
 var (
 	seed      = flag.Uint64("soak-seed", 1, "seed for jobs and faults")
-	duration  = flag.Duration("soak-duration", 8*time.Second, "time for which faults are injected")
+	duration  = flag.Duration("soak-duration", 8*time.Second, "time for which series of faults are started; there is at least one")
 	processes = flag.Int("soak-processes", 4, "number of hosts, each in its own process")
 	workers   = flag.Int("soak-workers", 9, "number of workers in the stand-in platform")
 	binary    = flag.String("soak-binary", "", "heatherhub executable; built if empty")
@@ -32,6 +33,8 @@
 	Duration           time.Duration
 	Processes, Workers int
 	Dir, Binary        string
+	// faultKinds are the kinds of faults in a series.
+	faultKinds []faultKind
 	// injectFaults enables the random faults. autoAcknowledge makes workers discard the end
 	// of a task before it is acknowledged, which the audit has to detect.
 	injectFaults, autoAcknowledge bool
@@ -42,16 +45,26 @@
 type result struct {
 	Seed                                          uint64
 	Accepted, Refused, Unknown, Cancelled, Starts int
-	Faults                                        map[string]int
-	Broken                                        []string
+	// LongRunning is the number of accepted jobs with long-running tasks, ResetCalls that of
+	// calls to workers whose connection was reset.
+	LongRunning, ResetCalls int
+	Faults                  map[faultKind]int
+	Broken                  []string
 }
 
 func newOptions(t *testing.T) *options {
 	o := &options{
-		Seed: *seed, Duration: *duration, Processes: *processes, Workers: *workers, Dir: *dir, Binary: *binary, injectFaults: true,
+		Seed: *seed, Duration: *duration, Processes: *processes, Workers: *workers, Dir: *dir, Binary: *binary,
+		faultKinds: allFaultKinds, injectFaults: true,
 	}
 	if o.Dir == "" {
 		o.Dir = t.TempDir()
+	} else {
+		// Tests run in parallel.
+		o.Dir = filepath.Join(o.Dir, t.Name())
+		if err := os.MkdirAll(o.Dir, 0o700); err != nil {
+			t.Fatal(err)
+		}
 	}
 	if o.Binary == "" {
 		o.Binary = filepath.Join(o.Dir, "heatherhub")
@@ -65,20 +78,38 @@
 
 // TestSoak runs one seed. No guarantee may be violated and the run may not be idle.
 func TestSoak(t *testing.T) {
+	t.Parallel()
 	r := newOptions(t).run(t)
 	for _, b := range r.Broken {
 		t.Error(b)
 	}
 }
 
+// TestTaskOfWorkerWithoutEntryRunsOnce guards against a second start of tasks on workers that
+// work on while their entries are missing, calls to them fail or they drain.
+func TestTaskOfWorkerWithoutEntryRunsOnce(t *testing.T) {
+	t.Parallel()
+	o := newOptions(t)
+	o.faultKinds = []faultKind{entriesLapse, entriesLapseHeld, workerCallsReset, workerDrain}
+	for _, b := range o.run(t).Broken {
+		t.Error(b)
+	}
+}
+
 // TestIdleRunFails guards against a soak that passes without injecting faults: a run
-// without any must report itself as idle.
+// without any must report itself as idle and name each kind that is missing.
 func TestIdleRunFails(t *testing.T) {
+	t.Parallel()
 	o := newOptions(t)
 	o.injectFaults, o.Duration = false, 2*time.Second
 	r := o.run(t)
 	if len(r.Broken) != 1 || !strings.Contains(r.Broken[0], "idle") {
-		t.Errorf("got violations %v, want only that the run was idle", r.Broken)
+		t.Fatalf("got violations %v, want only that the run was idle", r.Broken)
+	}
+	for _, k := range allFaultKinds {
+		if !strings.Contains(r.Broken[0], string(k)) {
+			t.Errorf("got %q, want it to name the missing kind %q", r.Broken[0], k)
+		}
 	}
 }
 
@@ -86,6 +117,7 @@
 // discard ends of tasks before they are acknowledged. Up to 5 seeds are run, because not
 // every run loses an end.
 func TestAuditDetectsLostTaskEnds(t *testing.T) {
+	t.Parallel()
 	o := newOptions(t)
 	o.autoAcknowledge = true
 	for range 5 {
@@ -99,8 +131,8 @@
 	t.Error("got no violation with 5 seeds, want at least one")
 }
 
-// run runs the site, the callers and the faults, then ends all faults and waits for all
-// accepted jobs to end.
+// run runs the site, and the callers until all faults have ended, then waits for all accepted
+// jobs to end.
 func (o *options) run(t *testing.T) *result {
 	ctx := context.Background()
 	s := newSite(o)
@@ -109,41 +141,50 @@
 		t.Fatal(err)
 	}
 	c, f := newCallers(s), newFaults(s)
-	if !c.waitUntilAccepted(ctx) {
+	if !c[0].waitUntilAccepted(ctx) {
 		s.close(ctx)
 		t.Fatalf("no host accepted a job within %s", startTimeout)
 	}
 	faultCtx, cancel := context.WithTimeout(ctx, o.Duration)
 	defer cancel()
+	callCtx, stopCallers := context.WithCancel(ctx)
+	defer stopCallers()
 	var g conc.WaitGroup
-	g.Go(func() { c.run(faultCtx) })
-	if o.injectFaults {
-		g.Go(func() { f.run(faultCtx) })
-	}
+	g.Go(func() { c.run(callCtx) })
+	g.Go(func() {
+		defer stopCallers()
+		if o.injectFaults {
+			f.run(faultCtx)
+		} else {
+			<-faultCtx.Done()
+		}
+	})
 	g.Wait()
 	if err := s.endFaults(); err != nil {
 		t.Error(err)
 	}
 	c.waitForJobs(ctx)
-	r := o.newResult(s, c, f, append(s.close(ctx), c.violations...))
+	r := o.newResult(s, c, f, append(s.close(ctx), c.violations()...))
 	text, err := json.Marshal(r)
 	t.Logf("%s %v", text, err)
 	return r
 }
 
 // newResult collects the counts of a run, and reports an idle run as a violation.
-func (o *options) newResult(s *site, c *callers, f *faults, violations []string) *result {
+func (o *options) newResult(s *site, c callers, f *faults, violations []string) *result {
 	select {
 	case err := <-f.errs:
 		violations = append(violations, err.Error())
 	default:
 	}
+	n := c.total()
 	r := &result{
-		Seed: o.Seed, Accepted: c.counts.Accepted, Refused: c.counts.Refused, Unknown: c.counts.Unknown, Cancelled: c.counts.Cancelled,
-		Starts: s.audit.Starts(), Faults: f.counts, Broken: append(s.audit.Violations(), violations...),
+		Seed: o.Seed, Accepted: n.Accepted, Refused: n.Refused, Unknown: n.Unknown, Cancelled: n.Cancelled,
+		Starts: s.audit.Starts(), LongRunning: c.longRunning(), ResetCalls: s.audit.ResetCalls(), Faults: f.counts, Broken: append(s.audit.Violations(), violations...),
 	}
-	if f.total() == 0 || r.Starts == 0 || r.Accepted == 0 {
-		r.Broken = append(r.Broken, fmt.Sprintf("the run was idle: %d faults, %d jobs accepted, %d starts", f.total(), r.Accepted, r.Starts))
+	if missing := f.missing(); len(missing) > 0 || r.Starts == 0 || r.Accepted == 0 || r.LongRunning == 0 || r.ResetCalls == 0 {
+		r.Broken = append(r.Broken, fmt.Sprintf("the run was idle: %d jobs accepted, %d of them long-running, %d starts, %d calls to workers reset, no fault of the kinds %q",
+			r.Accepted, r.LongRunning, r.Starts, r.ResetCalls, missing))
 	}
 	return r
 }
