Start a host of the soak once when its faults end together

After the faults, one host had two processes; the soak stopped the later one and waited for the other.

Cause: ensureRunning looked whether the process runs and then started one, with nothing held in between. Two faults of one host that ended together, such as two planned restarts, both started it.

Change: startMu is held over both steps.

--- a/experiment/soak/process_test.go
+++ b/experiment/soak/process_test.go
@@ -25,6 +25,10 @@
 	logPath      string
 	group        *conc.WaitGroup
 
+	// startMu is held from the check whether the process is running until it has started.
+	startMu sync.Mutex
+
+	// mu guards the fields below.
 	mu       sync.Mutex
 	cmd      *exec.Cmd
 	exited   chan struct{}
@@ -100,6 +104,8 @@
 
 // ensureRunning resumes a paused process and starts one that is not running.
 func (p *process) ensureRunning() error {
+	p.startMu.Lock()
+	defer p.startMu.Unlock()
 	p.mu.Lock()
 	isPaused := p.isPaused
 	p.mu.Unlock()
