Inject faults of workers into random episodes

The 30 random episodes passed on that code: none of their faults removes the entry of a worker that lives or breaks a single call, all drained workers leave within 3.3 s, and no long-running tasks are submitted.

Change: episodes of TestRandomFaults also have entries of living workers lapse and come back (one, a failure domain, all, or in an outage in which the leases of owners expire), calls to workers reset (dropped, carried out, or carried out late), workers that drain for up to 9.9 s with and without the remaining time in their entries, lose their entries meanwhile or leave unannounced, workers cut off until their lease ends, late orders to workers about to drain, and long-running jobs. Each kind has an RNG of its own; a reset depends on the call and its time alone. After the 40 s of all faults, worker faults go on alone for 20 s: before that, owners changed too often to wait for the end of a lease. The test counts 26 events and fails if one never occurs; -owner-worker-faults limits a run to some kinds. Episodes of the other tests keep their faults.

--- a/process/owner/closed_test.go
+++ b/process/owner/closed_test.go
@@ -7,9 +7,16 @@
 	"heatherhub.example/heatherhub"
 )
 
-// drain has a worker announce that it leaves.
+// drain has a worker announce that it leaves, without the time that is left.
 func (site *simSite) drain(m *fakeWorker) {
-	m.entry.Draining = true
+	site.drainFor(m, 0)
+}
+
+// drainFor has a worker announce that it leaves after remaining at the earliest.
+func (site *simSite) drainFor(m *fakeWorker, remaining time.Duration) {
+	m.mu.Lock()
+	m.entry.Draining, m.entry.DrainRemaining = true, remaining
+	m.mu.Unlock()
 	site.register(m)
 }
 
--- /dev/null
+++ b/process/owner/fault_events_test.go
@@ -0,0 +1,76 @@
+package owner_test
+
+import (
+	"sync"
+	"testing"
+)
+
+// faultEvent is a fault of a worker, or its coincidence with the state of the worker.
+type faultEvent string
+
+const (
+	entryLapsed          faultEvent = "entry of one worker lapsed"
+	domainLapsed         faultEvent = "entries of a failure domain lapsed"
+	allLapsed            faultEvent = "entries of all workers lapsed"
+	outageLapsed         faultEvent = "entries lapsed in an outage"
+	outageOwnerExpired   faultEvent = "lease of the owner expired in such an outage"
+	entryReturned        faultEvent = "entry of a living worker came back"
+	pollDropped          faultEvent = "poll reset and dropped"
+	pollCarriedOut       faultEvent = "poll reset and carried out"
+	pollCarriedOutLate   faultEvent = "poll reset and carried out late"
+	orderDropped         faultEvent = "order reset and dropped"
+	orderCarriedOut      faultEvent = "order reset and carried out"
+	orderCarriedOutLate  faultEvent = "order reset and carried out late"
+	lapsedPollReset      faultEvent = "poll of a working worker without an entry reset"
+	lateOrderWhileLeaves faultEvent = "late order carried out at a draining worker or one without an entry"
+	drainTimed           faultEvent = "drain announced with the remaining time"
+	drainUntimed         faultEvent = "drain announced without the remaining time"
+	drainLapsed          faultEvent = "entry of a draining worker with runs lapsed"
+	cutOff               faultEvent = "ready worker with runs cut off from all hosts"
+	drainCutOff          faultEvent = "draining worker with runs cut off from all hosts"
+	leaseExpired         faultEvent = "run ended by the end of a lease"
+	leftWithRuns         faultEvent = "drained worker left with runs"
+	leftUnannounced      faultEvent = "worker with runs left unannounced"
+	leftReplaced         faultEvent = "worker with runs left and another instance answered"
+	longRunningLapsed    faultEvent = "entry of a worker with a long-running task lapsed"
+	longRunningDrained   faultEvent = "worker with a long-running task drained"
+	longRunningCancelled faultEvent = "long-running job cancelled during faults"
+)
+
+var allFaultEvents = []faultEvent{
+	entryLapsed, domainLapsed, allLapsed, outageLapsed, outageOwnerExpired, entryReturned,
+	pollDropped, pollCarriedOut, pollCarriedOutLate, orderDropped, orderCarriedOut, orderCarriedOutLate,
+	lapsedPollReset, lateOrderWhileLeaves, drainTimed, drainUntimed, drainLapsed, cutOff, drainCutOff, leaseExpired,
+	leftWithRuns, leftUnannounced, leftReplaced, longRunningLapsed, longRunningDrained, longRunningCancelled,
+}
+
+// faultCounts counts fault events over all episodes of a test.
+type faultCounts struct {
+	mu sync.Mutex
+	n  map[faultEvent]int
+}
+
+func newFaultCounts() *faultCounts {
+	return &faultCounts{n: make(map[faultEvent]int)}
+}
+
+func (c *faultCounts) add(e faultEvent) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.n[e]++
+}
+
+// check logs the counts and, if the test ran at least defaultEpisodes with all kinds of
+// faults, expects each event to have occurred.
+func (c *faultCounts) check(t *testing.T) {
+	t.Helper()
+	isComplete := *episodes >= defaultEpisodes && *workerFaultFlag == joinKinds(allWorkerFaultKinds)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, e := range allFaultEvents {
+		t.Logf("%6d times: %s", c.n[e], e)
+		if c.n[e] == 0 && isComplete {
+			t.Errorf("got no event %q, want at least one", e)
+		}
+	}
+}
--- a/process/owner/random_test.go
+++ b/process/owner/random_test.go
@@ -13,14 +13,20 @@
 )
 
 var (
-	episodes    = flag.Int("owner-episodes", 30, "random episodes")
+	episodes    = flag.Int("owner-episodes", defaultEpisodes, "random episodes")
 	episodeSeed = flag.Uint64("owner-seed", 1, "seed of the first random episode")
 )
 
+// defaultEpisodes is the number of random episodes unless a flag sets it.
+const defaultEpisodes = 30
+
 // Timing of an episode.
 const (
 	// faultPhase is how long faults are injected.
 	faultPhase = 40 * time.Second
+	// workerFaultPhase is how long worker faults are injected after that. Owners then keep their
+	// shards for long enough to wait for the end of leases.
+	workerFaultPhase = 20 * time.Second
 	// recoveryLimit is the time after the faults within which all jobs have to end.
 	recoveryLimit = 60 * time.Second
 )
@@ -33,24 +39,30 @@
 	// rng so that the other faults of a seed do not depend on it.
 	watchRNG *rand.Rand
 	// leaveRNG decides, apart from the others, which faults come with workers that leave.
-	leaveRNG  *rand.Rand
-	left      int
-	jobs      []heatherhub.JobID
-	cancelled map[heatherhub.JobID]bool
-	hosts     [3]heatherhub.HostID
-	restarts  int
-	isFaulty  bool
+	leaveRNG *rand.Rand
+	left     int
+	// replaced holds the workers that replaceWorker has chosen.
+	replaced map[heatherhub.WorkerID]bool
+	// workerFaults is nil in episodes without worker faults.
+	workerFaults *workerFaults
+	jobs         []heatherhub.JobID
+	cancelled    map[heatherhub.JobID]bool
+	hosts        [3]heatherhub.HostID
+	restarts     int
+	isFaulty     bool
 }
 
 // TestRandomFaults injects overlapping random faults while real hosts run jobs. The audit
-// checks every start, and all jobs complete after the faults.
+// checks every start. After the faults all jobs complete, and long-running tasks run until
+// their jobs are cancelled.
 func TestRandomFaults(t *testing.T) {
 	starts, faults := 0, 0
+	counts := newFaultCounts()
 	for i := range *episodes {
 		seed := *episodeSeed + uint64(i)
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				e := newEpisode(t, seed)
+				e := newWorkerFaultEpisode(t, seed, counts, flaggedKinds())
 				faults += e.injectFaults()
 				e.healAndCheck()
 				starts += e.totalStarts()
@@ -58,6 +70,7 @@
 		})
 	}
 	t.Logf("%d episodes, %d faults, %d starts", *episodes, faults, starts)
+	counts.check(t)
 	if faults == 0 || starts == 0 {
 		t.Errorf("got %d faults and %d starts, want more than 0 of both", faults, starts)
 	}
@@ -116,21 +129,30 @@
 func newEpisodeOn(site *simSite, seed uint64) *episode {
 	return &episode{
 		simSite: site, rng: rand.New(rand.NewPCG(seed, 3)), watchRNG: rand.New(rand.NewPCG(seed, 4)),
-		leaveRNG:  rand.New(rand.NewPCG(seed, 5)),
+		leaveRNG: rand.New(rand.NewPCG(seed, 5)), replaced: make(map[heatherhub.WorkerID]bool),
 		cancelled: make(map[heatherhub.JobID]bool), hosts: [3]heatherhub.HostID{"h0", "h1", "h2"},
 	}
 }
 
-// injectFaults submits jobs and injects faults for the length of faultPhase. It returns the
-// number of faults.
+// injectFaults submits jobs and injects faults for the length of faultPhase, and then, if there
+// are any, worker faults alone for workerFaultPhase. It returns the number of faults.
 func (e *episode) injectFaults() int {
-	end := time.Now().Add(faultPhase)
+	n := e.injectFor(faultPhase, e.injectFault)
+	if e.workerFaults != nil {
+		n += e.injectFor(workerFaultPhase, e.workerFaults.inject)
+	}
+	return n
+}
+
+// injectFor submits jobs and calls inject at random times for d. It returns the number of calls.
+func (e *episode) injectFor(d time.Duration, inject func()) int {
+	end := time.Now().Add(d)
 	n := 0
 	for time.Now().Before(end) {
 		e.addJob()
 		if e.rng.IntN(3) == 0 {
 			n++
-			e.injectFault()
+			inject()
 		}
 		time.Sleep(time.Duration(100+e.rng.IntN(500)) * time.Millisecond)
 	}
@@ -158,6 +180,9 @@
 	span := time.Duration(500+e.rng.IntN(8000)) * time.Millisecond
 	d := e.rng.IntN(3)
 	host := e.hosts[d]
+	if e.workerFaults != nil {
+		e.workerFaults.inject()
+	}
 	if e.watchRNG.IntN(6) == 0 {
 		e.store.setSilentPrefix(record.JobPrefix)
 		e.after(span, func() { e.store.setSilentPrefix("") })
@@ -208,9 +233,10 @@
 func (e *episode) replaceWorker() {
 	d, i := e.leaveRNG.IntN(3), e.leaveRNG.IntN(3)
 	m := e.worker(heatherhub.WorkerID(fmt.Sprintf("w%d-%d", d, i)))
-	if m.entry.Draining {
+	if e.replaced[m.entry.ID] {
 		return
 	}
+	e.replaced[m.entry.ID] = true
 	e.drain(m)
 	e.left++
 	if e.leaveRNG.IntN(2) == 0 {
@@ -265,6 +291,9 @@
 func (e *episode) healAndCheck() {
 	e.endFaults()
 	e.await("all jobs", recoveryLimit, e.allComplete)
+	if e.workerFaults != nil {
+		e.workerFaults.checkLongRunning()
+	}
 	e.shutdown()
 	e.checkViolations()
 }
@@ -277,6 +306,9 @@
 	e.store.setLostAnswerShare(0)
 	e.store.setSilentPrefix("")
 	e.setDelayedShare(0)
+	if e.workerFaults != nil {
+		e.workerFaults.setResetShare(0)
+	}
 	e.mu.Lock()
 	clear(e.partitions)
 	e.mu.Unlock()
--- a/process/owner/store_test.go
+++ b/process/owner/store_test.go
@@ -37,6 +37,8 @@
 	// effect seconds later.
 	lostAnswerShare float64
 	isDown          bool
+	// outages is the number of outages beside isDown.
+	outages int
 	// silentPrefix is the prefix of watches that get no answer.
 	silentPrefix string
 	// delayedKey is a key whose commits take effect late and without an answer.
@@ -190,7 +192,7 @@
 func (s *hostStore) reach(ctx context.Context) error {
 	s.site.awaitUnfrozen(s.host)
 	s.mu.Lock()
-	isDown := s.isDown
+	isDown := s.isDown || s.outages > 0
 	s.mu.Unlock()
 	if s.site.isDead(s.host) {
 		return heatherhub.ErrUnavailable.New("the host is dead")
--- a/process/owner/worker_test.go
+++ b/process/owner/worker_test.go
@@ -13,7 +13,8 @@
 // fakeWorker is one instance of a worker. It ends all its tasks when its lease expires on
 // its own clock. It does not check whether a started task fits; simSite audits that.
 type fakeWorker struct {
-	site  *simSite
+	site *simSite
+	// mu guards Draining and DrainRemaining of the entry; the other fields do not change.
 	entry agent.Worker
 	// clockRate is the speed of its clock relative to the test's virtual time.
 	clockRate   float64
@@ -29,6 +30,12 @@
 	ended         []fakeEnd
 	lastEndNumber uint64
 	isGone        bool
+	// isReplaced says that another instance answers at the address of a worker that has left.
+	isReplaced bool
+	// cutOffs is the number of faults that keep all hosts from reaching the worker.
+	cutOffs int
+	// hasLateOrders says that some of the orders are carried out late.
+	hasLateOrders bool
 	changed       chan struct{}
 }
 
@@ -87,8 +94,11 @@
 	end := agent.Ended{Sequence: m.lastEndNumber, Task: t, Run: r.run, Kind: kind}
 	m.ended = append(m.ended, fakeEnd{Ended: end, startsAtEnd: m.site.startCount(t)})
 	m.maxRuns[t] = max(m.maxRuns[t], r.run)
-	if kind == agent.EndDone {
+	switch kind {
+	case agent.EndDone:
 		m.site.recordCompletion(t)
+	case agent.EndExpired:
+		m.site.countFault(leaseExpired)
 	}
 	close(m.changed)
 	m.changed = make(chan struct{})
@@ -106,6 +116,9 @@
 // caller holds m.mu.
 func (m *fakeWorker) accept(token agent.Token) error {
 	m.advance()
+	if m.isReplaced {
+		return agent.ErrWorkerReplaced.New("another instance responds")
+	}
 	if m.isGone {
 		return heatherhub.ErrUnavailable.New("the worker has shut down")
 	}
@@ -179,6 +192,12 @@
 	}
 }
 
+// pollOnce carries out a poll whose answer nobody waits for.
+func (m *fakeWorker) pollOnce(p agent.Poll) {
+	p.Wait = 0
+	_, _ = m.poll(context.Background(), p)
+}
+
 // acknowledge forgets the ended runs up to a sequence number. The caller holds m.mu.
 func (m *fakeWorker) acknowledge(upTo uint64) {
 	kept := m.ended[:0]
@@ -224,7 +243,7 @@
 		return nil, heatherhub.ErrUnavailable.New("the host is dead")
 	}
 	m := a.site.worker(a.worker)
-	if m == nil || a.site.isPartitioned(string(a.host), string(a.worker)) {
+	if m == nil || a.isCutOff(m) {
 		ledger.Sleep(ctx, callTimeout)
 		return nil, heatherhub.ErrUnknown.New("no answer from the worker")
 	}
@@ -232,6 +251,11 @@
 	return m, nil
 }
 
+// isCutOff reports whether the host cannot reach the worker.
+func (a *hostAgent) isCutOff(m *fakeWorker) bool {
+	return m.isCutOff() || a.site.isPartitioned(string(a.host), string(a.worker))
+}
+
 // order carries out an order. A delayed order is carried out up to 8.3 s later, and gets
 // no answer.
 func (a *hostAgent) order(ctx context.Context, do func(*fakeWorker) (agent.Clock, error)) (agent.Clock, error) {
@@ -240,13 +264,16 @@
 		return 0, err
 	}
 	ledger.Sleep(ctx, time.Duration(a.site.orderTime.Load()))
+	if a.resetCall(m, orderCall, func() { _, _ = do(m) }) {
+		return 0, a.site.unansweredError()
+	}
 	if delay, isLate := a.site.orderDelay(); isLate {
 		a.site.after(delay, func() { _, _ = do(m) })
 		ledger.Sleep(ctx, callTimeout)
 		return 0, a.site.unansweredError()
 	}
 	c, err := do(m)
-	if a.site.isPartitioned(string(a.host), string(a.worker)) {
+	if a.isCutOff(m) {
 		return 0, a.site.unansweredError()
 	}
 	return c, err
@@ -277,8 +304,12 @@
 	if err != nil {
 		return agent.Report{}, err
 	}
-	r, err := m.poll(ctx, a.site.injectPollFault(a.worker, p))
-	if a.site.isPartitioned(string(a.host), string(a.worker)) || a.site.isDead(a.host) {
+	p = a.site.injectPollFault(a.worker, p)
+	if a.resetCall(m, pollCall, func() { m.pollOnce(p) }) {
+		return agent.Report{}, a.site.unansweredError()
+	}
+	r, err := m.poll(ctx, p)
+	if a.isCutOff(m) || a.site.isDead(a.host) {
 		return agent.Report{}, heatherhub.ErrUnknown.New("the answer was lost")
 	}
 	return r, err
--- a/process/owner/world_test.go
+++ b/process/owner/world_test.go
@@ -71,6 +71,8 @@
 	// reportUnansweredAsUnsent injects a fault: an order without an answer is reported as
 	// not sent.
 	reportUnansweredAsUnsent atomic.Bool
+	// callFaults resets and delays calls to workers, if set.
+	callFaults atomic.Pointer[workerFaults]
 }
 
 // newSimSite returns a site without workers and hosts.
@@ -112,8 +114,13 @@
 	return m
 }
 
-// register writes the worker's entry to the store.
+// register writes the worker's entry to the store, unless the worker has left.
 func (site *simSite) register(m *fakeWorker) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.isGone {
+		return
+	}
 	value, err := json.Marshal(m.entry)
 	if err != nil {
 		site.t.Error(err)
