Check that the audit detects false evidence of a worker's end

An owner takes a worker for gone if another instance answers, if a drained worker lists no run, or if its lease has expired. The audit was not known to notice when one of these is false.

Change: TestAuditDetectsInjectedFaults also has workers that ignore the end of their lease, resets that are reported as another instance, and draining workers that list no runs. The four former faults are injected as before.

--- a/process/owner/random_test.go
+++ b/process/owner/random_test.go
@@ -94,19 +94,29 @@
 // TestAuditDetectsInjectedFaults injects faults into the simulation and expects the audit
 // to detect each of them within 60 episodes.
 func TestAuditDetectsInjectedFaults(t *testing.T) {
-	faults := map[string]func(*simSite){
-		"ends acknowledged before they are durable": func(site *simSite) { site.acknowledgeEarly.Store(true) },
-		"workers accept any token":                  func(site *simSite) { site.ignoreTokens.Store(true) },
-		"unanswered start reported as not sent":     func(site *simSite) { site.reportUnansweredAsUnsent.Store(true) },
-		"tasks of leaving workers left out":         func(site *simSite) { site.store.forgetClosedTasks.Store(true) },
+	withWorkerFaults := func(kinds ...workerFaultKind) func(*testing.T, uint64) *episode {
+		return func(t *testing.T, seed uint64) *episode {
+			return newWorkerFaultEpisode(t, seed, newFaultCounts(), kinds)
+		}
 	}
-	for name, inject := range faults {
+	for name, fault := range map[string]struct {
+		newEpisode func(*testing.T, uint64) *episode
+		inject     func(*simSite)
+	}{
+		"ends acknowledged before they are durable": {newEpisode, func(site *simSite) { site.acknowledgeEarly.Store(true) }},
+		"workers accept any token":                  {newEpisode, func(site *simSite) { site.ignoreTokens.Store(true) }},
+		"unanswered start reported as not sent":     {newEpisode, func(site *simSite) { site.reportUnansweredAsUnsent.Store(true) }},
+		"tasks of leaving workers left out":         {newEpisode, func(site *simSite) { site.store.forgetClosedTasks.Store(true) }},
+		"workers ignore the end of their lease":     {withWorkerFaults(cutOffFaults, longRunningFaults), func(site *simSite) { site.ignoreLeases.Store(true) }},
+		"reset poll reported as replaced worker":    {withWorkerFaults(allWorkerFaultKinds...), func(site *simSite) { site.reportResetAsReplaced.Store(true) }},
+		"draining workers list no runs":             {withWorkerFaults(allWorkerFaultKinds...), func(site *simSite) { site.hideDrainingRuns.Store(true) }},
+	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := uint64(1); seed <= 60; seed++ {
 				isDetected := false
 				synctest.Test(t, func(t *testing.T) {
-					e := newEpisode(t, seed)
-					inject(e.simSite)
+					e := fault.newEpisode(t, seed)
+					fault.inject(e.simSite)
 					e.injectFaults()
 					e.shutdown()
 					isDetected = len(e.violations) > 0
--- a/process/owner/worker_test.go
+++ b/process/owner/worker_test.go
@@ -74,7 +74,7 @@
 		switch {
 		case m.isGone:
 			delete(m.running, t)
-		case isOver:
+		case isOver && !m.site.ignoreLeases.Load():
 			m.finish(t, r, agent.EndExpired)
 		case !r.stopsAt.IsZero() && now.After(r.stopsAt):
 			m.finish(t, r, agent.EndStopped)
@@ -217,6 +217,9 @@
 	for _, e := range m.ended {
 		r.Ended = append(r.Ended, e.Ended)
 	}
+	if m.entry.Draining && m.site.hideDrainingRuns.Load() {
+		return r
+	}
 	for t, run := range m.running {
 		row := agent.Running{Task: t, Run: run.run, Progress: 100}
 		if whole := m.site.runTime(t); whole < longRunTime {
@@ -306,6 +309,9 @@
 	}
 	p = a.site.injectPollFault(a.worker, p)
 	if a.resetCall(m, pollCall, func() { m.pollOnce(p) }) {
+		if a.site.reportResetAsReplaced.Load() {
+			return agent.Report{}, agent.ErrWorkerReplaced.New("another instance responds")
+		}
 		return agent.Report{}, a.site.unansweredError()
 	}
 	r, err := m.poll(ctx, p)
--- a/process/owner/world_test.go
+++ b/process/owner/world_test.go
@@ -71,6 +71,12 @@
 	// reportUnansweredAsUnsent injects a fault: an order without an answer is reported as
 	// not sent.
 	reportUnansweredAsUnsent atomic.Bool
+	// ignoreLeases injects a fault: runs go on after the lease of their worker has expired.
+	ignoreLeases atomic.Bool
+	// reportResetAsReplaced injects a fault: a poll that is reset reports another instance.
+	reportResetAsReplaced atomic.Bool
+	// hideDrainingRuns injects a fault: draining workers list no runs.
+	hideDrainingRuns atomic.Bool
 	// callFaults resets and delays calls to workers, if set.
 	callFaults atomic.Pointer[workerFaults]
 }
