Inject worker faults on divided sites

On a site of several shards such tasks may also be moved, and the episodes of divided sites had no faults of workers.

Change: TestRandomFaultsOfDividedSites injects all kinds of worker faults but long-running jobs, of which it has its own.

Evidence: go test ./process/owner -run TestRandomFaultsOfDividedSites -args -owner-episodes 400 -owner-seed 1000 on: 134 episodes pass, with 10568 moved jobs.

Conclusion: no violation is found there.

--- a/process/owner/move_test.go
+++ b/process/owner/move_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -238,11 +239,14 @@
 // has more long-running tasks than fit there.
 func TestRandomFaultsOfDividedSites(t *testing.T) {
 	moved := 0
+	counts := newFaultCounts()
+	kinds := slices.DeleteFunc(flaggedKinds(), func(k workerFaultKind) bool { return k == longRunningFaults })
 	for i := range (*episodes + 2) / 3 {
 		seed := *episodeSeed + uint64(i)
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				e := newShardedEpisode(t, seed)
+				e.addWorkerFaults(seed, counts, kinds)
 				e.injectFaults()
 				e.healAndCheckSharded()
 				moved += e.movedJobs()
