Log the lives of workers that start again under their id

Nothing logged a worker's life, so the logs of the incident could not tell ends that were skipped from runs that were lost. No decision changes: an entry or report without the field is used as before.

--- a/connection/agent/agent.go
+++ b/connection/agent/agent.go
@@ -123,8 +123,10 @@
 
 // Report is an agent's response to a poll.
 type Report struct {
-	Clock   Clock
-	Running []Running
+	// Incarnation is the life of the worker that responded.
+	Incarnation heatherhub.Incarnation
+	Clock       Clock
+	Running     []Running
 	// Ended has the ended runs with the lowest numbers, at most MaxEnded.
 	Ended []Ended
 }
--- a/ids.go
+++ b/ids.go
@@ -38,6 +38,10 @@
 	CheckpointRef string
 )
 
+// Incarnation tells the lives of a worker apart, which may start again under its ID. It is the
+// worker's start in Unix milliseconds.
+type Incarnation uint64
+
 // Epoch numbers the successive owners of one shard. The owner with the highest
 // epoch is the current one.
 type Epoch uint64
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -86,8 +86,11 @@
 		e.handleRunning(now, n, key, run)
 	}
 	for i := range r.Ended {
-		if r.Ended[i].Sequence > n.lastEnd {
+		switch {
+		case r.Ended[i].Sequence > n.lastEnd:
 			e.handleEnded(now, n, &r.Ended[i])
+		case r.Ended[i].Sequence <= n.acknowledged:
+			e.Stats.RelistedEnds++
 		}
 	}
 	n.advanceAcknowledged()
--- a/process/dispatch/view.go
+++ b/process/dispatch/view.go
@@ -117,6 +117,15 @@
 	return out
 }
 
+// UnacknowledgedEnds returns the number of ended runs that a worker has reported and may not
+// forget yet.
+func (e *Engine) UnacknowledgedEnds(id heatherhub.WorkerID) int {
+	if n := e.nodes[id]; n != nil {
+		return len(n.pendingAcks)
+	}
+	return 0
+}
+
 // OpenRuns returns the number of runs on a worker that are not known to be over.
 func (e *Engine) OpenRuns(id heatherhub.WorkerID) int {
 	n := e.nodes[id]
--- a/process/owner/fleet.go
+++ b/process/owner/fleet.go
@@ -201,6 +201,7 @@
 			t.log.Info("worker listed again", zap.String("worker", string(entry.ID)), zap.Duration("sinceUnlisted", t.now().Steady-w.unlistedAt))
 		}
 		entry.Draining = entry.Draining || w.hasDrained
+		w.recordIncarnation(entry.Incarnation, "entry")
 		w.entry, w.isListed = entry, true
 		t.engine.UpdateWorker(entry)
 		w.updateVacated()
--- a/process/owner/metrics.go
+++ b/process/owner/metrics.go
@@ -20,6 +20,8 @@
 	workers    *prometheus.GaugeVec
 	// workersGone counts workers on which no task runs any more, by evidence.
 	workersGone *prometheus.CounterVec
+	// workerRestarts counts workers that were seen in another incarnation.
+	workerRestarts prometheus.Counter
 }
 
 // waitBuckets are the histogram buckets of waiting times, in seconds. Most starts take
@@ -52,9 +54,12 @@
 		workersGone: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "heatherhub_workers_gone_total", Help: "Workers on which no task runs any more, by evidence.",
 		}, []string{"evidence"}),
+		workerRestarts: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "heatherhub_worker_restarts_total", Help: "Workers that started again under their ID.",
+		}),
 	}
 	if r != nil {
-		r.MustRegister(m.events, m.takeovers, m.shardsLost, m.commits, m.commitTime, m.stepWait, m.jobTime, m.workers, m.workersGone)
+		r.MustRegister(m.events, m.takeovers, m.shardsLost, m.commits, m.commitTime, m.stepWait, m.jobTime, m.workers, m.workersGone, m.workerRestarts)
 	}
 	return m
 }
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -54,6 +54,8 @@
 	// The term's mu guards the fields from entry to confirmedAt.
 
 	entry agent.Worker
+	// incarnation is the life of the worker that was seen last; zero before any was.
+	incarnation heatherhub.Incarnation
 	// isListed says that the worker's entry is in the store.
 	isListed bool
 	// hasDrained says that the worker has announced that it leaves, at leavesAt (steady) at
@@ -345,6 +347,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	w.recordIncarnation(r.Incarnation, "report")
 	w.answeredAt = now.Steady
 	if w.isUp {
 		t.engine.Report(now, sentAt, w.entry.ID, r)
@@ -355,13 +358,27 @@
 			t.engine.WorkerDrains(w.entry.ID, w.leavesAt)
 			t.closeWorker()
 		}
-		t.log.Info("worker up", zap.String("worker", string(w.entry.ID)), zap.Int("running", len(r.Running)), zap.Int("ended", len(r.Ended)))
+		t.log.Info("worker up", zap.String("worker", string(w.entry.ID)), zap.Uint64("incarnation", uint64(w.incarnation)), zap.Int("running", len(r.Running)), zap.Int("ended", len(r.Ended)))
 	}
 	t.publishOnceResolved()
 	w.updateVacated()
 	t.wakeLoops()
 }
 
+// recordIncarnation logs that the worker has restarted if a message names another incarnation
+// than the ones before. The caller holds the term's mu.
+func (w *workerLoop) recordIncarnation(n heatherhub.Incarnation, message string) {
+	former := w.incarnation
+	w.incarnation = n
+	if former == 0 || former == n {
+		return
+	}
+	t, id := w.term, w.entry.ID
+	t.host.metrics.workerRestarts.Inc()
+	t.log.Warn("worker restarted", zap.String("worker", string(id)), zap.Uint64("former", uint64(former)), zap.Uint64("incarnation", uint64(n)), zap.String("seenBy", message),
+		zap.Int("running", t.engine.OpenRuns(id)), zap.Int("unacknowledgedEnds", t.engine.UnacknowledgedEnds(id)), zap.Uint64("acknowledged", t.engine.Acknowledged(id)))
+}
+
 // evidence is how it is known that no task runs on a worker any more. Its value is logged.
 type evidence string
 
@@ -435,7 +452,7 @@
 // work. The caller holds the term's mu.
 func (w *workerLoop) logGone(now time.Duration, found evidence, err error) {
 	fields := []zap.Field{
-		zap.String("worker", string(w.entry.ID)), zap.String("evidence", string(found)), zap.Int("running", w.term.engine.OpenRuns(w.entry.ID)),
+		zap.String("worker", string(w.entry.ID)), zap.Uint64("incarnation", uint64(w.incarnation)), zap.String("evidence", string(found)), zap.Int("running", w.term.engine.OpenRuns(w.entry.ID)),
 		zap.Bool("listed", w.isListed), zap.Bool("drained", w.hasDrained), zap.Bool("reached", w.isUp), zap.Error(err),
 	}
 	if w.isUp {
