--- /dev/null
+++ b/process/owner/restart_test.go
@@ -0,0 +1,78 @@
+package owner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"heatherhub.example/heatherhub"
+)
+
+// restartAll restarts all workers, each after a delay.
+func (site *simSite) restartAll(delay time.Duration) {
+	for _, m := range site.livingWorkers() {
+		site.restartWorker(m, delay)
+	}
+}
+
+// TestEndsOnRestartedWorkerCountOnce guards against ends of a worker's new incarnation that are
+// taken for known ones, because the former incarnation had numbered more ends.
+func TestEndsOnRestartedWorkerCountOnce(t *testing.T) {
+	for _, delay := range []time.Duration{0, 20 * time.Millisecond, 500 * time.Millisecond, 4 * time.Second} {
+		t.Run(delay.String(), func(t *testing.T) {
+			testOnSite(t, 1, func(site *simSite) {
+				site.submit("before", newStep(36, 100*time.Millisecond))
+				site.await("the first ends", 20*time.Second, func() bool { return site.isCompleted("before") })
+				site.submit("across", newStep(12, 1500*time.Millisecond))
+				time.Sleep(500 * time.Millisecond)
+				site.restartAll(delay)
+				site.await("the job", 20*time.Second, func() bool { return site.isCompleted("across") })
+			})
+		})
+	}
+}
+
+// TestLeaseOfRestartedWorkerEndsInTime guards against the end of a lease that is worked out from
+// the clock of a former incarnation, which has run for longer.
+func TestLeaseOfRestartedWorkerEndsInTime(t *testing.T) {
+	testOnSite(t, 1, func(site *simSite) {
+		time.Sleep(100 * time.Second)
+		site.restartAll(500 * time.Millisecond)
+		time.Sleep(5 * time.Second)
+		site.submit("lasting", newLongRunningStep(1))
+		task := heatherhub.StepTask{Job: "lasting"}
+		site.await("the start", 2*time.Second, func() bool { return site.workerOf(task) != nil })
+		time.Sleep(2 * time.Second)
+		lost := site.workerOf(task)
+		lost.leave(false)
+		site.store.removeKey(workerPrefix + string(lost.entry.ID))
+		// Longest lease of a new incarnation, on the slowest clock, and the polls that fail.
+		site.await("the start elsewhere", longestLease+2*time.Second, func() bool { return site.workerOf(task) != nil })
+	})
+}
+
+// TestLateStartOnRestartedWorkerRunsOnce guards against a start that was sent to a former
+// incarnation, got no answer, and is carried out by the next one.
+func TestLateStartOnRestartedWorkerRunsOnce(t *testing.T) {
+	for _, delay := range []time.Duration{50 * time.Millisecond, 700 * time.Millisecond, 2 * time.Second} {
+		t.Run(delay.String(), func(t *testing.T) {
+			testOnSite(t, 2, func(site *simSite) {
+				site.setDelayedShare(1)
+				for i := range 12 {
+					site.submit(heatherhub.JobID(fmt.Sprintf("late%d", i)), newStep(6, 400*time.Millisecond))
+					time.Sleep(300 * time.Millisecond)
+					workers := site.livingWorkers()
+					if len(workers) == 0 {
+						continue
+					}
+					site.restartWorker(workers[i%len(workers)], delay)
+				}
+				site.setDelayedShare(0)
+				for i := range 12 {
+					id := heatherhub.JobID(fmt.Sprintf("late%d", i))
+					site.await("the job "+string(id), 60*time.Second, func() bool { return site.isCompleted(id) })
+				}
+			})
+		})
+	}
+}
--- a/process/owner/worker_test.go
+++ b/process/owner/worker_test.go
@@ -10,10 +10,11 @@
 	"heatherhub.example/heatherhub/connection/ledger"
 )
 
-// fakeWorker is one instance of a worker. It ends all its tasks when its lease expires on
+// fakeWorker is one incarnation of a worker. It ends all its tasks when its lease expires on
 // its own clock. It does not check whether a started task fits; simSite audits that.
 type fakeWorker struct {
-	site *simSite
+	site        *simSite
+	incarnation heatherhub.Incarnation
 	// mu guards Draining and DrainRemaining of the entry; the other fields do not change.
 	entry agent.Worker
 	// clockRate is the speed of its clock relative to the test's virtual time.
@@ -56,7 +57,7 @@
 
 func newFakeWorker(site *simSite, entry agent.Worker, rate float64) *fakeWorker {
 	return &fakeWorker{
-		site: site, entry: entry, clockRate: rate, clockOrigin: time.Now().Add(-time.Minute), running: make(map[heatherhub.StepTask]*fakeRun),
+		site: site, incarnation: heatherhub.Incarnation(time.Now().UnixMilli()), entry: entry, clockRate: rate, clockOrigin: time.Now().Add(-time.Minute), running: make(map[heatherhub.StepTask]*fakeRun),
 		maxRuns: make(map[heatherhub.StepTask]heatherhub.RunID), changed: make(chan struct{}),
 	}
 }
@@ -142,10 +143,10 @@
 	if s.LeaseUntil <= m.clock() {
 		return m.clock(), &agent.RefusedError{Reason: agent.ReasonLate, Clock: m.clock()}
 	}
+	m.extendLease(s.LeaseUntil)
 	if s.Run <= m.maxRuns[s.Task] {
 		return m.clock(), &agent.RefusedError{Reason: agent.ReasonStaleRun, Clock: m.clock()}
 	}
-	m.leaseUntil = max(m.leaseUntil, s.LeaseUntil)
 	m.running[s.Task] = &fakeRun{run: s.Run, endsAt: time.Now().Add(m.site.runTime(s.Task))}
 	m.site.recordStart(m, s.Task)
 	return m.clock(), nil
@@ -164,6 +165,14 @@
 	return m.clock(), nil
 }
 
+// longestLease is the longest lease that a worker grants. It shortens longer ones.
+const longestLease = 10 * time.Second
+
+// extendLease extends the lease to until. The caller holds m.mu.
+func (m *fakeWorker) extendLease(until agent.Clock) {
+	m.leaseUntil = max(m.leaseUntil, min(until, m.clock().Add(longestLease)))
+}
+
 // stopDuration is the time from a stop order to the end of the run.
 const stopDuration = 300 * time.Millisecond
 
@@ -175,7 +184,7 @@
 			m.mu.Unlock()
 			return agent.Report{}, err
 		}
-		m.leaseUntil = max(m.leaseUntil, p.LeaseUntil)
+		m.extendLease(p.LeaseUntil)
 		m.acknowledge(p.AcknowledgedUpTo)
 		r := m.report()
 		changed := m.changed
@@ -213,7 +222,7 @@
 
 // report lists the running and the unacknowledged ended runs. The caller holds m.mu.
 func (m *fakeWorker) report() agent.Report {
-	r := agent.Report{Clock: m.clock()}
+	r := agent.Report{Incarnation: m.incarnation, Clock: m.clock()}
 	for _, e := range m.ended {
 		r.Ended = append(r.Ended, e.Ended)
 	}
@@ -267,11 +276,11 @@
 		return 0, err
 	}
 	ledger.Sleep(ctx, time.Duration(a.site.orderTime.Load()))
-	if a.resetCall(m, orderCall, func() { _, _ = do(m) }) {
+	if a.resetCall(m, orderCall, func() { _, _ = do(a.site.worker(a.worker)) }) {
 		return 0, a.site.unansweredError()
 	}
 	if delay, isLate := a.site.orderDelay(); isLate {
-		a.site.after(delay, func() { _, _ = do(m) })
+		a.site.after(delay, func() { _, _ = do(a.site.worker(a.worker)) })
 		ledger.Sleep(ctx, callTimeout)
 		return 0, a.site.unansweredError()
 	}
@@ -308,7 +317,7 @@
 		return agent.Report{}, err
 	}
 	p = a.site.injectPollFault(a.worker, p)
-	if a.resetCall(m, pollCall, func() { m.pollOnce(p) }) {
+	if a.resetCall(m, pollCall, func() { a.site.worker(a.worker).pollOnce(p) }) {
 		if a.site.reportResetAsReplaced.Load() {
 			return agent.Report{}, agent.ErrWorkerReplaced.New("another instance responds")
 		}
--- a/process/owner/world_test.go
+++ b/process/owner/world_test.go
@@ -100,10 +100,17 @@
 	return dispatch.Moment{Steady: time.Since(c.start), Wall: time.Now()}
 }
 
+// fakeEntry is the registration of a fakeWorker.
+type fakeEntry struct {
+	agent.Worker
+	Life heatherhub.Incarnation
+}
+
 func decodeWorker(it ledger.Item) (agent.Worker, error) {
-	var worker agent.Worker
-	err := json.Unmarshal(it.Value, &worker)
-	return worker, err
+	var entry fakeEntry
+	err := json.Unmarshal(it.Value, &entry)
+	entry.Worker.Incarnation = entry.Life
+	return entry.Worker, err
 }
 
 // addWorker registers a worker with ten processors whose clock runs 2% slow.
@@ -120,6 +127,31 @@
 	return m
 }
 
+// restartWorker ends a worker with all its runs. After a delay it starts again under its ID and
+// knows nothing of before.
+func (site *simSite) restartWorker(m *fakeWorker, delay time.Duration) {
+	m.leave(false)
+	site.after(delay, func() { site.startAgain(m) })
+	if silence := 3 * heartbeat; delay > silence {
+		site.after(silence, func() { site.store.removeKey(workerPrefix + string(m.entry.ID)) })
+	}
+}
+
+// startAgain starts the next incarnation of a worker that has left.
+func (site *simSite) startAgain(m *fakeWorker) *fakeWorker {
+	m.mu.Lock()
+	entry := m.entry
+	m.mu.Unlock()
+	entry.Draining, entry.DrainRemaining = false, 0
+	next := newFakeWorker(site, entry, m.clockRate)
+	next.clockOrigin = time.Now()
+	site.mu.Lock()
+	site.workers[entry.ID] = next
+	site.mu.Unlock()
+	site.register(next)
+	return next
+}
+
 // register writes the worker's entry to the store, unless the worker has left.
 func (site *simSite) register(m *fakeWorker) {
 	m.mu.Lock()
@@ -127,7 +159,7 @@
 	if m.isGone {
 		return
 	}
-	value, err := json.Marshal(m.entry)
+	value, err := json.Marshal(fakeEntry{Worker: m.entry, Life: m.incarnation})
 	if err != nil {
 		site.t.Error(err)
 	}
