Let workers of the simulated site, the stand-in and the soak start again under their id

The worlds of the tests took for given that a worker has a new id after a crash. Random faults gain a kind 'restart' (one worker, a failure domain or all; with runs, with clocks set back, before the entry is written, with calls that the next incarnation carries out late), the platform's stand-in Restart and the field of its start, and the soak a kind of its own.

--- a/connection/agent/agent.go
+++ b/connection/agent/agent.go
@@ -207,7 +207,8 @@
 	Stop(ctx context.Context, s Stop) (Clock, error)
 	Throttle(ctx context.Context, p Throttle) (Clock, error)
 	// Poll returns the same errors as the commands, and *RestartedError if another
-	// incarnation of the worker responded. Its report is dropped.
+	// incarnation of the worker responded. Its report is dropped, and its ended runs are
+	// not acknowledged.
 	Poll(ctx context.Context, p Poll) (Report, error)
 	Close()
 }
--- a/experiment/soak/faults_test.go
+++ b/experiment/soak/faults_test.go
@@ -46,12 +46,13 @@
 	entriesLapseExpired faultKind = "entries lapse in an outage, owners lose their leases"
 	workerCallsReset    faultKind = "calls to workers reset"
 	workerDrain         faultKind = "worker drains, works on and leaves"
+	workerRestart       faultKind = "worker starts again under its name"
 )
 
 // allFaultKinds are all kinds of faults.
 var allFaultKinds = []faultKind{
 	hostKill, hostPause, hostRestart, storeConnection, workerConnection, storeUnavailable, storeHistoryLost, workerCrash,
-	entriesLapse, entriesLapseHeld, entriesLapseExpired, workerCallsReset, workerDrain,
+	entriesLapse, entriesLapseHeld, entriesLapseExpired, workerCallsReset, workerDrain, workerRestart,
 }
 
 // faults injects random faults from outside the hosts. Faults may overlap; each ends after
@@ -157,6 +158,8 @@
 		f.resetCalls(outage, returnDelay)
 	case workerCallsReset:
 		f.resetCalls(0, span)
+	case workerRestart:
+		f.restartWorkers()
 	case workerConnection, workerCrash, workerDrain:
 		for range 1 + len(f.site.machines)/16 {
 			f.injectAtWorker(k, span)
@@ -313,6 +316,30 @@
 	})
 }
 
+// restartWorkers has some workers start again under their names, while some calls to them are
+// reset. Some of them work before they have written their entries.
+func (f *faults) restartWorkers() {
+	f.resetCalls(0, f.between(time.Second, 4*time.Second))
+	for _, m := range f.someMachines() {
+		at, absence := f.between(0, time.Second), f.between(10*time.Millisecond, 4*time.Second)
+		entryDelay := f.between(0, 2*time.Second)
+		if f.rng.IntN(2) == 0 {
+			entryDelay = 0
+		}
+		f.after(at, func() error {
+			w := m.currentWorker()
+			start := m.stop()
+			time.Sleep(absence)
+			if !start() {
+				return nil
+			}
+			time.Sleep(entryDelay)
+			f.waitForStore(0)
+			return m.registerAgain(w)
+		})
+	}
+}
+
 // workOn sends the heartbeats of a draining worker for d.
 func (f *faults) workOn(m *machine, w *standin.Worker, d time.Duration) {
 	for until := time.Now().Add(d); time.Now().Before(until); {
--- a/experiment/soak/machine_test.go
+++ b/experiment/soak/machine_test.go
@@ -30,7 +30,7 @@
 func (m *machine) startWorker() error {
 	s := m.site
 	w := &standin.Worker{
-		ID: s.newWorkerID(m.index), CPU: workerCPU, TaskDemand: s.taskDemand, Audit: s.audit, AutoAcknowledge: s.opts.autoAcknowledge,
+		Name: s.newWorkerName(m.index), CPU: workerCPU, TaskDemand: s.taskDemand, Audit: s.audit, AutoAcknowledge: s.opts.autoAcknowledge,
 	}
 	w.Init()
 	s.audit.AddWorker(w)
@@ -51,13 +51,13 @@
 
 // entryKey returns the store key of the worker's entry. The caller holds mu.
 func (m *machine) entryKey() string {
-	return "servers/" + string(m.worker.ID)
+	return "servers/" + string(m.worker.Name)
 }
 
 // register writes the worker's entry. The caller holds mu.
 func (m *machine) register() error {
 	entry := map[string]any{
-		"service": "pool", "address": m.proxy.address(), "zone": domainOf(m.index), "state": "ready",
+		"born": m.worker.Born(), "service": "pool", "address": m.proxy.address(), "zone": domainOf(m.index), "state": "ready",
 		"capacity": map[string]any{"cpu": workerCPU, "mem_mb": 100_000}, "labels": []string{"plain", "r-" + domainOf(m.index)},
 	}
 	if !m.leavesAt.IsZero() {
@@ -77,6 +77,37 @@
 	return m.startWorker()
 }
 
+// stop crashes the worker, which starts again under its name when the returned function is called.
+// The function reports whether the worker is still that of the machine. Its entry stays.
+func (m *machine) stop() func() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	w := m.worker
+	w.Crash()
+	m.proxy.setState(reset)
+	return func() bool {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if m.worker != w || m.hasLeft {
+			return false
+		}
+		m.proxy.setState(passing)
+		w.Restart()
+		return true
+	}
+}
+
+// registerAgain writes the entry of a worker that has started again, unless it has lapsed.
+func (m *machine) registerAgain(w *standin.Worker) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.worker != w || m.hasLeft || m.lapses > 0 {
+		return nil
+	}
+	m.leavesAt = time.Time{}
+	return m.register()
+}
+
 // lapse removes the entry of the worker, which works on. It returns a function that writes
 // the entry again, unless another fault still keeps it away or the worker has gone.
 func (m *machine) lapse() func() error {
@@ -156,6 +187,13 @@
 	m.worker.ResetCalls(share, d, rng)
 }
 
+// currentWorker returns the current worker.
+func (m *machine) currentWorker() *standin.Worker {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.worker
+}
+
 // currentProxy returns the proxy of the current worker.
 func (m *machine) currentProxy() *faultProxy {
 	m.mu.Lock()
@@ -163,10 +201,10 @@
 	return m.proxy
 }
 
-// newWorkerID returns an unused worker ID for the i-th machine.
-func (s *site) newWorkerID(i int) heatherhub.WorkerID {
+// newWorkerName returns an unused worker name for the i-th machine.
+func (s *site) newWorkerName(i int) heatherhub.WorkerName {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.incarnations++
-	return heatherhub.WorkerID(fmt.Sprintf("w%d-%d", i, s.incarnations))
+	s.workerCount++
+	return heatherhub.WorkerName(fmt.Sprintf("w%d-%d", i, s.workerCount))
 }
--- a/experiment/soak/site_test.go
+++ b/experiment/soak/site_test.go
@@ -54,8 +54,9 @@
 	mu       sync.Mutex
 	servers  []*http.Server
 	jobSteps map[heatherhub.JobID][]heatherhub.Step
-	// incarnations is the number of workers started so far, including replacements.
-	incarnations int
+	// workerCount is the number of workers started so far, including replacements, without those
+	// that started again under their names.
+	workerCount int
 }
 
 func newSite(o *options) *site {
--- a/process/owner/authority_test.go
+++ b/process/owner/authority_test.go
@@ -70,7 +70,7 @@
 		Dial: func(worker heatherhub.WorkerID, _ string) agent.Agent {
 			return &hostAgent{site: site, host: id, worker: heatherhub.WorkerID(worker.Name()), id: worker}
 		},
-		WorkerPrefix: workerPrefix, DecodeWorker: decodeWorker, Tables: &tables,
+		WorkerPrefix: workerPrefix, DecodeWorker: site.decodeWorker, Tables: &tables,
 		Clock: testClock{start: time.Now()}, Log: zap.NewNop(), Limits: owner.Limits{MaxWorkerLease: longestLease},
 	}
 	configure(&cfg)
--- a/process/owner/fault_events_test.go
+++ b/process/owner/fault_events_test.go
@@ -35,6 +35,13 @@
 	longRunningLapsed    faultEvent = "entry of a worker with a long-running task lapsed"
 	longRunningDrained   faultEvent = "worker with a long-running task drained"
 	longRunningCancelled faultEvent = "long-running job cancelled during faults"
+	workerRestarted      faultEvent = "worker with runs started again under its id"
+	longRunningRestarted faultEvent = "worker with a long-running task started again"
+	domainRestarted      faultEvent = "workers of a failure domain started again"
+	allRestarted         faultEvent = "all workers started again"
+	restartedUnlisted    faultEvent = "new incarnation works before its entry is written"
+	lateCallAfterRestart faultEvent = "call to a former incarnation carried out by the next one"
+	bornBefore           faultEvent = "new incarnation states an earlier start than the former one"
 )
 
 var allFaultEvents = []faultEvent{
@@ -42,6 +49,7 @@
 	pollDropped, pollCarriedOut, pollCarriedOutLate, orderDropped, orderCarriedOut, orderCarriedOutLate,
 	lapsedPollReset, lateOrderWhileLeaves, drainTimed, drainUntimed, drainLapsed, cutOff, drainCutOff, leaseExpired,
 	leftWithRuns, leftUnannounced, leftReplaced, longRunningLapsed, longRunningDrained, longRunningCancelled,
+	workerRestarted, longRunningRestarted, domainRestarted, allRestarted, restartedUnlisted, lateCallAfterRestart, bornBefore,
 }
 
 // faultCounts counts fault events over all episodes of a test.
--- a/process/owner/random_test.go
+++ b/process/owner/random_test.go
@@ -99,6 +99,13 @@
 			return newWorkerFaultEpisode(t, seed, newFaultCounts(), kinds)
 		}
 	}
+	withoutIncarnations := func(t *testing.T, seed uint64) *episode {
+		site := newSimSite(t, seed)
+		site.ignoreIncarnations.Store(true)
+		e := newEpisodeOn(startWorkersAndHosts(site, 3), seed)
+		e.addWorkerFaults(seed, newFaultCounts(), []workerFaultKind{restartFaults})
+		return e
+	}
 	for name, fault := range map[string]struct {
 		newEpisode func(*testing.T, uint64) *episode
 		inject     func(*simSite)
@@ -109,6 +116,7 @@
 		"tasks of leaving workers left out":         {newEpisode, func(site *simSite) { site.store.forgetClosedTasks.Store(true) }},
 		"workers ignore the end of their lease":     {withWorkerFaults(cutOffFaults, longRunningFaults), func(site *simSite) { site.ignoreLeases.Store(true) }},
 		"reset poll reported as replaced worker":    {withWorkerFaults(allWorkerFaultKinds...), func(site *simSite) { site.reportResetAsReplaced.Store(true) }},
+		"incarnations of a worker taken for one":    {withoutIncarnations, func(*simSite) {}},
 		"draining workers list no runs":             {withWorkerFaults(allWorkerFaultKinds...), func(site *simSite) { site.hideDrainingRuns.Store(true) }},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -318,7 +318,11 @@
 	t.mu.Lock()
 	isUp := w.isUp
 	isTargetMissed := t.engine.MissesLatencyTarget(w.id)
-	p := agent.Poll{Token: w.token, AcknowledgedUpTo: t.engine.Acknowledged(w.id)}
+	p := agent.Poll{Token: w.token}
+	// After a failed poll another incarnation may answer, which numbers its ends from 1.
+	if !w.isSilent.Load() {
+		p.AcknowledgedUpTo = t.engine.Acknowledged(w.id)
+	}
 	t.mu.Unlock()
 	// The lease counts from the reading of the clock at which the owner may act. The process
 	// may be stopped between the two.
@@ -552,14 +556,11 @@
 }
 
 // pollNow polls the worker without waiting, to learn whether an unanswered order took
-// effect. It does not renew the lease.
+// effect. It neither renews the lease nor acknowledges ended runs.
 func (w *workerLoop) pollNow() {
 	t := w.term
 	sentAt := t.now().Steady
-	t.mu.Lock()
-	p := agent.Poll{Token: w.token, AcknowledgedUpTo: t.engine.Acknowledged(w.id)}
-	t.mu.Unlock()
-	r, err := w.client.Poll(w.ctx, p)
+	r, err := w.client.Poll(w.ctx, agent.Poll{Token: w.token})
 	if err != nil {
 		return
 	}
--- a/process/owner/worker_faults_test.go
+++ b/process/owner/worker_faults_test.go
@@ -35,9 +35,11 @@
 	lateFaults workerFaultKind = "late"
 	// longRunningFaults: long-running jobs are submitted and cancelled.
 	longRunningFaults workerFaultKind = "long-running"
+	// restartFaults: workers start again under their ids.
+	restartFaults workerFaultKind = "restart"
 )
 
-var allWorkerFaultKinds = []workerFaultKind{lapseFaults, outageFaults, resetFaults, drainFaults, cutOffFaults, lateFaults, longRunningFaults}
+var allWorkerFaultKinds = []workerFaultKind{lapseFaults, outageFaults, resetFaults, drainFaults, cutOffFaults, lateFaults, longRunningFaults, restartFaults}
 
 var workerFaultFlag = flag.String("owner-worker-faults", joinKinds(allWorkerFaultKinds), "kinds of worker faults in random episodes")
 
@@ -69,7 +71,7 @@
 	// endsAt is the time by which all faults have ended.
 	endsAt time.Time
 
-	lapseRNG, outageRNG, resetRNG, drainRNG, cutOffRNG, lateRNG, longRunningRNG *rand.Rand
+	lapseRNG, outageRNG, resetRNG, drainRNG, cutOffRNG, lateRNG, longRunningRNG, restartRNG *rand.Rand
 
 	spares, submitted int
 	// longRunning holds the number of tasks of each long-running job that is not cancelled.
@@ -96,7 +98,7 @@
 	f := &workerFaults{
 		e: e, seed: seed, kinds: make(map[workerFaultKind]bool), counts: counts, endsAt: time.Now().Add(faultPhase + workerFaultPhase + maxDrainTime),
 		lapseRNG: newRNG(6), outageRNG: newRNG(7), resetRNG: newRNG(8), drainRNG: newRNG(9),
-		cutOffRNG: newRNG(10), lateRNG: newRNG(11), longRunningRNG: newRNG(12),
+		cutOffRNG: newRNG(10), lateRNG: newRNG(11), longRunningRNG: newRNG(12), restartRNG: newRNG(13),
 		longRunning: make(map[heatherhub.JobID]int),
 	}
 	for _, k := range kinds {
@@ -157,6 +159,9 @@
 	if f.kinds[longRunningFaults] && f.longRunningRNG.IntN(6) == 0 {
 		f.changeLongRunning()
 	}
+	if f.kinds[restartFaults] && f.restartRNG.IntN(6) == 0 {
+		f.restartRandom()
+	}
 }
 
 // between returns a random duration from low to high.
@@ -278,7 +283,7 @@
 	}
 	f.e.store.removeKey(workerPrefix + string(m.entry.ID))
 	f.e.after(delay, func() {
-		if !m.hasLeft() && !m.isListed() {
+		if m = f.e.worker(m.entry.ID); !m.hasLeft() && !m.isListed() {
 			f.counts.add(entryReturned)
 		}
 		f.e.register(m)
@@ -399,6 +404,9 @@
 		do()
 	case callCarriedOutLate:
 		a.site.after(delay, func() {
+			if a.site.worker(a.worker) != m {
+				f.counts.add(lateCallAfterRestart)
+			}
 			if call == orderCall && !m.hasLeft() && (m.isDraining() || !m.isListed()) {
 				f.counts.add(lateOrderWhileLeaves)
 			}
@@ -417,7 +425,7 @@
 			draining++
 		}
 	}
-	ready := slices.DeleteFunc(workers, func(m *fakeWorker) bool { return m.isDraining() || m.isCutOff() })
+	ready := slices.DeleteFunc(workers, func(m *fakeWorker) bool { return m.isDraining() || m.isCutOff() || !m.stays() })
 	if draining >= maxDraining || len(ready) == 0 {
 		return
 	}
@@ -437,6 +445,7 @@
 		f.e.after(drainNoticeDelay, func() { f.drain(m, remaining) })
 		f.disturbDrain(m, stay)
 	}
+	m.setStays(false)
 	f.spares++
 	spare := heatherhub.WorkerID(fmt.Sprintf("spare%d", f.spares))
 	f.e.after(drainNoticeDelay+stay, func() {
@@ -457,6 +466,74 @@
 	})
 }
 
+// restartRandom has a worker, the workers of a failure domain or all workers start again under
+// their ids. Some of them work before they have written their entries, and the clocks of some
+// were set back meanwhile.
+func (f *workerFaults) restartRandom() {
+	ready := slices.DeleteFunc(f.e.livingWorkers(), func(m *fakeWorker) bool { return m.isDraining() || !m.stays() || f.e.replaced[m.entry.ID] })
+	if len(ready) == 0 {
+		return
+	}
+	picked := pick(f.restartRNG, ready)
+	switch f.restartRNG.IntN(8) {
+	case 0:
+		f.counts.add(domainRestarted)
+		ready = slices.DeleteFunc(ready, func(m *fakeWorker) bool { return m.entry.Domain != picked.entry.Domain })
+	case 1:
+		f.counts.add(allRestarted)
+	default:
+		ready = []*fakeWorker{picked}
+	}
+	for _, m := range ready {
+		f.restart(m)
+	}
+}
+
+// restart has a worker start again after a delay of up to 6 s, in which its entry may lapse.
+func (f *workerFaults) restart(m *fakeWorker) {
+	runs, hasLongRunning := m.runs()
+	if runs > 0 {
+		f.counts.add(workerRestarted)
+	}
+	if hasLongRunning {
+		f.counts.add(longRunningRestarted)
+	}
+	delay, entryDelay, setBack := time.Duration(0), time.Duration(0), time.Duration(0)
+	if f.restartRNG.IntN(3) > 0 {
+		delay = between(f.restartRNG, 0, 6*time.Second)
+	}
+	if f.restartRNG.IntN(2) == 0 {
+		f.counts.add(restartedUnlisted)
+		entryDelay = between(f.restartRNG, 0, 3*time.Second)
+	}
+	if f.restartRNG.IntN(4) == 0 {
+		f.counts.add(bornBefore)
+		setBack = time.Minute
+	}
+	m.leave(false)
+	if silence := 3 * heartbeat; delay > silence {
+		f.e.after(silence, func() { f.e.store.removeKey(workerPrefix + string(m.entry.ID)) })
+	}
+	f.e.after(delay, func() {
+		next := f.e.startUnregistered(m)
+		next.incarnation -= heatherhub.Incarnation(setBack.Milliseconds())
+		f.e.after(entryDelay, func() { f.e.register(next) })
+	})
+}
+
+// stays reports whether the worker is not about to leave for good.
+func (m *fakeWorker) stays() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.isLeaving
+}
+
+func (m *fakeWorker) setStays(stays bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.isLeaving = !stays
+}
+
 // delayOrders has some orders to a worker that is about to drain carried out late.
 func (f *workerFaults) delayOrders(m *fakeWorker, d time.Duration) {
 	if !f.kinds[lateFaults] || f.lateRNG.IntN(2) == 0 {
--- a/process/owner/worker_test.go
+++ b/process/owner/worker_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"heatherhub.example/heatherhub"
 	"heatherhub.example/heatherhub/connection/agent"
 	"heatherhub.example/heatherhub/connection/ledger"
@@ -33,6 +36,8 @@
 	isGone        bool
 	// isReplaced says that another instance answers at the address of a worker that has left.
 	isReplaced bool
+	// isLeaving says that the worker is about to leave for good, announced or not.
+	isLeaving bool
 	// cutOffs is the number of faults that keep all hosts from reaching the worker.
 	cutOffs int
 	// hasLateOrders says that some of the orders are carried out late.
@@ -95,6 +100,7 @@
 	end := agent.Ended{Sequence: m.lastEndNumber, Task: t, Run: r.run, Kind: kind}
 	m.ended = append(m.ended, fakeEnd{Ended: end, startsAtEnd: m.site.startCount(t)})
 	m.maxRuns[t] = max(m.maxRuns[t], r.run)
+	m.trace("worker ends task", t, r.run, zap.String("kind", string(kind)), zap.Uint64("end", m.lastEndNumber))
 	switch kind {
 	case agent.EndDone:
 		m.site.recordCompletion(t)
@@ -105,6 +111,12 @@
 	m.changed = make(chan struct{})
 }
 
+// trace logs an event of a run.
+func (m *fakeWorker) trace(event string, t heatherhub.StepTask, run heatherhub.RunID, fields ...zap.Field) {
+	newTraceLog().Info(event, append(fields, zap.String("worker", string(m.entry.ID)), zap.Uint64("incarnation", uint64(m.incarnation)),
+		zap.String("task", fmt.Sprint(t)), zap.Uint64("run", uint64(run)))...)
+}
+
 // isRunning reports whether a task runs on this worker.
 func (m *fakeWorker) isRunning(t heatherhub.StepTask) bool {
 	m.mu.Lock()
@@ -148,7 +160,7 @@
 		return m.clock(), &agent.RefusedError{Reason: agent.ReasonStaleRun, Clock: m.clock()}
 	}
 	m.running[s.Task] = &fakeRun{run: s.Run, endsAt: time.Now().Add(m.site.runTime(s.Task))}
-	m.site.recordStart(m, s.Task)
+	m.site.recordStart(m, s.Task, s.Run, s.Token)
 	return m.clock(), nil
 }
 
@@ -211,6 +223,9 @@
 func (m *fakeWorker) acknowledge(upTo uint64) {
 	kept := m.ended[:0]
 	for _, e := range m.ended {
+		if e.Sequence <= upTo {
+			m.trace("worker forgets end", e.Task, e.Run, zap.Uint64("end", e.Sequence), zap.Uint64("upTo", upTo))
+		}
 		if e.Sequence > upTo {
 			kept = append(kept, e)
 		} else if e.Kind == agent.EndDone {
@@ -282,7 +297,12 @@
 		return 0, a.site.unansweredError()
 	}
 	if delay, isLate := a.site.orderDelay(); isLate {
-		a.site.after(delay, func() { _, _ = do(a.site.worker(a.worker)) })
+		a.site.after(delay, func() {
+			if a.site.worker(a.worker) != m {
+				a.site.countFault(lateCallAfterRestart)
+			}
+			_, _ = do(a.site.worker(a.worker))
+		})
 		ledger.Sleep(ctx, callTimeout)
 		return 0, a.site.unansweredError()
 	}
@@ -329,7 +349,7 @@
 	if a.isCutOff(m) || a.site.isDead(a.host) {
 		return agent.Report{}, heatherhub.ErrUnknown.New("the answer was lost")
 	}
-	if found := heatherhub.NewWorkerID(heatherhub.WorkerName(a.worker), m.incarnation); err == nil && found != a.id {
+	if found := a.site.workerID(a.worker, m.incarnation); err == nil && found != a.id {
 		return agent.Report{}, &agent.RestartedError{Expected: a.id, Found: found}
 	}
 	return r, err
--- a/process/owner/world_test.go
+++ b/process/owner/world_test.go
@@ -79,6 +79,9 @@
 	reportResetAsReplaced atomic.Bool
 	// hideDrainingRuns injects a fault: draining workers list no runs.
 	hideDrainingRuns atomic.Bool
+	// ignoreIncarnations injects a fault: the incarnations of a worker are taken for one. It is
+	// set before hosts start.
+	ignoreIncarnations atomic.Bool
 	// callFaults resets and delays calls to workers, if set.
 	callFaults atomic.Pointer[workerFaults]
 }
@@ -108,13 +111,21 @@
 	Life heatherhub.Incarnation
 }
 
-func decodeWorker(it ledger.Item) (agent.Worker, error) {
+func (site *simSite) decodeWorker(it ledger.Item) (agent.Worker, error) {
 	var entry fakeEntry
 	err := json.Unmarshal(it.Value, &entry)
-	entry.ID = heatherhub.NewWorkerID(heatherhub.WorkerName(entry.ID), entry.Life)
+	entry.ID = site.workerID(entry.ID, entry.Life)
 	return entry.Worker, err
 }
 
+// workerID returns the ID of an incarnation of a worker.
+func (site *simSite) workerID(name heatherhub.WorkerID, n heatherhub.Incarnation) heatherhub.WorkerID {
+	if site.ignoreIncarnations.Load() {
+		return name
+	}
+	return heatherhub.NewWorkerID(heatherhub.WorkerName(name), n)
+}
+
 // addWorker registers a worker with ten processors whose clock runs 2% slow.
 func (site *simSite) addWorker(id heatherhub.WorkerID, domain heatherhub.FailureDomain) *fakeWorker {
 	entry := agent.Worker{
@@ -153,6 +164,7 @@
 	m.mu.Unlock()
 	entry.Draining, entry.DrainRemaining = false, 0
 	next := newFakeWorker(site, entry, m.clockRate)
+	newTraceLog().Info("worker starts again", zap.String("worker", string(entry.ID)), zap.Uint64("incarnation", uint64(next.incarnation)))
 	next.clockOrigin = time.Now()
 	site.mu.Lock()
 	site.workers[entry.ID] = next
@@ -183,8 +195,8 @@
 		Dial: func(worker heatherhub.WorkerID, _ string) agent.Agent {
 			return &hostAgent{site: site, host: id, worker: heatherhub.WorkerID(worker.Name()), id: worker}
 		},
-		WorkerPrefix: workerPrefix, DecodeWorker: decodeWorker, Tables: &tables,
-		Clock: testClock{start: time.Now()}, Log: zap.NewNop(), Limits: owner.Limits{WorkersPerShard: site.workersPerShard, MaxWorkerLease: longestLease},
+		WorkerPrefix: workerPrefix, DecodeWorker: site.decodeWorker, Tables: &tables,
+		Clock: testClock{start: time.Now()}, Log: newTraceLog().With(zap.String("host", string(id))), Limits: owner.Limits{WorkersPerShard: site.workersPerShard, MaxWorkerLease: longestLease},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	site.mu.Lock()
@@ -340,7 +352,9 @@
 // addViolation records a violated guarantee with the virtual time. The caller holds
 // site.mu.
 func (site *simSite) addViolation(format string, args ...any) {
-	site.violations = append(site.violations, fmt.Sprintf("%s: ", time.Now().Format("05.000"))+fmt.Sprintf(format, args...))
+	v := fmt.Sprintf("%s: ", time.Now().Format("05.000")) + fmt.Sprintf(format, args...)
+	newTraceLog().Error(v)
+	site.violations = append(site.violations, v)
 }
 
 // auditStart checks, for a start that the worker will accept, that the task runs nowhere
@@ -393,7 +407,8 @@
 	}
 }
 
-func (site *simSite) recordStart(_ *fakeWorker, t heatherhub.StepTask) {
+func (site *simSite) recordStart(m *fakeWorker, t heatherhub.StepTask, run heatherhub.RunID, token agent.Token) {
+	m.trace("worker starts task", t, run, zap.Uint64("token", uint64(token)))
 	site.mu.Lock()
 	defer site.mu.Unlock()
 	site.starts[t]++
