Tell the incarnations of workers apart at the own interface

A worker of the own interface that starts again under its id kept the quarantine and the throttling of its former life, for up to 15 minutes, although reports tell that it has lost all tasks. Cause: the scheduler's record hung on the id. Ruled out for what may run twice: leases there end at times of the wall clock, a start counts as failed only after its lease, a confirmation that may still arrive keeps its task away from the worker, and ends have no numbers; the episodes and scenarios have always had workers that are killed and come back under their id.

Reports state the incarnation, the shard hands it on with the worker's entry, and the scheduler drops what it has learnt of a former one. Compact answers keep it, since the fingerprint has the start times of tasks.

Before: TestRestartedWorkerLeavesQuarantine and TestRestartedWorkerIsNotQuarantined fail with the former code.

--- a/connection/hostlist/hostlist.go
+++ b/connection/hostlist/hostlist.go
@@ -53,6 +53,8 @@
 	Capacity heatherhub.Resources `json:"capacity"`
 	// Slots is the maximum number of concurrent requests of a worker.
 	Slots int `json:"slots,omitempty"`
+	// Incarnation tells the lives of a worker apart, as its reports state it.
+	Incarnation heatherhub.Incarnation `json:"incarnation,omitempty"`
 	// Connections is the maximum number of connections of a worker.
 	Connections int `json:"connections,omitempty"`
 }
--- a/connection/worker/renewal.go
+++ b/connection/worker/renewal.go
@@ -159,7 +159,7 @@
 // unpack returns the full report of a compact answer: the tasks of the last report with
 // renewed leases, and the new usage.
 func (p *PackedUsage) unpack(last *Report, leaseUntil time.Time) (Report, error) {
-	r := Report{Tasks: slices.Clone(last.Tasks), Usage: Usage{Worker: p.Worker, At: p.At}}
+	r := Report{Incarnation: last.Incarnation, Tasks: slices.Clone(last.Tasks), Usage: Usage{Worker: p.Worker, At: p.At}}
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
 		if t.State == TaskRunning && leaseUntil.After(t.LeaseUntil) {
--- a/connection/worker/worker.go
+++ b/connection/worker/worker.go
@@ -96,8 +96,10 @@
 // Report is a worker's answer to a renewal: the status of all its tasks and its last
 // usage.
 type Report struct {
-	Tasks []TaskStatus `json:"tasks" msgpack:"tasks"`
-	Usage Usage        `json:"usage" msgpack:"usage"`
+	// Incarnation tells the lives of the worker apart; zero if the worker states none.
+	Incarnation heatherhub.Incarnation `json:"incarnation,omitempty" msgpack:"incarnation,omitempty"`
+	Tasks       []TaskStatus           `json:"tasks" msgpack:"tasks"`
+	Usage       Usage                  `json:"usage" msgpack:"usage"`
 }
 
 // Request is a caller's request to a replica.
--- a/process/placement/colocator.go
+++ b/process/placement/colocator.go
@@ -152,6 +152,7 @@
 			return
 		}
 		c.subtractCapacity(n)
+		c.forgetFormerIncarnation(n, h.Incarnation)
 	}
 	n.host = h
 	c.setRack(n)
@@ -161,6 +162,13 @@
 	c.retryUnschedulable()
 }
 
+// forgetFormerIncarnation drops what was learnt of a worker that has started again.
+func (c *Colocator) forgetFormerIncarnation(n *node, next heatherhub.Incarnation) {
+	if n.host.Incarnation != 0 && n.host.Incarnation != next {
+		n.health, n.mitigation = health{}, mitigation{}
+	}
+}
+
 func (c *Colocator) setRack(n *node) {
 	if n.rack != nil && n.rack.name == n.host.Rack {
 		return
--- a/process/placement/failure_test.go
+++ b/process/placement/failure_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/connection/hostlist"
 	"heatherhub.example/heatherhub/process/placement"
 )
 
@@ -81,6 +82,25 @@
 	}
 }
 
+// TestRestartedWorkerLeavesQuarantine guards against a worker that stays in quarantine for the
+// failures of a former incarnation.
+func TestRestartedWorkerLeavesQuarantine(t *testing.T) {
+	for next, want := range map[heatherhub.Incarnation]bool{17: true, 18: false, 16: false} {
+		b := fourWorkers()
+		w := host("w0", "r0", 4000, 64_000, 0)
+		w.Incarnation = 17
+		b.PutWorker(b.now, w)
+		runFailing(b, 30, func(a placement.Action) bool { return a.Worker == "w0" })
+		w.Incarnation, w.State = next, hostlist.StateLeaving
+		b.PutWorker(b.now, w)
+		w.State = hostlist.StateLive
+		b.PutWorker(b.now, w)
+		if got := b.Quarantined("w0"); got != want {
+			t.Errorf("incarnation %d after 17: got quarantined %t, want %t", next, got, want)
+		}
+	}
+}
+
 func TestJobThatFailsEverywhereIsParked(t *testing.T) {
 	b := fourWorkers()
 	b.add(batchTask("bad", 0, size(3000, 1000, 0)))
--- a/process/scenario/scenario_test.go
+++ b/process/scenario/scenario_test.go
@@ -315,7 +315,7 @@
 	return "", fmt.Errorf("unknown command: host %s", args[0])
 }
 
-// worker changes the state of a worker: worker kill|revive|freeze|thaw|bad|good|leave|return ID
+// worker changes the state of a worker: worker kill|revive|restart|freeze|thaw|bad|good|leave|return ID
 func (s *script) worker(args []string) (string, error) {
 	id := heatherhub.WorkerID(args[1])
 	m, err := s.cluster.Worker(id)
@@ -325,6 +325,9 @@
 	switch args[0] {
 	case "kill":
 		return "", s.cluster.KillWorker(id)
+	case "restart":
+		m.Kill(time.Now())
+		m.Revive(time.Now())
 	case "revive":
 		return "", s.cluster.ReviveWorker(id)
 	case "freeze":
--- a/process/shard/core/faults_test.go
+++ b/process/shard/core/faults_test.go
@@ -123,6 +123,14 @@
 		wk.model.Kill(sim.now)
 		sim.after(f.Duration, func() { wk.model.Revive(sim.now) })
 	},
+	// It is back before anybody notices.
+	"restart worker": func(sim *simulation, f fault) {
+		wk := sim.workers[f.Target%len(sim.workers)]
+		sim.countEffect("worker restarted")
+		wk.model.Kill(sim.now)
+		wk.model.Revive(sim.now)
+		sim.after(f.Duration/3, func() { wk.model.Kill(sim.now); wk.model.Revive(sim.now) })
+	},
 	"bad worker": func(sim *simulation, f fault) {
 		wk := sim.workers[f.Target%len(sim.workers)]
 		sim.countEffect("worker fails everything")
@@ -285,7 +293,7 @@
 	}
 	wanted := []string{
 		"pause of an owner", "death of an owner", "store down", "lost answer", "late call", "cut e-s", "cut e-w", "worker killed", "eviction",
-		"living w unlisted", "living e unlisted", "worker drains", "muted worker", "late heartbeat", "single failed call",
+		"living w unlisted", "living e unlisted", "worker drains", "muted worker", "late heartbeat", "single failed call", "worker restarted",
 	}
 	for _, k := range wanted {
 		if effects[k] == 0 && !testing.Short() {
--- a/process/shard/core/proof_test.go
+++ b/process/shard/core/proof_test.go
@@ -141,6 +141,49 @@
 	sim.converge(t, 3*time.Minute)
 }
 
+// TestRestartedWorkerIsNotQuarantined guards against a worker that gets no work for minutes, since a
+// former incarnation of it failed whatever it started.
+func TestRestartedWorkerIsNotQuarantined(t *testing.T) {
+	cfg := defaultSim(31)
+	cfg.withoutOperators = true
+	cfg.scheduler = func(*simulation) placement.Scheduler { return placement.New(placement.Config{}) }
+	sim := newSimulation(cfg)
+	sim.run(20 * time.Second)
+	s := heatherhub.ShardID{Domain: simDomain, Index: 0}
+	var bad *simWorker
+	for _, wk := range sim.workers {
+		if sim.layout.ShardOfWorker(simDomain, wk.id) == s {
+			bad = wk
+		}
+	}
+	bad.model.SetFailTasks(true)
+	isQuarantined := func() bool {
+		for _, w := range sim.ownerOf(t, s).node.Workers(sim.now) {
+			if w.Host.ID == string(bad.id) {
+				return w.Quarantined
+			}
+		}
+		return false
+	}
+	ids := jobsInShard(sim, s, 40)
+	for i := 0; i < len(ids) && !isQuarantined(); i++ {
+		if err := sim.addJobAtOwner(t, ids[i], 8); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !isQuarantined() {
+		t.Fatal("got no quarantine of a worker that fails everything, want one")
+	}
+	bad.model.SetFailTasks(false)
+	bad.model.Kill(sim.now)
+	bad.model.Revive(sim.now)
+	sim.run(2 * worker.RenewInterval)
+	if isQuarantined() {
+		t.Errorf("got worker %s quarantined after it has started again, want it open", bad.id)
+	}
+	sim.converge(t, 5*time.Minute)
+}
+
 // jobsInShard returns the ids of n jobs of a shard.
 func jobsInShard(sim *simulation, s heatherhub.ShardID, n int) []heatherhub.JobID {
 	var ids []heatherhub.JobID
--- a/process/shard/core/report.go
+++ b/process/shard/core/report.go
@@ -88,6 +88,7 @@
 	}
 	w.lastReadAt = a.SentAt
 	w.failures = 0
+	w.incarnation = a.Report.Incarnation
 	s.updateScheduler(now, w)
 	if s.canRecord(now) {
 		w.lastRecordedAt = a.SentAt
--- a/process/shard/core/shard.go
+++ b/process/shard/core/shard.go
@@ -90,6 +90,8 @@
 	host hostlist.Host
 	// scheduled is the worker's entry as it was last passed to the scheduler.
 	scheduled hostlist.Host
+	// incarnation is that of the last report.
+	incarnation heatherhub.Incarnation
 	// listed means that the worker is in the platform's last host list.
 	listed bool
 	tasks  map[heatherhub.TaskID]*placedTask
@@ -221,6 +223,7 @@
 // recorded is marked as leaving, so that it gets no new work.
 func (s *shard) updateScheduler(now time.Time, w *workerState) {
 	h := w.host
+	h.Incarnation = w.incarnation
 	if w.lastReadAt.IsZero() || w.failures >= maxRenewFailures || !w.isRecorded {
 		h.State = hostlist.StateLeaving
 	}
--- a/process/standin/model/command.go
+++ b/process/standin/model/command.go
@@ -98,7 +98,7 @@
 }
 
 func (w *Worker) report() worker.Report {
-	return worker.Report{Tasks: w.statuses(), Usage: w.laggedUsage()}
+	return worker.Report{Incarnation: w.incarnation, Tasks: w.statuses(), Usage: w.laggedUsage()}
 }
 
 // statuses returns the status of all tasks, in order of task id.
--- a/process/standin/model/model.go
+++ b/process/standin/model/model.go
@@ -79,6 +79,8 @@
 	// currentTime is the time up to which the worker has been simulated.
 	currentTime time.Time
 	nextSample  time.Time
+	// incarnation is the start of the worker's present life, in Unix milliseconds.
+	incarnation heatherhub.Incarnation
 	dead        bool
 	frozen      bool
 	// tasks holds the running tasks, and the ended ones until they are confirmed.
@@ -125,13 +127,15 @@
 	}
 	id := heatherhub.WorkerID(cfg.Host.ID)
 	return &Worker{
-		cfg:       cfg,
-		id:        id,
-		tasks:     make(map[heatherhub.TaskID]*task),
-		requests:  make(map[heatherhub.RequestID]*request),
-		history:   History{Worker: id},
-		load:      load{byClass: make(map[string]heatherhub.MilliCPU)},
-		slowdowns: slowdownsByWorkload(cfg.Interference),
+		cfg: cfg,
+		id:  id,
+		// Its first life began before the simulation.
+		incarnation: 1,
+		tasks:       make(map[heatherhub.TaskID]*task),
+		requests:    make(map[heatherhub.RequestID]*request),
+		history:     History{Worker: id},
+		load:        load{byClass: make(map[string]heatherhub.MilliCPU)},
+		slowdowns:   slowdownsByWorkload(cfg.Interference),
 	}
 }
 
@@ -159,12 +163,13 @@
 	w.samples = nil
 }
 
-// Revive restarts a killed worker without tasks.
+// Revive starts a killed worker again, as another incarnation without tasks.
 func (w *Worker) Revive(now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance(now)
 	w.dead = false
+	w.incarnation = max(heatherhub.Incarnation(now.UnixMilli()), w.incarnation+1)
 }
 
 // Freeze pauses the worker: commands and new requests get ErrUnknown and batch
