Let restarted workers change their size and their address

Other sentences that all worlds took as given: a worker keeps its address and its size for as long as it keeps its id.

--- a/experiment/soak/faults_test.go
+++ b/experiment/soak/faults_test.go
@@ -326,12 +326,13 @@
 		if f.rng.IntN(2) == 0 {
 			entryDelay = 0
 		}
+		atNewAddress := f.rng.IntN(4) == 0
 		f.after(at, func() error {
 			w := m.currentWorker()
 			start := m.stop()
 			time.Sleep(absence)
-			if !start() {
-				return nil
+			if isUp, err := start(atNewAddress); !isUp {
+				return err
 			}
 			time.Sleep(entryDelay)
 			f.waitForStore(0)
--- a/experiment/soak/machine_test.go
+++ b/experiment/soak/machine_test.go
@@ -77,23 +77,37 @@
 	return m.startWorker()
 }
 
-// stop crashes the worker, which starts again under its name when the returned function is called.
-// The function reports whether the worker is still that of the machine. Its entry stays.
-func (m *machine) stop() func() bool {
+// stop crashes the worker, which starts again under its name when the returned function is called,
+// at its address or at a new one. The function reports whether the worker is still that of the
+// machine. Its entry stays.
+func (m *machine) stop() func(atNewAddress bool) (bool, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	w := m.worker
 	w.Crash()
 	m.proxy.setState(reset)
-	return func() bool {
+	return func(atNewAddress bool) (bool, error) {
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		if m.worker != w || m.hasLeft {
-			return false
+			return false, nil
 		}
 		m.proxy.setState(passing)
 		w.Restart()
-		return true
+		if !atNewAddress {
+			return true, nil
+		}
+		address, err := m.site.serve("127.0.0.1", w)
+		if err != nil {
+			return false, err
+		}
+		next, err := newFaultProxy(&m.site.group, address)
+		if err != nil {
+			return false, err
+		}
+		m.proxy.close()
+		m.proxy = next
+		return true, nil
 	}
 }
 
--- a/process/owner/fault_events_test.go
+++ b/process/owner/fault_events_test.go
@@ -40,6 +40,7 @@
 	domainRestarted      faultEvent = "workers of a failure domain started again"
 	allRestarted         faultEvent = "all workers started again"
 	restartedUnlisted    faultEvent = "new incarnation works before its entry is written"
+	restartedSmaller     faultEvent = "new incarnation has fewer processors than the former one"
 	lateCallAfterRestart faultEvent = "call to a former incarnation carried out by the next one"
 	bornBefore           faultEvent = "new incarnation states an earlier start than the former one"
 )
@@ -49,7 +50,7 @@
 	pollDropped, pollCarriedOut, pollCarriedOutLate, orderDropped, orderCarriedOut, orderCarriedOutLate,
 	lapsedPollReset, lateOrderWhileLeaves, drainTimed, drainUntimed, drainLapsed, cutOff, drainCutOff, leaseExpired,
 	leftWithRuns, leftUnannounced, leftReplaced, longRunningLapsed, longRunningDrained, longRunningCancelled,
-	workerRestarted, longRunningRestarted, domainRestarted, allRestarted, restartedUnlisted, lateCallAfterRestart, bornBefore,
+	workerRestarted, longRunningRestarted, domainRestarted, allRestarted, restartedUnlisted, restartedSmaller, lateCallAfterRestart, bornBefore,
 }
 
 // faultCounts counts fault events over all episodes of a test.
--- a/process/owner/worker_faults_test.go
+++ b/process/owner/worker_faults_test.go
@@ -511,6 +511,12 @@
 		f.counts.add(bornBefore)
 		setBack = time.Minute
 	}
+	// The next incarnation may be of another kind.
+	cpu := heatherhub.MilliCPU(10_000)
+	if f.restartRNG.IntN(4) == 0 {
+		f.counts.add(restartedSmaller)
+		cpu = 6000
+	}
 	m.leave(false)
 	if silence := 3 * heartbeat; delay > silence {
 		f.e.after(silence, func() { f.e.store.removeKey(workerPrefix + string(m.entry.ID)) })
@@ -518,6 +524,7 @@
 	f.e.after(delay, func() {
 		next := f.e.startUnregistered(m)
 		next.incarnation -= heatherhub.Incarnation(setBack.Milliseconds())
+		next.entry.Capacity.CPU = cpu
 		f.e.after(entryDelay, func() { f.e.register(next) })
 	})
 }
