--- a/command/explain/explain.go
+++ b/command/explain/explain.go
@@ -54,7 +54,7 @@
 // hostEvents are events that may affect every job of a host, shard or worker.
 var hostEvents = []string{
 	"host starts", "host drains", "host stops", "shard taken", "shard lost", "shard handed over", "orphaned shard released", "worker gone",
-	"worker drains", "worker quarantined", "store lost", "store regained", "session not renewed", "configuration read",
+	"worker restarted", "worker drains", "worker quarantined", "store lost", "store regained", "session not renewed", "configuration read",
 }
 
 // Run prints the timeline of the job: per line the time of day in UTC, the seconds since
--- a/command/explain/explain_test.go
+++ b/command/explain/explain_test.go
@@ -17,6 +17,7 @@
 {"level":"info","time":"2026-01-01T00:00:01.005Z","msg":"job submitted","host":"entry-1","job":"5c0e7a21d94b36f8","outcome":"accepted"}
 {"level":"info","time":"2026-01-01T00:00:03.000Z","msg":"job ended","host":"entry-2","job":"5c0e7a21d94b36f8","reason":"completed","waited":1995}
 {"level":"info","time":"2026-01-01T00:00:02.000Z","msg":"worker gone","host":"entry-2","worker":"i-1"}
+{"level":"warn","time":"2026-01-01T00:00:02.100Z","msg":"worker restarted","host":"entry-2","worker":"i-2@17","next":"i-2@18"}
 {"level":"info","time":"2026-01-01T00:00:02.000Z","msg":"job ended","host":"entry-2","job":"aaaaaaaaaaaaaaaa"}
 `
 
@@ -46,8 +47,8 @@
 
 func TestNearIncludesHostEvents(t *testing.T) {
 	got, err := run(t, explain.Options{ID: "5c0e7a21d94b36f8", WithHostEvents: true}, logs)
-	if err != nil || !strings.Contains(got, "worker gone") || strings.Contains(got, "aaaaaaaa") {
-		t.Errorf("got %q and error %v, want the event of the worker and no other job", got, err)
+	if err != nil || !strings.Contains(got, "worker gone") || !strings.Contains(got, "next=i-2@18") || strings.Contains(got, "aaaaaaaa") {
+		t.Errorf("got %q and error %v, want the events of the workers and no other job", got, err)
 	}
 }
 
--- a/process/owner/incarnation.go
+++ b/process/owner/incarnation.go
@@ -68,7 +68,6 @@
 	t.log.Warn("worker restarted", zap.String("worker", string(w.id)), zap.String("next", string(next)),
 		zap.Int("running", t.engine.OpenRuns(w.id)), zap.Int("unacknowledgedEnds", t.engine.UnacknowledgedEnds(w.id)),
 		zap.Uint64("acknowledged", t.engine.Acknowledged(w.id)), zap.Duration("sinceAnswer", now.Steady-w.answeredAt), zap.Error(err))
-	w.logGone(now.Steady, evidenceRestarted, err)
 	w.isGone, w.isUp = true, false
 	t.engine.WorkerRestarted(now, w.id, now.Steady+lateOrderTime+onSlowestClock(t.host.cfg.MaxWorkerLease)+leaseSlack)
 	t.ended[w.id.Name()] = endedIncarnation{id: w.id, at: now.Steady}
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -411,8 +411,6 @@
 	noEvidence evidence = ""
 	// evidenceReplaced: another worker answers.
 	evidenceReplaced evidence = "replaced"
-	// evidenceRestarted: another incarnation of the worker answers.
-	evidenceRestarted evidence = "restarted"
 	// evidenceVacated: the worker has drained, and its last report lists no run.
 	evidenceVacated evidence = "vacated"
 	// evidenceLeaseExpired: its lease has expired on the slowest clock, and the ownership was
