--- a/process/owner/restart_test.go
+++ b/process/owner/restart_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/process/record"
 )
 
 // restartAll restarts all workers, each after a delay.
@@ -125,3 +126,36 @@
 		})
 	}
 }
+
+// TestRestartedWorkersGetTheirWorkBack guards against long-running tasks that stay down beside room on
+// workers that have started again, also when their owner is lost in the same moment.
+func TestRestartedWorkersGetTheirWorkBack(t *testing.T) {
+	for name, tt := range map[string]struct {
+		down  time.Duration
+		fault func(*simSite)
+		// limit is the time from the new entries until all tasks run.
+		limit time.Duration
+	}{
+		"at once":                  {0, func(*simSite) {}, time.Second},
+		"after 4 s":                {4 * time.Second, func(*simSite) {}, time.Second},
+		"after 20 s":               {20 * time.Second, func(*simSite) {}, time.Second},
+		"owner killed, at once":    {0, func(site *simSite) { site.kill(site.currentOwner()) }, 6 * time.Second},
+		"owner killed, after 4 s":  {4 * time.Second, func(site *simSite) { site.kill(site.currentOwner()) }, 3 * time.Second},
+		"owner replaced, at once":  {0, func(site *simSite) { site.store.removeKey(record.OwnerKey(site.jobShard)) }, 3 * time.Second},
+		"owner replaced, in 300ms": {300 * time.Millisecond, func(site *simSite) { site.store.removeKey(record.OwnerKey(site.jobShard)) }, 3 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			testOnSite(t, 2, func(site *simSite) {
+				const tasks = 24
+				site.submit("lasting", newLongRunningStep(tasks))
+				site.await("the first starts", 3*time.Second, func() bool { return site.runningTasks("lasting") == tasks })
+				time.Sleep(time.Second)
+				site.restartAll(tt.down)
+				tt.fault(site)
+				time.Sleep(tt.down)
+				took := site.await("all tasks", tt.limit, func() bool { return site.runningTasks("lasting") == tasks })
+				t.Logf("all tasks run %s after the entries", took)
+			})
+		})
+	}
+}
