Read the list of simulated workers under its lock, and polish the restart code

Review: a start that moves to the next incarnation begins at full speed; the longest lease is assumed also if the former incarnation is known later than the next one, as at a takeover; the count of ends that are listed again is gone with the fault that it was for.

--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -83,11 +83,8 @@
 		e.handleRunning(now, n, key, run)
 	}
 	for i := range r.Ended {
-		switch {
-		case r.Ended[i].Sequence > n.lastEnd:
+		if r.Ended[i].Sequence > n.lastEnd {
 			e.handleEnded(now, n, &r.Ended[i])
-		case r.Ended[i].Sequence <= n.acknowledged:
-			e.Stats.RelistedEnds++
 		}
 	}
 	n.advanceAcknowledged()
--- a/process/dispatch/restart.go
+++ b/process/dispatch/restart.go
@@ -23,7 +23,7 @@
 // WorkerRestarted records that another incarnation of a worker has answered, and drops the
 // former one. Runs that the former one has listed are over. Starts that it has not listed, and
 // runs of a previous owner there, stay open until WorkerUp has the report of another incarnation
-// under a higher token, until the latest.
+// under a higher token, or until the given time.
 func (e *Engine) WorkerRestarted(now Moment, id heatherhub.WorkerID, until time.Duration) {
 	name := id.Name()
 	if u, ok := e.unresolved[id]; ok {
@@ -80,6 +80,7 @@
 		a.node.removeAttempt(a)
 		a.node, a.isListed, a.isStray = n, false, true
 		a.stopSince, a.progressAt, a.hasMeasure = 0, 0, false
+		a.speedLimit, a.isSpeedLimitUnknown = fullSpeed, a.task.step.spec.Filler
 		if a.stop != noStop {
 			a.stop = stopPending
 		}
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -98,8 +98,6 @@
 // Stats counts events of the engine. Its field names are logged.
 type Stats struct {
 	Starts, Refused, Done, Failed, Stopped, Expired, Lost, Unanswered int
-	// RelistedEnds counts ends that a worker listed although they were acknowledged.
-	RelistedEnds int
 }
 
 // New returns an engine without jobs and workers. Zero fields of Tuning are set to
--- a/process/owner/authority.go
+++ b/process/owner/authority.go
@@ -19,9 +19,10 @@
 //
 // A worker that has answered a poll of a new owner refuses those of earlier ones. It forgets that
 // when it starts again, so majorities count incarnations: the next one is another worker, which
-// counts only once it is in the stored fleet. The former owner counts majorities of the fleet that the new one inherits, and any two of them overlap.
-// So once a majority has answered the new owner, no poll that is sent later confirms the former
-// one. Only workers of the stored fleet run tasks.
+// counts only once it is in the stored fleet. The former owner counts majorities of the fleet
+// that the new one inherits, and any two of them overlap. So once a majority has answered the new
+// owner, no poll that is sent later confirms the former one. Only workers of the stored fleet run
+// tasks.
 //
 // This also holds for the owners before the former one: an owner changes the stored fleet only
 // when all earlier owners stop within confirmationTTL, which is before a later owner relies on
--- a/process/owner/authority_test.go
+++ b/process/owner/authority_test.go
@@ -96,7 +96,7 @@
 	}
 }
 
-// allWorkers returns the workers, ordered by id.
+// allWorkers returns the present incarnations of all workers, ordered by id.
 func (site *simSite) allWorkers() []*fakeWorker {
 	site.mu.Lock()
 	defer site.mu.Unlock()
--- a/process/owner/handover_test.go
+++ b/process/owner/handover_test.go
@@ -24,7 +24,7 @@
 
 // workerOf returns the worker that runs a task, or nil.
 func (site *simSite) workerOf(t heatherhub.StepTask) *fakeWorker {
-	for _, m := range site.workers {
+	for _, m := range site.allWorkers() {
 		if m.isRunning(t) {
 			return m
 		}
--- a/process/owner/incarnation.go
+++ b/process/owner/incarnation.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -52,7 +53,7 @@
 	if len(others) == 1 {
 		return
 	}
-	for _, other := range append([]*workerLoop(nil), others...) {
+	for _, other := range slices.Clone(others) {
 		if other != w && max(other.answeredAt, other.createdAt) < sentAt {
 			t.fenceFormer(other.id, now.Steady)
 			other.endIncarnation(now, w.id, nil)
--- a/process/owner/move_test.go
+++ b/process/owner/move_test.go
@@ -25,7 +25,7 @@
 	tasks := site.jobs[id].Steps[0].Tasks
 	site.mu.Unlock()
 	for i := range tasks {
-		for _, m := range site.workers {
+		for _, m := range site.allWorkers() {
 			if m.isRunning(heatherhub.StepTask{Job: id, Index: i}) {
 				n++
 			}
--- a/process/owner/owner_test.go
+++ b/process/owner/owner_test.go
@@ -215,7 +215,7 @@
 
 // busyWorker returns a worker on which tasks run. It fails the test if there is none.
 func (site *simSite) busyWorker() *fakeWorker {
-	for _, m := range site.workers {
+	for _, m := range site.allWorkers() {
 		m.mu.Lock()
 		n := len(m.running)
 		m.mu.Unlock()
@@ -230,7 +230,7 @@
 // totalRunning counts the running tasks on all workers.
 func (site *simSite) totalRunning() int {
 	n := 0
-	for _, m := range site.workers {
+	for _, m := range site.allWorkers() {
 		m.mu.Lock()
 		m.advance()
 		n += len(m.running)
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -51,14 +51,15 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	// hasFormer says that this term has known another incarnation of the worker before.
-	hasFormer bool
 	// createdAt is the steady time at which the loop began. The incarnation was known then.
 	createdAt time.Duration
 
 	// The term's mu guards the fields from entry to confirmedAt.
 
 	entry agent.Worker
+	// hasFormer says that this term has known another incarnation of the worker. pollLoop sets
+	// it together with token.
+	hasFormer bool
 	// token is the fencing token of polls and orders; zero until the worker has joined the
 	// stored fleet. pollLoop sets it before it reads anything of the worker.
 	token agent.Token
@@ -262,6 +263,7 @@
 		switch {
 		case isStored:
 			w.token = token
+			w.hasFormer = w.hasFormer || len(t.incarnations[w.id.Name()]) > 1
 		case !w.isListed:
 			t.dropWorker(w)
 		}
