--- a/process/owner/move_test.go
+++ b/process/owner/move_test.go
@@ -327,3 +327,20 @@
 		t.Logf("all tasks are running after %s", took)
 	})
 }
+
+// TestManyLastingJobsLeaveAFullShard guards against moves that take seconds because a round is bounded
+// by the few workers whose room a load lists: 60 jobs of 4 long-running tasks wait in a full shard, as
+// after a takeover, and others have room for all. A task has to start within 3 s.
+func TestManyLastingJobsLeaveAFullShard(t *testing.T) {
+	testOnShardedSite(t, 40, func(site *simSite) {
+		const jobs, tasks = 60, 4
+		site.submit("full", newLongRunningStep(200)) // 40 x 5 fit
+		site.await("a full shard", 3*time.Second, func() bool { return site.runningTasks("full") == 200 })
+		before := site.totalStarts()
+		for k := range jobs {
+			site.submit(heatherhub.JobID(fmt.Sprintf("lasting%d", k)), newLongRunningStep(tasks))
+		}
+		took := site.await("all tasks", 3*time.Second, func() bool { return site.totalStarts() == before+jobs*tasks })
+		t.Logf("all tasks are running after %s", took)
+	})
+}
