--- a/process/owner/restart_test.go
+++ b/process/owner/restart_test.go
@@ -102,7 +102,7 @@
 				restart := func() {
 					for _, m := range site.livingWorkers()[:2] {
 						m.leave(false)
-						next := site.startUnregistered(m)
+						next := site.startUnregistered(m, func(*fakeWorker) {})
 						site.after(entryDelay, func() { site.register(next) })
 					}
 				}
--- a/process/owner/worker_faults_test.go
+++ b/process/owner/worker_faults_test.go
@@ -522,9 +522,10 @@
 		f.e.after(silence, func() { f.e.store.removeKey(workerPrefix + string(m.entry.ID)) })
 	}
 	f.e.after(delay, func() {
-		next := f.e.startUnregistered(m)
-		next.incarnation -= heatherhub.Incarnation(setBack.Milliseconds())
-		next.entry.Capacity.CPU = cpu
+		next := f.e.startUnregistered(m, func(next *fakeWorker) {
+			next.incarnation -= heatherhub.Incarnation(setBack.Milliseconds())
+			next.entry.Capacity.CPU = cpu
+		})
 		f.e.after(entryDelay, func() { f.e.register(next) })
 	})
 }
--- a/process/owner/world_test.go
+++ b/process/owner/world_test.go
@@ -155,13 +155,14 @@
 
 // startAgain starts the next incarnation of a worker that has left.
 func (site *simSite) startAgain(m *fakeWorker) *fakeWorker {
-	next := site.startUnregistered(m)
+	next := site.startUnregistered(m, func(*fakeWorker) {})
 	site.register(next)
 	return next
 }
 
-// startUnregistered is startAgain for a worker that does not write its entry yet.
-func (site *simSite) startUnregistered(m *fakeWorker) *fakeWorker {
+// startUnregistered is startAgain for a worker that does not write its entry yet. change is called
+// before any host reaches it.
+func (site *simSite) startUnregistered(m *fakeWorker, change func(*fakeWorker)) *fakeWorker {
 	m.mu.Lock()
 	entry := m.entry
 	m.mu.Unlock()
@@ -169,6 +170,7 @@
 	next := newFakeWorker(site, entry, m.clockRate)
 	newTraceLog().Info("worker starts again", zap.String("worker", string(entry.ID)), zap.Uint64("incarnation", uint64(next.incarnation)))
 	next.clockOrigin = time.Now()
+	change(next)
 	site.mu.Lock()
 	site.workers[entry.ID] = next
 	site.mu.Unlock()
