Log the age of a run that is lost with its worker

Cause: `run ended` says the same of the run that crashed its worker and of the runs beside it, so the logs cannot tell the hypotheses of the incident apart. New fields: `age`, from the start to the loss of contact with the worker, and `listedAge`, the age at which a report listed the run last. No decision changes. Ruled out: logging each start (2,900 a second in two years). go test ./process/dispatch ./process/owner: passes but for TestRandomFaultsWithCallsDelayedInNetwork, which is known red.

--- a/process/dispatch/decide.go
+++ b/process/dispatch/decide.go
@@ -147,7 +147,7 @@
 		e.Stats.Unanswered++
 		e.recordTaskEvent(EventStartUnanswered, a, "no answer")
 		e.setState(now, a, unconfirmed)
-		a.node.isUnresponsive = true
+		a.node.markUnresponsive(now.Steady)
 		return
 	}
 	e.Stats.Refused++
@@ -156,7 +156,7 @@
 	case RefusedNoCapacity, RefusedUnhealthy:
 		a.node.backoffUntil = now.Steady + e.cfg.RefusalBackoff
 	case NotSent:
-		a.node.isUnresponsive = true
+		a.node.markUnresponsive(now.Steady)
 	}
 	e.release(a)
 	e.requeue(now, a)
--- a/process/dispatch/event.go
+++ b/process/dispatch/event.go
@@ -54,6 +54,9 @@
 	// Slack is the time left until the objective; negative if the objective is missed.
 	// For a quarantined worker it is the length of the quarantine.
 	Slack time.Duration
+	// Age is the time from the start of a lost run to the loss of contact with its worker,
+	// and ListedAge its age when a report listed it last, or zero.
+	Age, ListedAge time.Duration
 }
 
 func (e *Engine) recordEvent(record EventRecord) {
@@ -80,9 +83,21 @@
 
 // recordTaskEvent records an event of one attempt.
 func (e *Engine) recordTaskEvent(event Event, a *attempt, reason string) {
+	e.recordEvent(newTaskEvent(event, a, reason))
+}
+
+// recordLostRun records the end of a run that its worker cannot report.
+func (e *Engine) recordLostRun(now Moment, a *attempt, reason string) {
+	record := newTaskEvent(EventRunEnded, a, reason)
+	record.Age = a.node.lostAt(now.Steady) - a.startedAt
+	record.ListedAge = max(a.listedAt-a.startedAt, 0)
+	e.recordEvent(record)
+}
+
+func newTaskEvent(event Event, a *attempt, reason string) EventRecord {
 	t := a.task
-	e.recordEvent(EventRecord{
+	return EventRecord{
 		Event: event, Job: t.step.occ.job.workflow.ID, Step: t.step.index, Index: t.index, Worker: a.node.worker.ID,
 		Run: a.run, Reason: reason, Count: 1,
-	})
+	}
 }
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -30,12 +30,27 @@
 
 // WorkerUnresponsive records that a call to a worker got no reply. It gets no new tasks
 // until its next report.
-func (e *Engine) WorkerUnresponsive(id heatherhub.WorkerID) {
+func (e *Engine) WorkerUnresponsive(now Moment, id heatherhub.WorkerID) {
 	if n := e.nodes[id]; n != nil {
-		n.isUnresponsive = true
+		n.markUnresponsive(now.Steady)
 	}
 }
 
+// markUnresponsive records that a call to the worker got no reply.
+func (n *node) markUnresponsive(now time.Duration) {
+	if !n.isUnresponsive {
+		n.isUnresponsive, n.silentSince = true, now
+	}
+}
+
+// lostAt returns the steady time at which contact with a lost worker ended.
+func (n *node) lostAt(now time.Duration) time.Duration {
+	if n.isUnresponsive {
+		return n.silentSince
+	}
+	return now
+}
+
 // WorkerGone removes a worker on which certainly nothing runs any more, because its
 // lease expired or another worker has its address. Its tasks become pending again.
 func (e *Engine) WorkerGone(now Moment, id heatherhub.WorkerID) {
@@ -103,7 +118,7 @@
 		e.adopt(now, n, r)
 		return
 	}
-	a.isListed, a.isStray = true, false
+	a.isListed, a.isStray, a.listedAt = true, false, now.Steady
 	if a.state != running {
 		e.confirm(now, a)
 	}
--- a/process/dispatch/restart.go
+++ b/process/dispatch/restart.go
@@ -119,7 +119,7 @@
 // endLostRun ends an attempt whose end the worker cannot report. Its task becomes pending again.
 func (e *Engine) endLostRun(now Moment, a *attempt, reason string) {
 	e.Stats.Lost++
-	e.recordTaskEvent(EventRunEnded, a, reason)
+	e.recordLostRun(now, a, reason)
 	if a.state != running {
 		a.task.step.occ.job.mayHaveBegun = true
 	}
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -267,6 +267,8 @@
 	state attemptState
 	// isListed means that the worker has listed the run in a report.
 	isListed bool
+	// listedAt is the steady time of the last report that lists the run.
+	listedAt time.Duration
 	// isStray means that the start was sent to a former incarnation of the worker. The run is
 	// over unless the present one lists it.
 	isStray bool
@@ -345,6 +347,8 @@
 	hasListedAll bool
 	// isUnresponsive means that the last call to the worker got no reply.
 	isUnresponsive bool
+	// silentSince is the steady time of the first call without a reply since the last report.
+	silentSince time.Duration
 	// isLeaving means that the worker has announced that it leaves, which it does at
 	// leavesAt at the earliest.
 	isLeaving bool
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -442,7 +442,8 @@
 		t.host.metrics.recordEvent(n)
 		t.log.Info(string(n.Event), zap.String("job", string(n.Job)), zap.Int("step", n.Step), zap.Int("index", n.Index),
 			zap.String("worker", string(n.Worker)), zap.Uint64("run", uint64(n.Run)), zap.String("reason", n.Reason),
-			zap.Int("count", n.Count), zap.Duration("waited", n.Waited), zap.Duration("left", n.Slack))
+			zap.Int("count", n.Count), zap.Duration("waited", n.Waited), zap.Duration("left", n.Slack),
+			zap.Duration("age", n.Age), zap.Duration("listedAge", n.ListedAge))
 	}
 }
 
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -442,7 +442,7 @@
 		return
 	}
 	if found == noEvidence {
-		t.engine.WorkerUnresponsive(w.id)
+		t.engine.WorkerUnresponsive(now, w.id)
 		t.publishOnceResolved()
 		return
 	}
