Reproduce tasks that crash one worker after another

The simulated site gains tasks that crash each worker that starts them; the worker is back after some time, under its id or another one at the same address.

--- /dev/null
+++ b/process/owner/crash_test.go
@@ -0,0 +1,111 @@
+package owner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"heatherhub.example/heatherhub"
+)
+
+// crash says how a task crashes the workers that start it.
+type crash struct {
+	// after is the time from the start of the task to the crash.
+	after time.Duration
+	// down is the time until the worker is back.
+	down time.Duration
+	// hasNewID says that the worker comes back under another ID, at the same address.
+	hasNewID bool
+}
+
+// setCrash has a task crash each worker that starts it.
+func (site *simSite) setCrash(t heatherhub.StepTask, c crash) {
+	site.mu.Lock()
+	defer site.mu.Unlock()
+	if site.crashes == nil {
+		site.crashes = make(map[heatherhub.StepTask]crash)
+	}
+	site.crashes[t] = c
+}
+
+// crashAfterStart crashes a worker that has started a task, if the task does that.
+func (site *simSite) crashAfterStart(m *fakeWorker, t heatherhub.StepTask, run heatherhub.RunID) {
+	site.mu.Lock()
+	c, isDeadly := site.crashes[t]
+	site.mu.Unlock()
+	if !isDeadly {
+		return
+	}
+	site.after(c.after, func() {
+		m.mu.Lock()
+		m.advance()
+		r := m.running[t]
+		isRunning := r != nil && r.run == run
+		m.mu.Unlock()
+		if isRunning {
+			site.crashWorker(m, c)
+		}
+	})
+}
+
+// crashWorker ends a worker with all its runs and starts it again.
+func (site *simSite) crashWorker(m *fakeWorker, c crash) {
+	newTraceLog().Info("worker crashes", zap.String("worker", string(m.entry.ID)))
+	site.mu.Lock()
+	site.crashed++
+	n := site.crashed
+	site.mu.Unlock()
+	if !c.hasNewID {
+		site.restartWorker(m, c.down)
+		return
+	}
+	m.leave(false)
+	site.after(c.down, func() {
+		m.mu.Lock()
+		m.isReplaced = true
+		m.mu.Unlock()
+		next := m.entry
+		next.ID = heatherhub.WorkerID(fmt.Sprintf("back%d", n))
+		next.Draining, next.DrainRemaining = false, 0
+		w := newFakeWorker(site, next, m.clockRate)
+		site.mu.Lock()
+		site.workers[next.ID] = w
+		site.mu.Unlock()
+		site.register(w)
+		site.store.removeKey(workerPrefix + string(m.entry.ID))
+	})
+}
+
+// maxStarts is the number of starts that a task may have if it crashes its workers.
+const maxStarts = 5
+
+// TestTaskThatCrashesItsWorkersIsGivenUp guards against a task that is started again and again
+// although each worker that starts it crashes, and against work beside it that never ends.
+func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	for _, down := range []time.Duration{500 * time.Millisecond, 3 * time.Second} {
+		for _, hasNewID := range []bool{false, true} {
+			for _, isOwnerKilled := range []bool{false, true} {
+				name := fmt.Sprintf("down=%s,newID=%v,ownerKilled=%v", down, hasNewID, isOwnerKilled)
+				t.Run(name, func(t *testing.T) {
+					testOnSite(t, 3, func(site *simSite) {
+						task := heatherhub.StepTask{Job: "deadly"}
+						site.setCrash(task, crash{after: 10 * time.Millisecond, down: down, hasNewID: hasNewID})
+						site.submit("innocent", newStep(12, 3*time.Second))
+						site.submit("deadly", newStep(2, time.Second))
+						if isOwnerKilled {
+							site.await("the second start", 10*time.Second, func() bool { return site.startCount(task) == 2 })
+							site.kill(site.currentOwner())
+						}
+						site.await("the end of the deadly job", 40*time.Second, func() bool { return site.jobState("deadly") == heatherhub.WorkflowFailed })
+						site.await("the end of the innocent job", 20*time.Second, func() bool { return site.isCompleted("innocent") })
+						if got := site.startCount(task); got > maxStarts {
+							t.Errorf("got %d starts of the deadly task, want at most %d", got, maxStarts)
+						}
+					})
+				})
+			}
+		}
+	}
+}
--- a/process/owner/worker_test.go
+++ b/process/owner/worker_test.go
@@ -162,6 +162,7 @@
 	}
 	m.running[s.Task] = &fakeRun{run: s.Run, endsAt: time.Now().Add(m.site.runTime(s.Task))}
 	m.site.recordStart(m, s.Task, s.Run, s.Token)
+	m.site.crashAfterStart(m, s.Task, s.Run)
 	return m.clock(), nil
 }
 
--- a/process/owner/world_test.go
+++ b/process/owner/world_test.go
@@ -85,6 +85,10 @@
 	// delaysCallsInNetwork has late calls to a worker that starts again carried out by its next
 	// incarnation. Otherwise the incarnation that has received them holds them.
 	delaysCallsInNetwork atomic.Bool
+	// crashes has the tasks that crash each worker that starts them.
+	crashes map[heatherhub.StepTask]crash
+	// crashed counts the workers that crashed because of a task.
+	crashed int
 	// callFaults resets and delays calls to workers, if set.
 	callFaults atomic.Pointer[workerFaults]
 }
