Find the task that crashes its workers, and give its job up

Cause: a run that is lost with its worker made its task pending again without a count, a limit or a doubt. Independence was assumed: that the loss of a worker has nothing to do with what it runs. Ruled out: counts lost at takeovers (there were none to lose), faulty workers (the worker differs each time; the culprit's run is 11 to 50 ms old and was never listed). Change: crashes are part of a job's progress (and of its record, for tasks that run in other shards). Runs that no report has listed 500 ms after their start are the suspects; a suspect starts again isolated, once its crash is stored; two crashes of isolated runs at the age of the earlier loss, or four in a row under one task, give the job up. A proven run clears its task. Leases that expire, announced departures and simultaneous losses convict nobody. Operators see it in the job's reason, `job given up`, `evidence` of `run ended`, and an event counter.

--- /dev/null
+++ b/process/dispatch/crash.go
@@ -0,0 +1,425 @@
+package dispatch
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"heatherhub.example/heatherhub"
+)
+
+// A task may crash each worker that starts it, and all runs beside it are lost as well. The crash
+// itself does not tell which of them is to blame, so crashes are collected for each task:
+//
+//   - A run that a report lists some time after its start has shown that it does no harm. The
+//     runs that have not shown it are the suspects of a crash.
+//   - A suspected task starts again isolated: on a worker with no other suspect, that gets no
+//     other start until the run has shown that it does no harm. So the next crash convicts it, and
+//     a run that works clears it.
+//   - Workers that are lost at the same moment have a cause of their own, unless they had
+//     started tasks of one job.
+//
+// The crashes are part of the job's progress, so they outlive the owner of the shard. A suspected
+// task does not start before they are durable.
+
+// departure is how a worker was lost.
+type departure bool
+
+const (
+	// vanished: the lease of the worker has expired, or it left after a notice.
+	vanished departure = false
+	// crashed: another worker or incarnation answers in its place, without a notice.
+	crashed departure = true
+)
+
+// Limits of the search for tasks that crash their workers.
+const (
+	// provenAge is the age at which a run that its worker lists counts as harmless.
+	provenAge = 500 * time.Millisecond
+	// maxProvenAge bounds the proven age of tasks whose runs were older when their workers
+	// crashed, and so the time for which an isolated run may keep others away.
+	maxProvenAge = 10 * time.Second
+	// maxSuspectAge is the age up to which a proven run counts as lost beside a crash. A long run
+	// is lost with a worker at some time by chance.
+	maxSuspectAge = maxProvenAge / 2
+	// crashesBeforeIsolation is the number of crashes in a row after which a task starts
+	// isolated even if it was a suspect at none of them.
+	crashesBeforeIsolation = 2
+	// maxIsolatedCrashes is the number of workers that isolated runs of a job may crash before
+	// the job is given up, and maxCrashes the number of crashes in a row of any kind under one
+	// task.
+	maxIsolatedCrashes = 2
+	maxCrashes         = 4
+	// If simultaneousShare of the workers, or minSimultaneous, are lost within lossWindow before or
+	// after one another, the cause is not sought in their tasks.
+	simultaneousShare = 0.125
+	minSimultaneous   = 3
+	lossWindow        = time.Second
+	// isolationHold is how long a worker is held for an isolated start. Runs that are young at
+	// the beginning are proven by then.
+	isolationHold = 3 * time.Second
+	// crashMemory is how long a crash counts in the choice of a worker for an isolated start.
+	crashMemory = 30 * time.Second
+)
+
+// crashLog is a recent crash of a worker of the shard.
+type crashLog struct {
+	lostAt  time.Duration
+	address string
+	// suspects are the jobs of the runs that were not proven.
+	suspects map[heatherhub.JobID]struct{}
+}
+
+// proven returns the age at which a run of the task counts as harmless.
+func (t *task) proven() time.Duration {
+	age := provenAge
+	for _, c := range t.crashes {
+		age = max(age, min(2*c.Age, maxProvenAge))
+	}
+	return age
+}
+
+// needsIsolation reports whether the next run of the task has to be the only suspect on its worker.
+func (t *task) needsIsolation() bool {
+	if t.step.occ.job.isSuspect || len(t.crashes) >= crashesBeforeIsolation {
+		return true
+	}
+	return slices.ContainsFunc(t.crashes, isSuspected)
+}
+
+// isSuspected reports whether a run was a suspect when its worker crashed.
+func isSuspected(c heatherhub.CrashedRun) bool {
+	return c.Evidence == heatherhub.CrashSuspect || c.Evidence == heatherhub.CrashIsolated
+}
+
+// updateSuspicion derives isSuspect from the crashes of the job: once several workers have crashed
+// under its tasks, those that have not started yet start isolated as well.
+func (j *job) updateSuspicion() {
+	suspected := slices.DeleteFunc(slices.Clone(j.progress.Crashes), func(c heatherhub.CrashedRun) bool { return !isSuspected(c) })
+	j.isSuspect = len(crashedWorkers(suspected)) >= crashesBeforeIsolation
+}
+
+// awaitsCrashRecord reports whether the task may not start before its crashes are stored. Those of
+// a task that runs in a shard other than its job's are stored with the job's record, once the task
+// is back.
+func (t *task) awaitsCrashRecord() bool {
+	j := t.step.occ.job
+	switch {
+	case !t.needsIsolation():
+		return false
+	case j.isOwnedElsewhere:
+		return slices.ContainsFunc(t.crashes, func(c heatherhub.CrashedRun) bool { return !hasCrash(j.workflow.Crashes, c) })
+	default:
+		return j.committed < j.crashChange
+	}
+}
+
+// hasCrash reports whether crashes has the loss of a run with a worker.
+func hasCrash(crashes []heatherhub.CrashedRun, c heatherhub.CrashedRun) bool {
+	return slices.ContainsFunc(crashes, func(o heatherhub.CrashedRun) bool { return o.Run == c.Run && o.Worker == c.Worker })
+}
+
+// recordCrash holds a crash of a worker against the runs that may have caused it. It is called
+// before the runs are ended.
+func (e *Engine) recordCrash(now Moment, n *node, how departure) {
+	lostAt := n.lostAt(now.Steady)
+	lost := slices.DeleteFunc(slices.Clone(n.attemptsByRun()), func(a *attempt) bool {
+		return a.task.step.occ.job.isOver() || a.task.isDone || a.task.isRemote
+	})
+	suspects := make(map[heatherhub.JobID]struct{})
+	hasIsolated := false
+	for _, a := range lost {
+		if !a.isProven {
+			suspects[a.task.step.occ.job.workflow.ID] = struct{}{}
+			hasIsolated = hasIsolated || a.isIsolated
+		}
+	}
+	if how == crashed {
+		e.crashes = slices.DeleteFunc(e.crashes, func(c crashLog) bool { return now.Steady-c.lostAt > crashMemory })
+	}
+	isSimultaneous, common := e.simultaneousLoss(n, lostAt, suspects)
+	if how == crashed {
+		e.crashes = append(e.crashes, crashLog{lostAt: lostAt, address: n.worker.Address, suspects: suspects})
+	}
+	for _, a := range lost {
+		evidence, counts := heatherhub.CrashBeside, true
+		_, isCommon := common[a.task.step.occ.job.workflow.ID]
+		isSuspect := !a.isProven && (!isSimultaneous || isCommon)
+		switch {
+		case hasIsolated && (a.isProven || !a.isIsolated):
+			counts = false
+		case hasIsolated && isSuspect && how == crashed:
+			evidence = heatherhub.CrashIsolated
+		case isSuspect && how == crashed:
+			evidence = heatherhub.CrashSuspect
+		case a.isProven:
+			counts = how == crashed && !isSimultaneous && lostAt-a.startedAt <= maxSuspectAge
+		}
+		if counts {
+			e.addCrash(now, a, evidence, lostAt)
+		}
+	}
+}
+
+// simultaneousLoss reports whether other workers were lost together with n at lostAt, and returns
+// the jobs that had unproven runs on all of them.
+func (e *Engine) simultaneousLoss(n *node, lostAt time.Duration, suspects map[heatherhub.JobID]struct{}) (bool, map[heatherhub.JobID]struct{}) {
+	common := maps.Clone(suspects)
+	count := 1
+	add := func(at time.Duration, has func(heatherhub.JobID) bool) {
+		if (at - lostAt).Abs() > lossWindow {
+			return
+		}
+		count++
+		maps.DeleteFunc(common, func(id heatherhub.JobID, _ struct{}) bool { return !has(id) })
+	}
+	for _, c := range e.crashes {
+		add(c.lostAt, func(id heatherhub.JobID) bool { _, ok := c.suspects[id]; return ok })
+	}
+	for _, o := range e.sortedNodes {
+		if o == n || !o.isUnresponsive {
+			continue
+		}
+		add(o.silentSince, func(id heatherhub.JobID) bool {
+			return slices.ContainsFunc(o.attemptsByRun(), func(a *attempt) bool { return !a.isProven && a.task.step.occ.job.workflow.ID == id })
+		})
+	}
+	return float64(count) >= max(minSimultaneous, simultaneousShare*float64(len(e.sortedNodes)+1)), common
+}
+
+// addCrash records a lost run of a task and gives its job up if that is due.
+func (e *Engine) addCrash(now Moment, a *attempt, evidence heatherhub.CrashEvidence, lostAt time.Duration) {
+	t := a.task
+	j := t.step.occ.job
+	c := heatherhub.CrashedRun{
+		Occurrence: t.step.occ.index, Task: t.flatIndex(), Run: a.run, Worker: a.node.worker.ID, Evidence: evidence,
+		Age: max(lostAt-a.startedAt, 0),
+	}
+	if hasCrash(t.crashes, c) {
+		return
+	}
+	isSameAge := func(o heatherhub.CrashedRun) bool { return c.HasAgeOf(&o) }
+	if evidence == heatherhub.CrashIsolated && !slices.ContainsFunc(slices.Concat(t.crashes, j.progress.Crashes), isSameAge) {
+		// A task that crashes its workers does so at about the same age, a chance does not.
+		evidence, c.Evidence = heatherhub.CrashSuspect, heatherhub.CrashSuspect
+	}
+	a.crashEvidence = evidence
+	e.Stats.Crashed++
+	t.crashes = append(t.crashes, c)
+	if !j.isOwnedElsewhere {
+		j.progress.Crashes = append(j.progress.Crashes, c)
+		e.markChanged(j)
+		j.crashChange = j.changed
+		j.updateSuspicion()
+	}
+	e.giveUpIfDue(now, t)
+}
+
+// giveUpIfDue fails the job of a task that crashes its workers. Only the owner of the job does so.
+func (e *Engine) giveUpIfDue(now Moment, t *task) {
+	j := t.step.occ.job
+	if j.isOver() || j.isOwnedElsewhere {
+		return
+	}
+	if !j.progress.isGivenUp() {
+		return
+	}
+	e.recordEvent(EventRecord{
+		Event: EventJobGivenUp, Job: j.workflow.ID, Step: t.step.index, Index: t.index, Count: len(t.crashes), Workers: crashedWorkers(t.crashes),
+		Reason: "task crashes its workers",
+	})
+	e.endJob(now, j, heatherhub.WorkflowFailed)
+}
+
+// isGivenUp reports whether the crashes of a job suffice to give it up.
+func (p *Progress) isGivenUp() bool {
+	isOther := func(c heatherhub.CrashedRun) bool { return c.Evidence != heatherhub.CrashIsolated }
+	if len(crashedWorkers(slices.DeleteFunc(slices.Clone(p.Crashes), isOther))) >= maxIsolatedCrashes {
+		return true
+	}
+	counts := make(map[[2]int]int)
+	for _, c := range p.Crashes {
+		if c.Evidence == heatherhub.CrashCleared {
+			continue
+		}
+		key := [2]int{c.Occurrence, c.Task}
+		if counts[key]++; counts[key] >= maxCrashes {
+			return true
+		}
+	}
+	return false
+}
+
+// crashedWorkers returns the workers of crashes, each once.
+func crashedWorkers(crashes []heatherhub.CrashedRun) []heatherhub.WorkerID {
+	var out []heatherhub.WorkerID
+	for _, c := range crashes {
+		if c.Evidence != heatherhub.CrashCleared && !slices.Contains(out, c.Worker) {
+			out = append(out, c.Worker)
+		}
+	}
+	return out
+}
+
+// clearCrashes forgets the crashes of a task of which a run has shown that it does no harm.
+func (e *Engine) clearCrashes(t *task, run heatherhub.RunID) {
+	if len(t.crashes) == 0 {
+		return
+	}
+	t.crashes = nil
+	j, o, k := t.step.occ.job, t.step.occ.index, t.flatIndex()
+	if j.isOwnedElsewhere {
+		return
+	}
+	isOfTask := func(c heatherhub.CrashedRun) bool { return c.Occurrence == o && c.Task == k }
+	j.progress.Crashes = slices.DeleteFunc(j.progress.Crashes, isOfTask)
+	if slices.ContainsFunc(j.workflow.Crashes, isOfTask) {
+		// The job's record still has them.
+		j.progress.Crashes = append(j.progress.Crashes, heatherhub.CrashedRun{Occurrence: o, Task: k, Run: run, Evidence: heatherhub.CrashCleared})
+	}
+	j.updateSuspicion()
+	e.markChanged(j)
+}
+
+// restoreCrashes adds the crashes of a job's record and progress to its tasks, and gives the job up
+// if that is due.
+func (e *Engine) restoreCrashes(now Moment, j *job) {
+	cleared := make(map[*task]heatherhub.RunID)
+	for _, c := range j.progress.Crashes {
+		if t := j.taskOf(c); t != nil && c.Evidence == heatherhub.CrashCleared {
+			cleared[t] = max(cleared[t], c.Run)
+		}
+	}
+	var changed []*task
+	for _, c := range slices.Concat(j.progress.Crashes, j.workflow.Crashes) {
+		t := j.taskOf(c)
+		if t == nil || c.Evidence == heatherhub.CrashCleared || c.Run <= cleared[t] || hasCrash(t.crashes, c) {
+			continue
+		}
+		t.crashes = append(t.crashes, c)
+		if j.isOwnedElsewhere || hasCrash(j.progress.Crashes, c) {
+			continue
+		}
+		j.progress.Crashes = append(j.progress.Crashes, c)
+		e.markChanged(j)
+		j.crashChange = j.changed
+		changed = append(changed, t)
+	}
+	j.updateSuspicion()
+	for _, t := range changed {
+		e.giveUpIfDue(now, t)
+	}
+}
+
+// taskOf returns the task of a crashed run, or nil.
+func (j *job) taskOf(c heatherhub.CrashedRun) *task {
+	if c.Occurrence >= len(j.occurrences) {
+		return nil
+	}
+	return j.occurrences[c.Occurrence].taskAt(c.Task)
+}
+
+// proveIfDue records that a listed run has shown that it does no harm, once it is old enough.
+func (e *Engine) proveIfDue(now Moment, a *attempt) {
+	if a.isProven || now.Steady-a.startedAt < a.task.proven() {
+		return
+	}
+	n := a.node
+	n.countUnproven(a, -1)
+	a.isProven = true
+	e.clearCrashes(a.task, a.run)
+}
+
+// countUnproven adds a run to the unproven ones of the worker, or removes it.
+func (n *node) countUnproven(a *attempt, sign int) {
+	if a.isProven {
+		return
+	}
+	n.unproven += sign
+	if !a.isIsolated {
+		return
+	}
+	j := a.task.step.occ.job
+	n.isolated += sign
+	j.isolated += sign
+	if sign > 0 {
+		n.isolatedFor, n.heldUntil, j.isolationNode = j, 0, n
+	}
+}
+
+// isolatedJob returns the job for whose isolated runs the worker is kept, or nil.
+func (n *node) isolatedJob(now time.Duration) *job {
+	if n.isolated > 0 || (now < n.heldUntil && !n.isolatedFor.isOver()) {
+		return n.isolatedFor
+	}
+	return nil
+}
+
+// isIsolating reports whether a worker, which must be available, can take an isolated start of a
+// task now: no other job's run on it is unproven, and no other worker has isolated runs of the job.
+func (n *node) isIsolating(now time.Duration, t *task) bool {
+	j := t.step.occ.job
+	if holder := n.isolatedJob(now); holder != nil && holder != j {
+		return false
+	}
+	if n.unproven > n.isolated {
+		return false
+	}
+	return t.step.spec.Gang || !j.isIsolatedElsewhere(now, n)
+}
+
+// isIsolatedElsewhere reports whether another worker than n is kept for isolated runs of the job.
+func (j *job) isIsolatedElsewhere(now time.Duration, n *node) bool {
+	o := j.isolationNode
+	return o != nil && o != n && (j.isolated > 0 || (now < o.heldUntil && o.isolatedFor == j))
+}
+
+// chooseIsolated returns the worker on which the least work would be lost with an isolated run, or
+// nil if none can take it now. It then holds the best worker until the runs there are proven.
+func (e *Engine) chooseIsolated(now Moment, s *stepRun, t *task) *node {
+	var best, next *node
+	compare := func(a, b *node) int {
+		return cmp.Or(
+			cmp.Compare(e.crashesAt(now, a), e.crashesAt(now, b)),
+			cmp.Compare(a.usedShare(), b.usedShare()),
+		)
+	}
+	for _, n := range e.sortedNodes {
+		if !e.hasRoom(now, n, s, t) {
+			continue
+		}
+		if _, ok := e.score(n, s); !ok {
+			continue
+		}
+		switch {
+		case n.isIsolating(now.Steady, t):
+			if best == nil || compare(n, best) < 0 {
+				best = n
+			}
+		case n.isolatedJob(now.Steady) == nil && (next == nil || cmp.Or(cmp.Compare(n.unproven, next.unproven), compare(n, next)) < 0):
+			next = n
+		}
+	}
+	j := t.step.occ.job
+	if best == nil && next != nil && !t.step.spec.Gang && !j.isIsolatedElsewhere(now.Steady, nil) {
+		next.isolatedFor, next.heldUntil, j.isolationNode = j, now.Steady+isolationHold, next
+	}
+	return best
+}
+
+// usedShare returns the reserved and the filler processors as a fraction of the worker's.
+func (n *node) usedShare() float64 {
+	return n.shareOf(n.used.CPU + n.fillerCPU)
+}
+
+// crashesAt returns the number of recent crashes of workers at a worker's address.
+func (e *Engine) crashesAt(now Moment, n *node) int {
+	count := 0
+	for _, c := range e.crashes {
+		if c.address == n.worker.Address && now.Steady-c.lostAt <= crashMemory {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/process/dispatch/crash_test.go
@@ -0,0 +1,285 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/connection/agent"
+	"heatherhub.example/heatherhub/connection/ledger"
+	"heatherhub.example/heatherhub/process/dispatch"
+)
+
+// crashWorld is a simulation whose workers may crash. A worker that has crashed is back at once
+// under another ID, at the same address.
+type crashWorld struct {
+	*simulation
+	generation int
+	addresses  map[heatherhub.WorkerID]string
+	// deadly are the tasks that crash their worker when they start.
+	deadly map[heatherhub.StepTask]bool
+	// crashed counts the crashes, and lost the runs of each job that were lost.
+	crashed int
+	lost    map[heatherhub.JobID]int
+}
+
+func newCrashWorld(t *testing.T, workers int) *crashWorld {
+	return newCrashWorldAfter(t, workers, 0)
+}
+
+// newCrashWorldAfter is newCrashWorld with workers that are numbered above generation.
+func newCrashWorldAfter(t *testing.T, workers, generation int) *crashWorld {
+	w := &crashWorld{
+		generation: generation,
+		simulation: newSimulation(t, dispatch.Policy{MaxAttempts: 3}, 0), addresses: make(map[heatherhub.WorkerID]string),
+		deadly: make(map[heatherhub.StepTask]bool), lost: make(map[heatherhub.JobID]int),
+	}
+	for i := range workers {
+		w.join(fmt.Sprintf("a%02d", i))
+	}
+	return w
+}
+
+// join adds a worker at an address.
+func (w *crashWorld) join(address string) {
+	w.generation++
+	id := heatherhub.WorkerID(fmt.Sprintf("w%03d", w.generation))
+	w.workers = append(w.workers, id)
+	w.addresses[id] = address
+	entry := agent.Worker{ID: id, Pool: pool, Address: address, Capacity: heatherhub.Resources{CPU: 10_000, Memory: 10_000}}
+	w.e.WorkerUp(w.now, entry, &agent.Report{Clock: 1})
+}
+
+// crash ends a worker with all its runs.
+func (w *crashWorld) crash(id heatherhub.WorkerID) {
+	w.crashed++
+	for _, r := range w.runs[id] {
+		w.lost[r.order.Task.Job]++
+	}
+	delete(w.runs, id)
+	w.workers = slices.DeleteFunc(w.workers, func(o heatherhub.WorkerID) bool { return o == id })
+	w.e.WorkerGone(w.now, id, true)
+	w.join(w.addresses[id])
+}
+
+// play advances the clock by d in steps of 20 ms, with the crashes of deadly tasks.
+func (w *crashWorld) play(d time.Duration) {
+	const tick = 20 * time.Millisecond
+	for range d / tick {
+		w.step(tick)
+		for _, id := range slices.Clone(w.workers) {
+			if slices.ContainsFunc(w.runs[id], func(r *run) bool { return w.deadly[r.order.Task] }) {
+				w.crash(id)
+			}
+		}
+	}
+}
+
+func (w *crashWorld) startsOf(t heatherhub.StepTask) int {
+	n := 0
+	for _, o := range w.started {
+		if o == t {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *crashWorld) checkState(id heatherhub.JobID, want heatherhub.WorkflowState) {
+	w.t.Helper()
+	if got, _ := w.e.State(id); got != want {
+		w.t.Errorf("job %s: got state %s, want %s", id, got, want)
+	}
+}
+
+// TestInnocentJobsBesideACrashAreDone guards against jobs that are given up, or held up, because
+// their tasks ran beside one that crashes its workers.
+func TestInnocentJobsBesideACrashAreDone(t *testing.T) {
+	w := newCrashWorld(t, 12)
+	for i := range 6 {
+		w.add(heatherhub.JobID(fmt.Sprintf("innocent%d", i)), tasks(3, 1000, time.Second))
+	}
+	w.add("deadly", tasks(2, 1000, time.Second))
+	task := heatherhub.StepTask{Job: "deadly", Index: 1}
+	w.deadly[task] = true
+	w.play(8 * time.Second)
+	w.checkState("deadly", heatherhub.WorkflowFailed)
+	if got := w.startsOf(task); got != 3 {
+		t.Errorf("got %d starts of the deadly task, want 3", got)
+	}
+	for i := range 6 {
+		id := heatherhub.JobID(fmt.Sprintf("innocent%d", i))
+		w.checkState(id, heatherhub.WorkflowCompleted)
+		if got := w.lost[id]; got > 3 {
+			t.Errorf("job %s lost %d runs, want at most those of the first crash", id, got)
+		}
+	}
+	if v, _ := w.e.Job("deadly"); len(v.CrashedWorkers) != 3 {
+		t.Errorf("got crashed workers %v, want 3", v.CrashedWorkers)
+	}
+}
+
+// TestJobOfDeadlyTasksIsGivenUpAsAWhole guards against a job that crashes workers once for each
+// of its tasks.
+func TestJobOfDeadlyTasksIsGivenUpAsAWhole(t *testing.T) {
+	w := newCrashWorld(t, 8)
+	w.add("deadly", tasks(200, 1000, time.Second))
+	for i := range 200 {
+		w.deadly[heatherhub.StepTask{Job: "deadly", Index: i}] = true
+	}
+	w.play(10 * time.Second)
+	w.checkState("deadly", heatherhub.WorkflowFailed)
+	// All workers crash at first, then one at a time.
+	if got, want := w.crashed, 8+2; got > want {
+		t.Errorf("got %d crashes, want at most %d", got, want)
+	}
+}
+
+// TestCrashesOfTheWorkersBlameNobody guards against jobs that are given up because the workers
+// crash by chance, again and again.
+func TestCrashesOfTheWorkersBlameNobody(t *testing.T) {
+	w := newCrashWorld(t, 10)
+	for i := range 40 {
+		w.add(heatherhub.JobID(fmt.Sprintf("j%02d", i)), tasks(2, 1000, time.Second))
+	}
+	for i := range 40 {
+		w.play(300 * time.Millisecond)
+		w.crash(w.workers[(i*7)%len(w.workers)])
+	}
+	w.play(20 * time.Second)
+	for i := range 40 {
+		w.checkState(heatherhub.JobID(fmt.Sprintf("j%02d", i)), heatherhub.WorkflowCompleted)
+	}
+}
+
+// TestLossOfManyWorkersIsolatesNobody guards against suspicion of all that ran on a rack that was
+// lost: its tasks start again at once.
+func TestLossOfManyWorkersIsolatesNobody(t *testing.T) {
+	w := newCrashWorld(t, 12)
+	for i := range 12 {
+		w.add(heatherhub.JobID(fmt.Sprintf("j%02d", i)), tasks(6, 1000, 2*time.Second))
+	}
+	w.play(40 * time.Millisecond)
+	lost := slices.Clone(w.workers[:6])
+	for _, id := range lost {
+		w.e.WorkerUnresponsive(w.now, id)
+	}
+	for _, id := range lost {
+		w.crash(id)
+	}
+	before := len(w.started)
+	w.play(40 * time.Millisecond)
+	got, want := len(w.started)-before, 0
+	for _, n := range w.lost {
+		want += n
+	}
+	if got != want || want == 0 {
+		t.Errorf("got %d starts after the loss, want %d at once", got, want)
+	}
+}
+
+// TestCutOffWorkersGiveUpNoJob guards against a job that is given up because the leases of
+// its workers have expired.
+func TestCutOffWorkersGiveUpNoJob(t *testing.T) {
+	w := newCrashWorld(t, 4)
+	w.add("unlucky", tasks(1, 1000, time.Second))
+	for range 3 {
+		w.play(40 * time.Millisecond)
+		id := w.placed[heatherhub.StepTask{Job: "unlucky"}]
+		delete(w.runs, id)
+		w.workers = slices.DeleteFunc(w.workers, func(o heatherhub.WorkerID) bool { return o == id })
+		w.e.WorkerUnresponsive(w.now, id)
+		w.e.WorkerGone(w.now, id, false)
+		w.join(w.addresses[id])
+	}
+	w.play(3 * time.Second)
+	w.checkState("unlucky", heatherhub.WorkflowCompleted)
+}
+
+// TestWorkerThatLeavesAfterANoticeBlamesNobody guards against suspicion of the runs on a worker
+// that was replaced after it had announced that it leaves.
+func TestWorkerThatLeavesAfterANoticeBlamesNobody(t *testing.T) {
+	w := newCrashWorld(t, 2)
+	w.add("j", tasks(1, 1000, time.Second))
+	w.play(20 * time.Millisecond)
+	id := w.placed[heatherhub.StepTask{Job: "j"}]
+	w.e.WorkerDrains(id, w.now.Steady+time.Second)
+	w.crash(id)
+	if got := w.e.Stats.Crashed; got != 0 {
+		t.Errorf("got %d runs with a crash, want 0", got)
+	}
+}
+
+// TestCrashesOutliveTheOwner guards against a deadly task that each new owner starts as if it were
+// new.
+func TestCrashesOutliveTheOwner(t *testing.T) {
+	w := newCrashWorld(t, 4)
+	w.add("deadly", tasks(1, 1000, time.Second))
+	task := heatherhub.StepTask{Job: "deadly"}
+	w.deadly[task] = true
+	starts := 0
+	var progress dispatch.Progress
+	revision := ledger.Revision(0)
+	for owner := range 6 {
+		w.play(20 * time.Millisecond)
+		if w.startsOf(task) != 1 {
+			t.Fatalf("owner %d: got %d starts, want 1", owner, w.startsOf(task))
+		}
+		starts++
+		for _, c := range w.e.TakeChanges(10) {
+			progress = c.Progress
+		}
+		revision++
+		if progress.State.IsFinal() {
+			break
+		}
+		next := newCrashWorldAfter(t, 4, 10*(owner+1))
+		next.workflows, next.deadly = w.workflows, w.deadly
+		next.e.AddJob(next.now, dispatch.JobRecord{Workflow: w.workflows["deadly"], RecordRevision: 1, Progress: progress, ProgressRevision: revision})
+		w = next
+	}
+	if progress.State != heatherhub.WorkflowFailed || starts > 4 {
+		t.Errorf("got state %q after %d starts, want failed after at most 4", progress.State, starts)
+	}
+}
+
+// TestSuspectWaitsForTheRecordOfItsCrash guards against a start that a successor could not count.
+func TestSuspectWaitsForTheRecordOfItsCrash(t *testing.T) {
+	w := newCrashWorld(t, 4)
+	w.add("deadly", tasks(1, 1000, time.Second))
+	task := heatherhub.StepTask{Job: "deadly"}
+	w.deadly[task] = true
+	w.play(20 * time.Millisecond)
+	if orders := w.e.Decide(w.now); len(orders) != 0 {
+		t.Errorf("got orders %v before the crash is stored, want none", orders)
+	}
+	w.e.Committed(w.now, w.e.TakeChanges(10), 1)
+	if orders := w.e.Decide(w.now); len(orders) != 1 {
+		t.Errorf("got orders %v once the crash is stored, want one start", orders)
+	}
+}
+
+// TestSuspectRunsAloneUntilItIsProven guards against starts beside a suspect, whose crash would
+// then blame nobody.
+func TestSuspectRunsAloneUntilItIsProven(t *testing.T) {
+	w := newCrashWorld(t, 3)
+	w.add("first", tasks(6, 1000, 5*time.Second))
+	w.play(20 * time.Millisecond)
+	w.crash(w.placed[heatherhub.StepTask{Job: "first"}])
+	w.add("second", tasks(30, 500, 5*time.Second))
+	w.play(100 * time.Millisecond)
+	isolated := w.placed[heatherhub.StepTask{Job: "first"}]
+	for _, r := range w.runs[isolated] {
+		if r.order.Task.Job != "first" {
+			t.Errorf("task %v runs beside the suspects, want none before they are proven", r.order.Task)
+		}
+	}
+	w.play(time.Second)
+	w.add("third", tasks(30, 100, 5*time.Second))
+	w.play(100 * time.Millisecond)
+	if !slices.ContainsFunc(w.runs[isolated], func(r *run) bool { return r.order.Task.Job != "first" }) {
+		t.Error("got no start on the worker after its suspects were proven, want some")
+	}
+}
--- a/process/dispatch/drain_test.go
+++ b/process/dispatch/drain_test.go
@@ -126,7 +126,7 @@
 	end := agent.Ended{Sequence: 1, Task: id, Run: b.runs[from][0].order.Run, Kind: agent.EndStopped}
 	b.e.Report(b.now, b.now.Steady, from, &agent.Report{Clock: 1, Ended: []agent.Ended{end}})
 	b.now.Steady += 10 * time.Second
-	b.e.WorkerGone(b.now, to)
+	b.e.WorkerGone(b.now, to, false)
 	b.addWorkerWithRoom(4000)
 	starts := map[heatherhub.WorkerID]int{}
 	for _, o := range b.e.Decide(b.now) {
--- a/process/dispatch/event.go
+++ b/process/dispatch/event.go
@@ -31,6 +31,8 @@
 	// EventFillersHalted: fillers on a worker were halted because a serving task missed
 	// its latency target.
 	EventFillersHalted Event = "fillers halted"
+	// EventJobGivenUp: a task crashes the workers that start it, and its job fails.
+	EventJobGivenUp Event = "job given up"
 	// EventJobEnded: a job reached a final state.
 	EventJobEnded Event = "job ended"
 )
@@ -57,6 +59,10 @@
 	// Age is the time from the start of a lost run to the loss of contact with its worker,
 	// and ListedAge its age when a report listed it last, or zero.
 	Age, ListedAge time.Duration
+	// Evidence is what the crash of a worker says of a lost run; empty if nothing.
+	Evidence string
+	// Workers are those that a task has crashed.
+	Workers []heatherhub.WorkerID
 }
 
 func (e *Engine) recordEvent(record EventRecord) {
@@ -91,6 +97,9 @@
 	record := newTaskEvent(EventRunEnded, a, reason)
 	record.Age = a.node.lostAt(now.Steady) - a.startedAt
 	record.ListedAge = max(a.listedAt-a.startedAt, 0)
+	if hasCrash(a.task.crashes, heatherhub.CrashedRun{Run: a.run, Worker: a.node.worker.ID}) {
+		record.Evidence = a.crashEvidence.String()
+	}
 	e.recordEvent(record)
 }
 
--- a/process/dispatch/flow_test.go
+++ b/process/dispatch/flow_test.go
@@ -44,7 +44,7 @@
 	// Lost, refused and unanswered starts make room like confirmed ones.
 	b.e.OrderResult(b.now, orders[bound/2], dispatch.NotSent)
 	b.e.OrderResult(b.now, orders[bound/2+1], dispatch.NoReply)
-	b.e.WorkerGone(b.now, "w")
+	b.e.WorkerGone(b.now, "w", false)
 	b.e.WorkerUp(b.now, w, &agent.Report{Clock: 1})
 	if got, want := len(b.e.Decide(b.now)), bound; got != want {
 		t.Errorf("got %d starts after the worker was lost, want %d", got, want)
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -107,7 +107,7 @@
 		e.adoptUnknown(now, workflow.ID)
 		return
 	}
-	if len(r.Progress.Done)+len(r.Progress.Failed) > 0 {
+	if len(r.Progress.Done)+len(r.Progress.Failed)+len(r.Progress.Crashes) > 0 {
 		j.begin()
 	}
 	for k := range workflow.Occurrences() {
@@ -115,6 +115,7 @@
 		j.occurrences = append(j.occurrences, o)
 	}
 	e.restoreFailures(j)
+	e.restoreCrashes(now, j)
 	if workflow.Schedule != nil {
 		e.scheduled = append(e.scheduled, j)
 	}
--- a/process/dispatch/move.go
+++ b/process/dispatch/move.go
@@ -30,6 +30,8 @@
 	IsFiller bool
 	Image    string
 	Waited   time.Duration
+	// Home is the shard of the job, if the tasks go back to it.
+	Home heatherhub.ShardID
 }
 
 // MovableWork returns the work that has waited for at least MoveAfter, the longest waiting
@@ -111,6 +113,11 @@
 	}
 	for _, t := range tasks {
 		t.isMoving = true
+		for _, c := range t.crashes {
+			if !hasCrash(workflow.Crashes, c) {
+				workflow.Crashes = append(slices.Clip(workflow.Crashes), c)
+			}
+		}
 	}
 	return &workflow, j.recordRevision, true
 }
@@ -166,6 +173,29 @@
 		}
 		e.enqueueReady(now, o)
 	}
+	e.restoreCrashes(now, j)
+}
+
+// CrashedGuests returns the tasks of other shards' jobs with crashes that are not stored. They go
+// back to the shard of their job, which stores the crashes and decides on the job.
+func (e *Engine) CrashedGuests() []Move {
+	var out []Move
+	for _, s := range e.ready {
+		j := s.occ.job
+		if !j.isOwnedElsewhere || j.isOver() {
+			continue
+		}
+		m := Move{Job: j.workflow.ID, Home: j.workflow.Shard}
+		for _, t := range s.pending {
+			if !t.isMoving && t.awaitsCrashRecord() {
+				m.Tasks = append(m.Tasks, t.flatIndex())
+			}
+		}
+		if len(m.Tasks) > 0 {
+			out = append(out, m)
+		}
+	}
+	return out
 }
 
 // updateTaskShard makes a task pending if this shard runs it. Otherwise it removes the
--- a/process/dispatch/order.go
+++ b/process/dispatch/order.go
@@ -153,7 +153,7 @@
 			continue
 		}
 		t := s.pending[0]
-		if n := e.leastInterference(now, s); n != nil && e.isStartable(now.Steady, t) {
+		if n := e.leastInterference(now, s, t); n != nil && e.isStartable(now.Steady, t) {
 			e.nextRun++
 			e.start(now, t, n, e.nextRun)
 			e.recordStarts(now, s, 1, n.worker.ID)
@@ -173,11 +173,11 @@
 
 // leastInterference returns the worker that accepts a filler and whose serving tasks it is
 // expected to slow down least. The free processors of the worker are not considered.
-func (e *Engine) leastInterference(now Moment, s *stepRun) *node {
+func (e *Engine) leastInterference(now Moment, s *stepRun, t *task) *node {
 	var best *node
 	var bestRatio float64
 	for _, n := range e.sortedNodes {
-		if !e.acceptsStep(now, n, s) {
+		if !e.acceptsTask(now, n, s, t) {
 			continue
 		}
 		ratio := e.logTailRatio(n) + e.logTailRise(n, s.spec.Image, n.shareOf(s.spec.Need.CPU))
@@ -235,6 +235,10 @@
 			break
 		}
 		n := e.chooseWorker(now, s, t)
+		if n == nil && t.needsIsolation() {
+			// It waits for a worker of its own, which says nothing of the room for others.
+			continue
+		}
 		if n == nil {
 			e.recordStarts(now, s, count, last)
 			return false
@@ -281,7 +285,7 @@
 func (e *Engine) start(now Moment, t *task, n *node, run heatherhub.RunID) *attempt {
 	a := &attempt{
 		task: t, node: n, run: run, stateSince: now.Steady, startedAt: now.Steady, progressAt: now.Steady,
-		checkpoint: t.checkpoint, speedLimit: fullSpeed,
+		checkpoint: t.checkpoint, speedLimit: fullSpeed, isIsolated: t.needsIsolation(),
 	}
 	e.attach(a)
 	e.Stats.Starts++
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -13,6 +13,9 @@
 // chooseWorker returns the best worker for the next task of a step, or nil if none is
 // eligible.
 func (e *Engine) chooseWorker(now Moment, s *stepRun, t *task) *node {
+	if t.needsIsolation() {
+		return e.chooseIsolated(now, s, t)
+	}
 	var best *node
 	var bestScore float64
 	for _, n := range e.sortedNodes {
@@ -27,11 +30,19 @@
 	return best
 }
 
-// acceptsStep reports whether a worker accepts tasks of a step. It does not check the
+// acceptsTask reports whether a worker accepts a task of a step. It does not check the
 // spare processors that a filler needs.
-func (e *Engine) acceptsStep(now Moment, n *node, s *stepRun) bool {
+func (e *Engine) acceptsTask(now Moment, n *node, s *stepRun, t *task) bool {
+	if t.needsIsolation() {
+		return e.hasLabelsAndRoom(now, n, s) && n.isIsolating(now.Steady, t)
+	}
+	return e.hasLabelsAndRoom(now, n, s) && n.isolatedJob(now.Steady) == nil
+}
+
+// hasLabelsAndRoom is acceptsTask without regard to runs that are kept apart.
+func (e *Engine) hasLabelsAndRoom(now Moment, n *node, s *stepRun) bool {
 	switch {
-	case !n.acceptsTasks(now.Steady):
+	case !n.isAvailable(now.Steady):
 		return false
 	case n.worker.Pool != s.occ.job.policy.Pool, !s.need.Fits(n.free()):
 		return false
@@ -41,8 +52,13 @@
 }
 
 func (e *Engine) isEligible(now Moment, n *node, s *stepRun, t *task) bool {
+	return e.acceptsTask(now, n, s, t) && e.hasRoom(now, n, s, t)
+}
+
+// hasRoom is isEligible without regard to runs that are kept apart.
+func (e *Engine) hasRoom(now Moment, n *node, s *stepRun, t *task) bool {
 	switch {
-	case !e.acceptsStep(now, n, s):
+	case !e.hasLabelsAndRoom(now, n, s):
 		return false
 	case s.spec.Filler && n.spareCPU() < s.spec.Need.CPU:
 		return false
--- a/process/dispatch/progress.go
+++ b/process/dispatch/progress.go
@@ -17,6 +17,9 @@
 	Done map[int][]byte `msgpack:"d,omitempty" json:"done,omitempty"`
 	// Failed lists the failed runs, so that an end which is reported twice counts once.
 	Failed []FailedRun `msgpack:"f,omitempty" json:"failed,omitempty"`
+	// Crashes lists the runs that were lost with crashed workers, for tasks of which no run has
+	// worked since.
+	Crashes []heatherhub.CrashedRun `msgpack:"c,omitempty" json:"crashes,omitempty"`
 }
 
 // FailedRun identifies a run that ended with a failure.
@@ -61,7 +64,7 @@
 }
 
 func (p *Progress) clone() Progress {
-	c := Progress{State: p.State, Failed: slices.Clone(p.Failed)}
+	c := Progress{State: p.State, Failed: slices.Clone(p.Failed), Crashes: slices.Clone(p.Crashes)}
 	if p.Done != nil {
 		c.Done = make(map[int][]byte, len(p.Done))
 		for k, bits := range p.Done {
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -16,7 +16,7 @@
 	if e.nodes[w.ID] == nil {
 		n := &node{worker: w, attempts: make(map[attemptKey]*attempt), unaccounted: make(map[attemptKey]struct{})}
 		e.addNode(n)
-		e.attachRestarted(n)
+		e.attachRestarted(now, n)
 	}
 	e.Report(now, now.Steady, w.ID, r)
 }
@@ -51,15 +51,19 @@
 	return now
 }
 
-// WorkerGone removes a worker on which certainly nothing runs any more, because its
-// lease expired or another worker has its address. Its tasks become pending again.
-func (e *Engine) WorkerGone(now Moment, id heatherhub.WorkerID) {
+// WorkerGone removes a worker on which certainly nothing runs any more. Its tasks become pending
+// again. isReplaced says that another worker has its address; otherwise its lease has expired, or
+// it has drained.
+func (e *Engine) WorkerGone(now Moment, id heatherhub.WorkerID, isReplaced bool) {
 	e.resolve(id)
 	n := e.nodes[id]
 	if n == nil {
 		return
 	}
 	e.dropNode(n)
+	if !n.isLeaving {
+		e.recordCrash(now, n, departure(isReplaced))
+	}
 	for _, a := range n.attemptsByRun() {
 		e.endLostRun(now, a, "worker gone")
 	}
@@ -119,6 +123,7 @@
 		return
 	}
 	a.isListed, a.isStray, a.listedAt = true, false, now.Steady
+	e.proveIfDue(now, a)
 	if a.state != running {
 		e.confirm(now, a)
 	}
@@ -147,7 +152,7 @@
 	a := &attempt{
 		task: t, node: n, run: r.Run, state: running, isListed: true, stateSince: now.Steady, startedAt: now.Steady,
 		progress: r.Progress, progressAt: now.Steady, checkpoint: r.Checkpoint, speedLimit: fullSpeed,
-		measure: r.Measurement, hasMeasure: r.HasMeasurement,
+		measure: r.Measurement, hasMeasure: r.HasMeasurement, isIsolated: t.needsIsolation(),
 	}
 	a.isSpeedLimitUnknown = t.step.spec.Filler && r.Measurement < inheritedSpeed*float64(t.step.spec.Need.CPU)
 	e.nextRun = max(e.nextRun, r.Run)
@@ -240,6 +245,9 @@
 		e.release(a)
 	}
 	if t != nil {
+		if end.Kind == agent.EndDone || end.Kind == agent.EndFailed {
+			e.clearCrashes(t, end.Run)
+		}
 		t.step.occ.job.begin()
 		e.applyEnd(now, n, t, a, end)
 	}
--- a/process/dispatch/restart.go
+++ b/process/dispatch/restart.go
@@ -35,6 +35,9 @@
 		return
 	}
 	e.dropNode(n)
+	if !n.isLeaving {
+		e.recordCrash(now, n, crashed)
+	}
 	_, hasIncarnation := id.Incarnation()
 	for _, a := range n.attemptsByRun() {
 		// Without an incarnation the runs may go on under the ID that the worker states now.
@@ -69,7 +72,7 @@
 
 // attachRestarted moves the open attempts of a worker's former incarnations to the present one.
 // Its first whole report tells which of them are there.
-func (e *Engine) attachRestarted(n *node) {
+func (e *Engine) attachRestarted(now Moment, n *node) {
 	name := n.worker.ID.Name()
 	r := e.restarted[name]
 	if r == nil {
@@ -80,6 +83,7 @@
 		a.node.removeAttempt(a)
 		a.node, a.isListed, a.isStray = n, false, true
 		a.stopSince, a.progressAt, a.hasMeasure = 0, 0, false
+		a.startedAt, a.isProven = now.Steady, false
 		a.speedLimit, a.isSpeedLimitUnknown = fullSpeed, a.task.step.spec.Filler
 		if a.stop != noStop {
 			a.stop = stopPending
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -51,6 +51,8 @@
 	sortedNodes []*node
 	// unresolved has the workers on which runs of a previous owner may still be active.
 	unresolved map[heatherhub.WorkerID]unresolvedWorker
+	// crashes has the recent crashes of workers, in the order in which they became known.
+	crashes []crashLog
 	// restarted has the workers whose next incarnation has not reported.
 	restarted map[heatherhub.WorkerName]*restartedWorker
 	// openUnresolved counts the unresolved workers that may run any task, and heldBack has
@@ -97,7 +99,7 @@
 
 // Stats counts events of the engine. Its field names are logged.
 type Stats struct {
-	Starts, Refused, Done, Failed, Stopped, Expired, Lost, Unanswered int
+	Starts, Refused, Done, Failed, Stopped, Expired, Lost, Crashed, Unanswered int
 }
 
 // New returns an engine without jobs and workers. Zero fields of Tuning are set to
@@ -151,6 +153,14 @@
 	committed uint64
 	isDirty   bool
 	endedAt   time.Duration
+	// isolated counts the unproven isolated runs of the job, and isolationNode is the worker
+	// that has them or is held for them.
+	isolated      int
+	isolationNode *node
+	// isSuspect means that all starts of the job are isolated, crashChange is the change of its
+	// progress that has the last crash.
+	isSuspect   bool
+	crashChange uint64
 }
 
 // isOver reports whether the job is in a final state, so that none of its tasks may
@@ -216,6 +226,8 @@
 	checkpoint heatherhub.CheckpointRef
 	failedRuns []heatherhub.RunID
 	attempts   []*attempt
+	// crashes has the runs that were lost with crashed workers since a run was proven.
+	crashes []heatherhub.CrashedRun
 	// notBefore is the earliest time of the next attempt after a failure.
 	notBefore time.Duration
 	// avoidWorker is the worker on which the last attempt failed or stalled. The task
@@ -269,6 +281,11 @@
 	isListed bool
 	// listedAt is the steady time of the last report that lists the run.
 	listedAt time.Duration
+	// isProven means that the run has shown that it does not crash its worker, isIsolated that
+	// it is kept apart from others until then. crashEvidence is what the crash of its worker says
+	// of a lost run.
+	isProven, isIsolated bool
+	crashEvidence        heatherhub.CrashEvidence
 	// isStray means that the start was sent to a former incarnation of the worker. The run is
 	// over unless the present one lists it.
 	isStray bool
@@ -349,6 +366,11 @@
 	isUnresponsive bool
 	// silentSince is the steady time of the first call without a reply since the last report.
 	silentSince time.Duration
+	// unproven counts the runs that are not proven, isolated those of them that are isolated.
+	// isolatedFor is the job of these, or the one for which the worker is held until heldUntil.
+	unproven, isolated int
+	isolatedFor        *job
+	heldUntil          time.Duration
 	// isLeaving means that the worker has announced that it leaves, which it does at
 	// leavesAt at the earliest.
 	isLeaving bool
@@ -381,6 +403,11 @@
 // acceptsTasks reports whether the worker may get new tasks at now. It may not while it
 // has unaccounted runs, as its free resources are not known then.
 func (n *node) acceptsTasks(now time.Duration) bool {
+	return n.isAvailable(now) && n.isolatedJob(now) == nil
+}
+
+// isAvailable is acceptsTasks without regard to runs that are kept apart.
+func (n *node) isAvailable(now time.Duration) bool {
 	return !n.isUnresponsive && !n.worker.Draining && n.backoffUntil <= now && !n.health.isQuarantined(now) && len(n.unaccounted) == 0
 }
 
@@ -411,6 +438,7 @@
 	n.cachedByRun = nil
 	n.used = n.used.Add(s.need)
 	n.adjustCounts(s, 1)
+	n.countUnproven(a, 1)
 }
 
 func (n *node) removeAttempt(a *attempt) {
@@ -419,6 +447,7 @@
 	n.cachedByRun = nil
 	n.used = n.used.Sub(s.need)
 	n.adjustCounts(s, -1)
+	n.countUnproven(a, -1)
 }
 
 func (n *node) adjustCounts(s *stepRun, sign int) {
@@ -454,6 +483,7 @@
 }
 
 func (e *Engine) dropNode(n *node) {
+	n.heldUntil = 0
 	delete(e.nodes, n.worker.ID)
 	if at, ok := slices.BinarySearchFunc(e.sortedNodes, n, compareNodes); ok {
 		e.sortedNodes = slices.Delete(e.sortedNodes, at, at+1)
--- a/process/dispatch/unknown_test.go
+++ b/process/dispatch/unknown_test.go
@@ -135,7 +135,7 @@
 	b.add("twice", tasks(1, 1000, time.Second))
 	first := b.e.Decide(b.now)[0]
 	b.e.OrderResult(b.now, first, dispatch.Confirmed)
-	b.e.WorkerGone(b.now, first.Worker)
+	b.e.WorkerGone(b.now, first.Worker, false)
 	b.now.Steady += 200 * time.Millisecond
 	second := b.e.Decide(b.now)[0]
 	b.e.OrderResult(b.now, second, dispatch.NoReply)
--- a/process/dispatch/unresolved.go
+++ b/process/dispatch/unresolved.go
@@ -80,7 +80,7 @@
 
 // isStartable reports whether a pending task may start at now, given a worker for it.
 func (e *Engine) isStartable(now time.Duration, t *task) bool {
-	return t.notBefore <= now && !t.isMoving && !e.mayRunUnresolved(t)
+	return t.notBefore <= now && !t.isMoving && !e.mayRunUnresolved(t) && !t.awaitsCrashRecord()
 }
 
 // IsIdle reports whether no run is open on a worker, and all ends that it has reported are
--- a/process/dispatch/view.go
+++ b/process/dispatch/view.go
@@ -24,6 +24,8 @@
 	Queued     int `msgpack:"w,omitempty" json:"queued"`
 	Finished   int `msgpack:"f,omitempty" json:"finished"`
 	FailedRuns int `msgpack:"x,omitempty" json:"failedRuns"`
+	// CrashedWorkers are the workers that a task of a job that was given up has crashed.
+	CrashedWorkers []heatherhub.WorkerID `msgpack:"cw,omitempty" json:"crashedWorkers,omitempty"`
 }
 
 // WorkerView is the state of a worker as shown to operators.
@@ -54,6 +56,9 @@
 		ID: id, Queue: j.workflow.Queue, Shard: j.workflow.Shard, State: state, Accepted: j.workflow.Accepted,
 		Guests: len(j.workflow.TaskShards), FailedRuns: len(j.progress.Failed),
 	}
+	if state == heatherhub.WorkflowFailed && j.progress.isGivenUp() {
+		v.CrashedWorkers = crashedWorkers(j.progress.Crashes)
+	}
 	for i := range j.workflow.Steps {
 		v.Tasks += j.workflow.Steps[i].Tasks * j.workflow.Occurrences()
 	}
--- a/process/dispatch/waiting_test.go
+++ b/process/dispatch/waiting_test.go
@@ -101,7 +101,7 @@
 		if isAnswered {
 			b.e.OrderResult(b.now, o, dispatch.NoReply)
 		}
-		b.e.WorkerGone(b.now, o.Worker)
+		b.e.WorkerGone(b.now, o.Worker, false)
 		b.checkWaiting(true, false)
 		end := agent.Ended{Sequence: 1, Task: o.Task, Run: o.Run, Kind: agent.EndDone}
 		b.e.WorkerUp(b.now, b.worker(0), &agent.Report{Clock: 1, Ended: []agent.Ended{end}})
@@ -156,7 +156,7 @@
 			b.checkWaiting(true, false)
 			begin(b, o)
 			b.checkWaiting(false, false)
-			b.e.WorkerGone(b.now, o.Worker)
+			b.e.WorkerGone(b.now, o.Worker, false)
 			b.checkWaiting(false, false)
 			if got, want := b.e.UnconfirmedJobs()[queue], 0; got != want {
 				t.Errorf("got %d unconfirmed jobs, want %d", got, want)
--- a/process/owner/commit.go
+++ b/process/owner/commit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -74,6 +75,10 @@
 	case err == nil:
 		t.confirmOwnership(sentAt)
 		t.engine.Committed(t.now(), changes, rev)
+		if slices.ContainsFunc(changes, func(c dispatch.Change) bool { return len(c.Progress.Crashes) > 0 }) {
+			// Suspected tasks wait for the record of their crashes.
+			signal(t.wakeDecide)
+		}
 		close(t.committed)
 		t.committed = make(chan struct{})
 		return true
--- a/process/owner/move.go
+++ b/process/owner/move.go
@@ -38,8 +38,14 @@
 			continue
 		}
 		t.mu.Lock()
-		moves := t.engine.MovableWork(t.now())
+		moves, crashed := t.engine.MovableWork(t.now()), t.engine.CrashedGuests()
 		t.mu.Unlock()
+		if len(crashed) > 0 && acquire(t.ctx, t.moveSem) {
+			for _, m := range crashed {
+				t.writeMove(m, m.Home)
+			}
+			release(t.moveSem)
+		}
 		if len(moves) == 0 {
 			continue
 		}
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -440,10 +440,18 @@
 func (t *term) logEvents() {
 	for _, n := range t.engine.TakeEvents() {
 		t.host.metrics.recordEvent(n)
-		t.log.Info(string(n.Event), zap.String("job", string(n.Job)), zap.Int("step", n.Step), zap.Int("index", n.Index),
+		fields := []zap.Field{
+			zap.String("job", string(n.Job)), zap.Int("step", n.Step), zap.Int("index", n.Index),
 			zap.String("worker", string(n.Worker)), zap.Uint64("run", uint64(n.Run)), zap.String("reason", n.Reason),
 			zap.Int("count", n.Count), zap.Duration("waited", n.Waited), zap.Duration("left", n.Slack),
-			zap.Duration("age", n.Age), zap.Duration("listedAge", n.ListedAge))
+		}
+		if n.Age > 0 {
+			fields = append(fields, zap.Duration("age", n.Age), zap.Duration("listedAge", n.ListedAge), zap.String("evidence", n.Evidence))
+		}
+		if len(n.Workers) > 0 {
+			fields = append(fields, zap.Any("workers", n.Workers))
+		}
+		t.log.Info(string(n.Event), fields...)
 	}
 }
 
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -452,7 +452,7 @@
 	}
 	w.isGone = true
 	w.logGone(now.Steady, found, err)
-	t.engine.WorkerGone(now, w.id)
+	t.engine.WorkerGone(now, w.id, isReplaced)
 	t.publishOnceResolved()
 	w.isUp = false
 	if isReplaced || !w.isListed {
--- a/request/overview/overview.go
+++ b/request/overview/overview.go
@@ -14,6 +14,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -190,6 +191,9 @@
 	if v.State == heatherhub.WorkflowFailed {
 		j.Reason = "a task has reached the maximum number of failures for its queue"
 	}
+	if n := len(v.CrashedWorkers); n > 0 {
+		j.Reason = fmt.Sprintf("a task crashes the workers that start it (%d so far, %s among them): look at what it runs before you submit the job again", n, v.CrashedWorkers[n-1])
+	}
 	return operatorapi.JobView{Job: j, Shard: v.Shard, Running: v.Running, Queued: v.Queued, Finished: v.Finished}
 }
 
--- a/workflow.go
+++ b/workflow.go
@@ -119,6 +119,8 @@
 	// TaskShards maps tasks of a split workflow to the shards that run them in place
 	// of Shard. The key is the task's number, counted over all steps.
 	TaskShards map[int]ShardID `msgpack:"ho,omitempty" json:"homes,omitempty"`
+	// Crashes has the crashes of tasks that were moved to other shards, as of their last move.
+	Crashes []CrashedRun `msgpack:"cr,omitempty" json:"crashes,omitempty"`
 }
 
 // ShardOf returns the shard that runs a task. The task's number is counted over all
@@ -197,6 +199,11 @@
 	if taskCount > MaxTasksPerJob {
 		return ErrInvalid.New("job %s has %d tasks: use at most %d", w.ID, taskCount, MaxTasksPerJob)
 	}
+	for i := range w.Crashes {
+		if err := w.Crashes[i].Check(); err != nil {
+			return err
+		}
+	}
 	return w.checkTaskShards(taskCount)
 }
 
