Store the worker of an isolated start before the start

Cause: a successor that finds a worker crashed does not know which suspect was started there, so each takeover hid a crash. Change: the worker of an isolated start is part of the job's progress (IsolatedOn) and durable before the start. A successor that finds it replaced counts a crash against the job's waiting suspects. A first start is still not recorded; it hides one crash at most. Isolated runs and runs under 100 ms old are suspects of simultaneous losses too: in a flood of deadly jobs losses always look simultaneous, and the first crash counted for nothing. Ruled out: writing each start (2,900 a second).

--- a/process/dispatch/crash.go
+++ b/process/dispatch/crash.go
@@ -17,11 +17,12 @@
 //   - A suspected task starts again isolated: on a worker with no other suspect, that gets no
 //     other start until the run has shown that it does no harm. So the next crash convicts it, and
 //     a run that works clears it.
-//   - Workers that are lost at the same moment have a cause of their own, unless they had
-//     started tasks of one job.
+//   - Workers that are lost at the same moment have a cause of their own, unless they had just
+//     started tasks, or have started tasks of one job.
 //
-// The crashes are part of the job's progress, so they outlive the owner of the shard. A suspected
-// task does not start before they are durable.
+// The crashes are part of the job's progress, so they outlive the owner of the shard. So does the
+// worker of an isolated start: both are durable before the start, and a successor that finds the
+// worker crashed counts that as well.
 
 // departure is how a worker was lost.
 type departure bool
@@ -56,6 +57,9 @@
 	simultaneousShare = 0.125
 	minSimultaneous   = 3
 	lossWindow        = time.Second
+	// youngAge is the age up to which a run is a suspect also of a simultaneous loss: few runs
+	// are that young by chance.
+	youngAge = 100 * time.Millisecond
 	// isolationHold is how long a worker is held for an isolated start. Runs that are young at
 	// the beginning are proven by then.
 	isolationHold = 3 * time.Second
@@ -145,7 +149,7 @@
 	for _, a := range lost {
 		evidence, counts := heatherhub.CrashBeside, true
 		_, isCommon := common[a.task.step.occ.job.workflow.ID]
-		isSuspect := !a.isProven && (!isSimultaneous || isCommon)
+		isSuspect := !a.isProven && (!isSimultaneous || isCommon || a.isIsolated || lostAt-a.startedAt <= youngAge)
 		switch {
 		case hasIsolated && (a.isProven || !a.isIsolated):
 			counts = false
@@ -188,7 +192,7 @@
 	return float64(count) >= max(minSimultaneous, simultaneousShare*float64(len(e.sortedNodes)+1)), common
 }
 
-// addCrash records a lost run of a task and gives its job up if that is due.
+// addCrash records the run of an attempt as lost with its worker.
 func (e *Engine) addCrash(now Moment, a *attempt, evidence heatherhub.CrashEvidence, lostAt time.Duration) {
 	t := a.task
 	j := t.step.occ.job
@@ -205,6 +209,12 @@
 		evidence, c.Evidence = heatherhub.CrashSuspect, heatherhub.CrashSuspect
 	}
 	a.crashEvidence = evidence
+	e.appendCrash(now, t, c)
+}
+
+// appendCrash records a crash of a task and gives its job up if that is due.
+func (e *Engine) appendCrash(now Moment, t *task, c heatherhub.CrashedRun) {
+	j := t.step.occ.job
 	e.Stats.Crashed++
 	t.crashes = append(t.crashes, c)
 	if !j.isOwnedElsewhere {
@@ -279,6 +289,9 @@
 		j.progress.Crashes = append(j.progress.Crashes, heatherhub.CrashedRun{Occurrence: o, Task: k, Run: run, Evidence: heatherhub.CrashCleared})
 	}
 	j.updateSuspicion()
+	if len(j.progress.Crashes) == 0 {
+		j.progress.IsolatedOn = ""
+	}
 	e.markChanged(j)
 }
 
@@ -378,9 +391,11 @@
 // chooseIsolated returns the worker on which the least work would be lost with an isolated run, or
 // nil if none can take it now. It then holds the best worker until the runs there are proven.
 func (e *Engine) chooseIsolated(now Moment, s *stepRun, t *task) *node {
+	j := t.step.occ.job
 	var best, next *node
 	compare := func(a, b *node) int {
 		return cmp.Or(
+			-compareBool(a.worker.ID == j.progress.IsolatedOn, b.worker.ID == j.progress.IsolatedOn),
 			cmp.Compare(e.crashesAt(now, a), e.crashesAt(now, b)),
 			cmp.Compare(a.usedShare(), b.usedShare()),
 		)
@@ -401,13 +416,61 @@
 			next = n
 		}
 	}
-	j := t.step.occ.job
-	if best == nil && next != nil && !t.step.spec.Gang && !j.isIsolatedElsewhere(now.Steady, nil) {
-		next.isolatedFor, next.heldUntil, j.isolationNode = j, now.Steady+isolationHold, next
+	switch {
+	case t.step.spec.Gang:
+	case best != nil && !j.isOwnedElsewhere && best.worker.ID != j.progress.IsolatedOn:
+		j.progress.IsolatedOn = best.worker.ID
+		e.markChanged(j)
+		j.crashChange = j.changed
+		best.holdFor(now, j)
+		return nil
+	case best == nil && next != nil && !j.isIsolatedElsewhere(now.Steady, nil):
+		next.holdFor(now, j)
 	}
 	return best
 }
 
+// holdFor keeps a worker for the isolated start of a job.
+func (n *node) holdFor(now Moment, j *job) {
+	n.isolatedFor, n.heldUntil, j.isolationNode = j, now.Steady+isolationHold, n
+}
+
+// recordInheritedCrash holds the crash of a worker that this owner has not reached against the jobs
+// whose isolated runs a previous owner may have started there.
+func (e *Engine) recordInheritedCrash(now Moment, id heatherhub.WorkerID, how departure) {
+	evidence := heatherhub.CrashBeside
+	if how == crashed {
+		evidence = heatherhub.CrashIsolated
+	}
+	for _, j := range e.jobs {
+		if j.progress.IsolatedOn != id || j.isOver() || j.isOwnedElsewhere {
+			continue
+		}
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				for _, t := range slices.Clone(s.pending) {
+					if len(t.crashes) > 0 && t.needsIsolation() && s.blockers == 0 {
+						last := t.crashes[len(t.crashes)-1]
+						e.appendCrash(now, t, heatherhub.CrashedRun{Occurrence: o.index, Task: t.flatIndex(), Worker: id, Evidence: evidence, Age: last.Age})
+					}
+				}
+			}
+		}
+	}
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // usedShare returns the reserved and the filler processors as a fraction of the worker's.
 func (n *node) usedShare() float64 {
 	return n.shareOf(n.used.CPU + n.fillerCPU)
--- a/process/dispatch/drain.go
+++ b/process/dispatch/drain.go
@@ -78,7 +78,7 @@
 		if e.nodes[m.to.worker.ID] != m.to || !t.isPending || t.step.blockers > 0 || t.step.occ.job.isOver() || e.isAtStartLimit() {
 			continue
 		}
-		if !e.isStartable(now.Steady, t) || !e.isEligible(now, m.to, t.step, t) {
+		if t.needsIsolation() || !e.isStartable(now.Steady, t) || !e.isEligible(now, m.to, t.step, t) {
 			continue
 		}
 		e.nextRun++
--- a/process/dispatch/order.go
+++ b/process/dispatch/order.go
@@ -153,6 +153,9 @@
 			continue
 		}
 		t := s.pending[0]
+		if t.needsIsolation() {
+			continue
+		}
 		if n := e.leastInterference(now, s, t); n != nil && e.isStartable(now.Steady, t) {
 			e.nextRun++
 			e.start(now, t, n, e.nextRun)
--- a/process/dispatch/progress.go
+++ b/process/dispatch/progress.go
@@ -20,6 +20,8 @@
 	// Crashes lists the runs that were lost with crashed workers, for tasks of which no run has
 	// worked since.
 	Crashes []heatherhub.CrashedRun `msgpack:"c,omitempty" json:"crashes,omitempty"`
+	// IsolatedOn is the worker on which isolated runs of the job may have been started last.
+	IsolatedOn heatherhub.WorkerID `msgpack:"i,omitempty" json:"isolatedOn,omitempty"`
 }
 
 // FailedRun identifies a run that ended with a failure.
@@ -64,7 +66,7 @@
 }
 
 func (p *Progress) clone() Progress {
-	c := Progress{State: p.State, Failed: slices.Clone(p.Failed), Crashes: slices.Clone(p.Crashes)}
+	c := Progress{State: p.State, Failed: slices.Clone(p.Failed), Crashes: slices.Clone(p.Crashes), IsolatedOn: p.IsolatedOn}
 	if p.Done != nil {
 		c.Done = make(map[int][]byte, len(p.Done))
 		for k, bits := range p.Done {
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -58,6 +58,7 @@
 	e.resolve(id)
 	n := e.nodes[id]
 	if n == nil {
+		e.recordInheritedCrash(now, id, departure(isReplaced))
 		return
 	}
 	e.dropNode(n)
--- a/process/dispatch/restart.go
+++ b/process/dispatch/restart.go
@@ -32,6 +32,7 @@
 	}
 	n := e.nodes[id]
 	if n == nil {
+		e.recordInheritedCrash(now, id, crashed)
 		return
 	}
 	e.dropNode(n)
--- a/process/dispatch/view.go
+++ b/process/dispatch/view.go
@@ -88,6 +88,14 @@
 	}
 }
 
+// Progress returns a copy of the progress of a job, which need not be durable yet.
+func (e *Engine) Progress(id heatherhub.JobID) Progress {
+	if j := e.jobs[id]; j != nil {
+		return j.progress.clone()
+	}
+	return Progress{}
+}
+
 // Jobs returns the views of up to limit jobs that this shard owns and isWanted accepts,
 // in no particular order, and whether there are more.
 func (e *Engine) Jobs(limit int, isWanted func(JobView) bool) ([]JobView, bool) {
