Count the crash of an inherited worker once, and let no innocent job be given up by it

Cause: each new owner counted the crash of the same inherited worker again, as proof. Change: such a crash is counted once for each worker, and as a suspicion, since nobody saw the run there.

--- a/process/dispatch/crash.go
+++ b/process/dispatch/crash.go
@@ -47,11 +47,11 @@
 	// crashesBeforeIsolation is the number of crashes in a row after which a task starts
 	// isolated even if it was a suspect at none of them.
 	crashesBeforeIsolation = 2
-	// maxIsolatedCrashes is the number of workers that isolated runs of a job may crash before
-	// the job is given up, and maxCrashes the number of crashes in a row of any kind under one
-	// task.
-	maxIsolatedCrashes = 2
-	maxCrashes         = 4
+	// A job is given up when isolated runs of its tasks have crashed maxIsolatedCrashes workers, or
+	// after maxCrashes in a row under one task, or maxSuspectedCrashes at which it was a suspect.
+	maxIsolatedCrashes  = 2
+	maxSuspectedCrashes = 4
+	maxCrashes          = 5
 	// If simultaneousShare of the workers, or minSimultaneous, are lost within lossWindow before or
 	// after one another, the cause is not sought in their tasks.
 	simultaneousShare = 0.125
@@ -244,21 +244,26 @@
 
 // isGivenUp reports whether the crashes of a job suffice to give it up.
 func (p *Progress) isGivenUp() bool {
-	isOther := func(c heatherhub.CrashedRun) bool { return c.Evidence != heatherhub.CrashIsolated }
-	if len(crashedWorkers(slices.DeleteFunc(slices.Clone(p.Crashes), isOther))) >= maxIsolatedCrashes {
-		return true
-	}
-	counts := make(map[[2]int]int)
+	var isolated []heatherhub.CrashedRun
+	type taskNumber struct{ occurrence, task int }
+	all, suspected := make(map[taskNumber]int), make(map[taskNumber]int)
 	for _, c := range p.Crashes {
+		n := taskNumber{c.Occurrence, c.Task}
 		if c.Evidence == heatherhub.CrashCleared {
 			continue
 		}
-		key := [2]int{c.Occurrence, c.Task}
-		if counts[key]++; counts[key] >= maxCrashes {
+		all[n]++
+		if isSuspected(c) {
+			suspected[n]++
+		}
+		if c.Evidence == heatherhub.CrashIsolated {
+			isolated = append(isolated, c)
+		}
+		if all[n] >= maxCrashes || suspected[n] >= maxSuspectedCrashes {
 			return true
 		}
 	}
-	return false
+	return len(crashedWorkers(isolated)) >= maxIsolatedCrashes
 }
 
 // crashedWorkers returns the workers of crashes, each once.
@@ -440,23 +445,38 @@
 func (e *Engine) recordInheritedCrash(now Moment, id heatherhub.WorkerID, how departure) {
 	evidence := heatherhub.CrashBeside
 	if how == crashed {
-		evidence = heatherhub.CrashIsolated
+		// Nobody knows whether the run was there, or how old it was.
+		evidence = heatherhub.CrashSuspect
 	}
 	for _, j := range e.jobs {
 		if j.progress.IsolatedOn != id || j.isOver() || j.isOwnedElsewhere {
 			continue
 		}
-		for _, o := range j.occurrences {
-			for _, s := range o.steps {
-				for _, t := range slices.Clone(s.pending) {
-					if len(t.crashes) > 0 && t.needsIsolation() && s.blockers == 0 {
-						last := t.crashes[len(t.crashes)-1]
-						e.appendCrash(now, t, heatherhub.CrashedRun{Occurrence: o.index, Task: t.flatIndex(), Worker: id, Evidence: evidence, Age: last.Age})
-					}
+		j.progress.IsolatedOn = ""
+		e.markChanged(j)
+		for _, t := range j.waitingSuspects() {
+			last := t.crashes[len(t.crashes)-1]
+			if slices.ContainsFunc(t.crashes, func(c heatherhub.CrashedRun) bool { return c.Worker == id }) {
+				continue
+			}
+			e.appendCrash(now, t, heatherhub.CrashedRun{Occurrence: t.step.occ.index, Task: t.flatIndex(), Worker: id, Evidence: evidence, Age: last.Age})
+		}
+	}
+}
+
+// waitingSuspects returns the tasks with crashes that could start, each of which needs isolation.
+func (j *job) waitingSuspects() []*task {
+	var out []*task
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.pending {
+				if s.blockers == 0 && len(t.crashes) > 0 && t.needsIsolation() {
+					out = append(out, t)
 				}
 			}
 		}
 	}
+	return out
 }
 
 // compareBool orders false before true.
