Start nothing while the rooms of the workers are not known

What callers would see: starts on a worker that has shrunk while the store was away (LIMIT); the tasks there get less than they need. Cause: a worker's size was taken as fixed for its life, so the age of its entry did not matter. An owner goes on starting for 10 s without the store, and for any time if only the watch of the entries gets no answer. Change: no start while the store has not answered about the entries for 3 s. Stops, renewals and reports go on. Ruled out: rooms in the stored fleet or layout (they hold none), moves and promises (checked again at the start), starts after a takeover (entries are read anew): each is a case of TestNoStartBeyondARoomThatHasShrunk and passes without the change. TestNoStartBeyondARoomThatHasShrunk fails without it in two of seven cases (store away before the worker can say so; watch silent).

--- a/process/dispatch/decide.go
+++ b/process/dispatch/decide.go
@@ -64,16 +64,26 @@
 func (e *Engine) Decide(now Moment) []Order {
 	e.expireRestarted(now)
 	e.enqueueScheduled(now)
-	e.startMoved(now)
+	if !e.isRoomStale {
+		e.startMoved(now)
+	}
 	e.stopStalledRuns(now)
 	e.vacateDraining(now)
 	e.orderStops(now)
-	e.startReady(now)
+	if !e.isRoomStale {
+		e.startReady(now)
+	}
 	out := e.orders
 	e.orders = nil
 	return out
 }
 
+// SetRoomStale holds back starts while the capacities of the workers are not known for certain: a
+// worker may have shrunk.
+func (e *Engine) SetRoomStale(isStale bool) {
+	e.isRoomStale = isStale
+}
+
 // enqueueScheduled queues the steps of scheduled occurrences that are due.
 func (e *Engine) enqueueScheduled(now Moment) {
 	kept := e.scheduled[:0]
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -87,6 +87,8 @@
 	// decision held starts back because of them.
 	pendingStarts   int
 	isHoldingStarts bool
+	// isRoomStale holds back all starts.
+	isRoomStale bool
 	model           *interference
 	finished        []*job
 	// progressCheckedAt is the time of the last check for stalled runs.
--- a/process/owner/crash_test.go
+++ b/process/owner/crash_test.go
@@ -65,8 +65,8 @@
 	site.after(c.down, func() {
 		m.mu.Lock()
 		m.isReplaced = true
-		m.mu.Unlock()
 		next := m.entry
+		m.mu.Unlock()
 		next.ID = heatherhub.WorkerID(fmt.Sprintf("back%d", n))
 		next.Draining, next.DrainRemaining = false, 0
 		w := newFakeWorker(site, next, m.clockRate)
--- a/process/owner/fault_events_test.go
+++ b/process/owner/fault_events_test.go
@@ -42,6 +42,9 @@
 	restartedUnlisted    faultEvent = "new incarnation works before its entry is written"
 	restartedSmaller     faultEvent = "new incarnation has fewer processors than the former one"
 	lateCallAfterRestart faultEvent = "call to a former incarnation carried out by the next one"
+	workerShrunk         faultEvent = "worker shrunk"
+	workerShrunkBelow    faultEvent = "worker shrunk below what runs there"
+	domainShrunk         faultEvent = "workers of a failure domain shrunk"
 	bornBefore           faultEvent = "new incarnation states an earlier start than the former one"
 )
 
@@ -51,6 +54,7 @@
 	lapsedPollReset, lateOrderWhileLeaves, drainTimed, drainUntimed, drainLapsed, cutOff, drainCutOff, leaseExpired,
 	leftWithRuns, leftUnannounced, leftReplaced, longRunningLapsed, longRunningDrained, longRunningCancelled,
 	workerRestarted, longRunningRestarted, domainRestarted, allRestarted, restartedUnlisted, restartedSmaller, lateCallAfterRestart, bornBefore,
+	workerShrunk, workerShrunkBelow, domainShrunk,
 }
 
 // faultCounts counts fault events over all episodes of a test.
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -41,7 +41,7 @@
 	wakePublish chan struct{}
 
 	// mu guards the engine, workers, incarnations, known, ended, fleet, policyVersion, hasJobs, isResolved, jobsRead,
-	// jobsAnsweredAt and committed.
+	// jobsAnsweredAt, entriesAnsweredAt, isRoomStale and committed.
 	mu      sync.Mutex
 	engine  *dispatch.Engine
 	workers map[heatherhub.WorkerID]*workerLoop
@@ -63,6 +63,10 @@
 	// jobsAnsweredAt the steady time of the store's last answer about them.
 	jobsRead       ledger.Revision
 	jobsAnsweredAt time.Duration
+	// entriesAnsweredAt is the steady time of the store's last answer about the entries of the
+	// workers, and isRoomStale says that it is too long ago to start tasks.
+	entriesAnsweredAt time.Duration
+	isRoomStale       bool
 
 	// committed is closed, and replaced, at the next successful commit of progress.
 	committed  chan struct{}
@@ -153,7 +157,7 @@
 	}
 	workers := ledger.Watcher{
 		Store: t.host.cfg.Store, Prefix: t.host.cfg.WorkerPrefix, WatchTimeout: workerWatchTimeout, MinInterval: workerBatchDelay, Log: t.log,
-		OnSnapshot: t.applyWorkerSnapshot, OnChanges: t.applyWorkerChanges,
+		OnSnapshot: t.applyWorkerSnapshot, OnChanges: t.applyWorkerChanges, OnReply: t.recordEntriesContact,
 	}
 	t.group.Go(func() { jobs.Run(t.ctx, &start.jobs) })
 	t.group.Go(func() { workers.Run(t.ctx, &start.workers) })
@@ -277,6 +281,7 @@
 	t.loadJobs(s)
 	t.hasJobs = true
 	t.jobsRead, t.jobsAnsweredAt = s.jobs.Revision, t.now().Steady
+	t.entriesAnsweredAt = t.jobsAnsweredAt
 	t.restoreInterference(s.interference)
 	t.restoreMovedJobs(s.load)
 	t.loadRevision = s.load.Revision
@@ -355,6 +360,32 @@
 	t.engine.JobWatchReplied(t.now())
 }
 
+// maxEntryAge is how long after the store's last answer about the entries of the workers tasks are
+// started: a worker that has shrunk meanwhile need not have room for them.
+const maxEntryAge = 3 * time.Second
+
+// recordEntriesContact records an answer of the watch of the workers' entries.
+func (t *term) recordEntriesContact() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.entriesAnsweredAt = t.now().Steady
+	if t.isRoomStale {
+		signal(t.wakeDecide)
+	}
+}
+
+// updateRoomStale holds back starts while the entries of the workers are too old. The caller holds
+// t.mu.
+func (t *term) updateRoomStale(now time.Duration) {
+	age := now - t.entriesAnsweredAt
+	isStale := age > maxEntryAge
+	if isStale != t.isRoomStale {
+		t.isRoomStale = isStale
+		t.log.Warn("capacities of workers", zap.Bool("stale", isStale), zap.Duration("age", age))
+	}
+	t.engine.SetRoomStale(isStale)
+}
+
 // applyJobChanges applies new jobs and cancellations. Deletions of keys are ignored: the
 // owner deletes expired jobs itself.
 func (t *term) applyJobChanges(events []ledger.Event) {
@@ -424,6 +455,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.syncPolicies()
+	t.updateRoomStale(now.Steady)
 	for _, o := range t.engine.Decide(now) {
 		if w := t.workers[o.Worker]; w != nil {
 			w.enqueue(now, o)
