Let tasks crash their workers and rooms shrink in random faults, the stand-in and the soak

Why the fault was missed: in every world of ours a worker crashed by chance, never because of what it ran, and kept one size for life.

--- a/experiment/soak/callers_test.go
+++ b/experiment/soak/callers_test.go
@@ -48,6 +48,8 @@
 	uncertain bool
 	// isLongRunning is set if the tasks run until the job is cancelled.
 	isLongRunning bool
+	// isDeadly is set if its first task crashes each worker that starts it.
+	isDeadly bool
 }
 
 // mayRun reports whether tasks of the job may run: it may have been accepted, and no
@@ -190,7 +192,8 @@
 // three times and each time at a random host.
 func (c *caller) submit(ctx context.Context) {
 	j := &job{id: heatherhub.JobID(fmt.Sprintf("%016x", c.site.opts.Seed<<32+uint64(c.index)<<24+uint64(len(c.jobs))))}
-	j.isLongRunning = c.needsLongRunning()
+	j.isDeadly = c.site.takeDeadlyJob(j.id)
+	j.isLongRunning = !j.isDeadly && c.needsLongRunning()
 	steps := c.newSteps(j)
 	c.site.mu.Lock()
 	c.site.jobSteps[j.id] = steps
@@ -264,7 +267,7 @@
 
 // cancel cancels an accepted job once.
 func (c *caller) cancel(ctx context.Context, j *job) {
-	if j.cancelled || !j.accepted {
+	if j.cancelled || !j.accepted || j.isDeadly {
 		return
 	}
 	j.cancelled = true
@@ -336,12 +339,18 @@
 		return isFinal(state)
 	})
 	switch {
-	case ctx.Err() != nil, state == "completed", state == "cancelled" && j.cancelled:
+	case ctx.Err() != nil, state == "completed" && !j.isDeadly, state == "cancelled" && j.cancelled, state == "failed" && j.isDeadly:
 	default:
-		c.violations = append(c.violations, fmt.Sprintf("accepted job %s has state %q (HTTP status %d), expected to complete within %s after the faults", j.id, state, status, completionTimeout))
+		c.violations = append(c.violations, fmt.Sprintf("accepted job %s has state %q (HTTP status %d), expected to end as it should (deadly: %v) within %s after the faults", j.id, state, status, j.isDeadly, completionTimeout))
+	}
+	if n := c.site.audit.StartsOf(heatherhub.StepTask{Job: j.id}); j.isDeadly && n > maxDeadlyStarts {
+		c.violations = append(c.violations, fmt.Sprintf("the deadly task of job %s was started %d times, expected at most %d", j.id, n, maxDeadlyStarts))
 	}
 }
 
+// maxDeadlyStarts is the number of starts that a task may have if it crashes its workers.
+const maxDeadlyStarts = 5
+
 // waitUntilRunning waits until all tasks of a long-running job run.
 func (c *caller) waitUntilRunning(ctx context.Context, j *job, limit time.Time) {
 	if !waitUntil(ctx, limit, func() bool { return c.site.audit.RunningTasks(j.id) == longRunningTasks }) && ctx.Err() == nil {
--- a/experiment/soak/faults_test.go
+++ b/experiment/soak/faults_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"heatherhub.example/heatherhub"
 	"heatherhub.example/heatherhub/connection/ledger"
 	"heatherhub.example/heatherhub/platform/standin"
 )
@@ -47,12 +48,14 @@
 	workerCallsReset    faultKind = "calls to workers reset"
 	workerDrain         faultKind = "worker drains, works on and leaves"
 	workerRestart       faultKind = "worker starts again under its name"
+	workerShrinks       faultKind = "worker shrinks and grows"
+	taskCrashes         faultKind = "task crashes each worker that starts it"
 )
 
 // allFaultKinds are all kinds of faults.
 var allFaultKinds = []faultKind{
 	hostKill, hostPause, hostRestart, storeConnection, workerConnection, storeUnavailable, storeHistoryLost, workerCrash,
-	entriesLapse, entriesLapseHeld, entriesLapseExpired, workerCallsReset, workerDrain, workerRestart,
+	entriesLapse, entriesLapseHeld, entriesLapseExpired, workerCallsReset, workerDrain, workerRestart, workerShrinks, taskCrashes,
 }
 
 // faults injects random faults from outside the hosts. Faults may overlap; each ends after
@@ -160,6 +163,10 @@
 		f.resetCalls(0, span)
 	case workerRestart:
 		f.restartWorkers()
+	case workerShrinks:
+		f.shrinkWorkers(span)
+	case taskCrashes:
+		f.site.orderDeadlyJob()
 	case workerConnection, workerCrash, workerDrain:
 		for range 1 + len(f.site.machines)/16 {
 			f.injectAtWorker(k, span)
@@ -341,6 +348,14 @@
 	}
 }
 
+// shrinkWorkers has some workers shrink, and grow again after d.
+func (f *faults) shrinkWorkers(d time.Duration) {
+	for _, m := range f.someMachines() {
+		f.record(m.resize(heatherhub.MilliCPU(1000 * (2 + f.rng.IntN(5)))))
+		f.after(d, func() error { return m.resize(workerCPU) })
+	}
+}
+
 // workOn sends the heartbeats of a draining worker for d.
 func (f *faults) workOn(m *machine, w *standin.Worker, d time.Duration) {
 	for until := time.Now().Add(d); time.Now().Before(until); {
--- a/experiment/soak/machine_test.go
+++ b/experiment/soak/machine_test.go
@@ -32,6 +32,7 @@
 	w := &standin.Worker{
 		Name: s.newWorkerName(m.index), CPU: workerCPU, TaskDemand: s.taskDemand, Audit: s.audit, AutoAcknowledge: s.opts.autoAcknowledge,
 	}
+	w.OnStart = func(t heatherhub.StepTask) { m.crashIfDeadly(w, t) }
 	w.Init()
 	s.audit.AddWorker(w)
 	address, err := s.serve("127.0.0.1", w)
@@ -58,7 +59,7 @@
 func (m *machine) register() error {
 	entry := map[string]any{
 		"born": m.worker.Born(), "service": "pool", "address": m.proxy.address(), "zone": domainOf(m.index), "state": "ready",
-		"capacity": map[string]any{"cpu": workerCPU, "mem_mb": 100_000}, "labels": []string{"plain", "r-" + domainOf(m.index)},
+		"capacity": map[string]any{"cpu": m.worker.Capacity(), "mem_mb": 100_000}, "labels": []string{"plain", "r-" + domainOf(m.index)},
 	}
 	if !m.leavesAt.IsZero() {
 		entry["state"], entry["drain_remaining_ms"] = "draining", max(time.Until(m.leavesAt).Milliseconds(), 0)
@@ -111,6 +112,70 @@
 	}
 }
 
+// resize changes the capacity of the worker and writes its entry, unless the entry has lapsed.
+func (m *machine) resize(cpu heatherhub.MilliCPU) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.worker.Resize(cpu)
+	if m.hasLeft || m.lapses > 0 {
+		return nil
+	}
+	return m.register()
+}
+
+// Timing of a crash by a task.
+const (
+	// deadlyDelay is the time from the start of a deadly task to the crash.
+	deadlyDelay = 10 * time.Millisecond
+	// minDeadlyAbsence and maxDeadlyAbsence bound the time until the worker is back.
+	minDeadlyAbsence = 300 * time.Millisecond
+	maxDeadlyAbsence = 3 * time.Second
+)
+
+// crashIfDeadly crashes a worker that has started a deadly task. It starts again under its name, or
+// another worker follows at its address. It does not block.
+func (m *machine) crashIfDeadly(w *standin.Worker, t heatherhub.StepTask) {
+	if !m.site.isDeadly(t) {
+		return
+	}
+	m.site.group.Go(func() {
+		time.Sleep(deadlyDelay)
+		m.mu.Lock()
+		isCurrent := m.worker == w && !m.hasLeft
+		if isCurrent {
+			w.Crash()
+			m.proxy.setState(reset)
+		}
+		m.mu.Unlock()
+		if !isCurrent {
+			return
+		}
+		rng := rand.New(rand.NewPCG(m.site.opts.Seed, uint64(m.site.audit.Starts())))
+		time.Sleep(minDeadlyAbsence + time.Duration(rng.Int64N(int64(maxDeadlyAbsence-minDeadlyAbsence))))
+		m.site.recordError(m.comeBack(w, rng.IntN(2) == 0))
+	})
+}
+
+// comeBack starts a crashed worker again under its name, or another one at its address.
+func (m *machine) comeBack(w *standin.Worker, hasItsName bool) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.worker != w || m.hasLeft {
+		return nil
+	}
+	if !hasItsName {
+		m.site.store.Remove(m.entryKey())
+		return m.startWorker()
+	}
+	m.proxy.setState(passing)
+	w.Restart()
+	m.leavesAt = time.Time{}
+	if m.lapses > 0 {
+		return nil
+	}
+	return m.register()
+}
+
 // registerAgain writes the entry of a worker that has started again, unless it has lapsed.
 func (m *machine) registerAgain(w *standin.Worker) error {
 	m.mu.Lock()
--- a/experiment/soak/site_test.go
+++ b/experiment/soak/site_test.go
@@ -57,10 +57,51 @@
 	// workerCount is the number of workers started so far, including replacements, without those
 	// that started again under their names.
 	workerCount int
+	// deadlyOrdered counts the deadly jobs that callers have to submit, and deadly has the
+	// deadly tasks.
+	deadlyOrdered int
+	deadly        map[heatherhub.StepTask]bool
+	// err is the first error of a machine.
+	err error
+}
+
+// orderDeadlyJob has a caller submit a job with a task that crashes each worker that starts it.
+func (s *site) orderDeadlyJob() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deadlyOrdered++
+}
+
+// takeDeadlyJob reports whether the job that is submitted now has a deadly task.
+func (s *site) takeDeadlyJob(id heatherhub.JobID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.deadlyOrdered == 0 {
+		return false
+	}
+	s.deadlyOrdered--
+	s.deadly[heatherhub.StepTask{Job: id}] = true
+	return true
+}
+
+// isDeadly reports whether a task crashes the workers that start it.
+func (s *site) isDeadly(t heatherhub.StepTask) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.deadly[t]
+}
+
+// recordError keeps the first error of a machine.
+func (s *site) recordError(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.err == nil {
+		s.err = err
+	}
 }
 
 func newSite(o *options) *site {
-	s := &site{opts: o, store: standin.NewStore(), jobSteps: make(map[heatherhub.JobID][]heatherhub.Step)}
+	s := &site{opts: o, store: standin.NewStore(), jobSteps: make(map[heatherhub.JobID][]heatherhub.Step), deadly: make(map[heatherhub.StepTask]bool)}
 	s.audit = standin.NewAudit(s.stepsOf)
 	return s
 }
--- a/experiment/soak/soak_test.go
+++ b/experiment/soak/soak_test.go
@@ -5,9 +5,11 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -48,8 +50,10 @@
 	// LongRunning is the number of accepted jobs with long-running tasks, ResetCalls that of
 	// calls to workers whose connection was reset.
 	LongRunning, ResetCalls int
-	Faults                  map[faultKind]int
-	Broken                  []string
+	// DeadlyStarts has the number of starts of each task that crashes its workers.
+	DeadlyStarts []int
+	Faults       map[faultKind]int
+	Broken       []string
 }
 
 func newOptions(t *testing.T) *options {
@@ -177,11 +181,20 @@
 		violations = append(violations, err.Error())
 	default:
 	}
+	s.mu.Lock()
+	if s.err != nil {
+		violations = append(violations, s.err.Error())
+	}
+	deadly := slices.Collect(maps.Keys(s.deadly))
+	s.mu.Unlock()
 	n := c.total()
 	r := &result{
 		Seed: o.Seed, Accepted: n.Accepted, Refused: n.Refused, Unknown: n.Unknown, Cancelled: n.Cancelled,
 		Starts: s.audit.Starts(), LongRunning: c.longRunning(), ResetCalls: s.audit.ResetCalls(), Faults: f.counts, Broken: append(s.audit.Violations(), violations...),
 	}
+	for _, t := range deadly {
+		r.DeadlyStarts = append(r.DeadlyStarts, s.audit.StartsOf(t))
+	}
 	if missing := f.missing(); len(missing) > 0 || r.Starts == 0 || r.Accepted == 0 || r.LongRunning == 0 || r.ResetCalls == 0 {
 		r.Broken = append(r.Broken, fmt.Sprintf("the run was idle: %d jobs accepted, %d of them long-running, %d starts, %d calls to workers reset, no fault of the kinds %q",
 			r.Accepted, r.LongRunning, r.Starts, r.ResetCalls, missing))
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -89,8 +89,8 @@
 	isHoldingStarts bool
 	// isRoomStale holds back all starts.
 	isRoomStale bool
-	model           *interference
-	finished        []*job
+	model       *interference
+	finished    []*job
 	// progressCheckedAt is the time of the last check for stalled runs.
 	progressCheckedAt time.Duration
 	// meanSpeed is the average speed over all workers.
--- a/process/owner/crash_test.go
+++ b/process/owner/crash_test.go
@@ -53,6 +53,7 @@
 // crashWorker ends a worker with all its runs and starts it again.
 func (site *simSite) crashWorker(m *fakeWorker, c crash) {
 	newTraceLog().Info("worker crashes", zap.String("worker", string(m.entry.ID)))
+	site.countFault(deadlyCrashed)
 	site.mu.Lock()
 	site.crashed++
 	n := site.crashed
@@ -78,6 +79,26 @@
 	})
 }
 
+// submitDeadly submits a job with a task that crashes each worker that starts it.
+func (f *workerFaults) submitDeadly() {
+	id := heatherhub.JobID(fmt.Sprintf("deadly%d", len(f.deadly)))
+	task := heatherhub.StepTask{Job: id, Index: f.deadlyRNG.IntN(2)}
+	f.deadly = append(f.deadly, task)
+	f.counts.add(deadlySubmitted)
+	f.e.setCrash(task, crash{after: 10 * time.Millisecond, down: between(f.deadlyRNG, 0, 4*time.Second)})
+	f.e.submit(id, newStep(2, time.Second))
+}
+
+// checkDeadly expects the jobs of deadly tasks to be given up.
+func (f *workerFaults) checkDeadly() {
+	for _, task := range f.deadly {
+		f.e.await("the end of "+string(task.Job), recoveryLimit, func() bool { return f.e.jobState(task.Job) == heatherhub.WorkflowFailed })
+		if got := f.e.startCount(task); got > maxStarts {
+			f.e.t.Errorf("got %d starts of the deadly task %v, want at most %d", got, task, maxStarts)
+		}
+	}
+}
+
 // maxStarts is the number of starts that a task may have if it crashes its workers.
 const maxStarts = 5
 
--- a/process/owner/fault_events_test.go
+++ b/process/owner/fault_events_test.go
@@ -45,6 +45,8 @@
 	workerShrunk         faultEvent = "worker shrunk"
 	workerShrunkBelow    faultEvent = "worker shrunk below what runs there"
 	domainShrunk         faultEvent = "workers of a failure domain shrunk"
+	deadlySubmitted      faultEvent = "job with a task that crashes its workers submitted"
+	deadlyCrashed        faultEvent = "worker crashed by a task"
 	bornBefore           faultEvent = "new incarnation states an earlier start than the former one"
 )
 
@@ -54,7 +56,7 @@
 	lapsedPollReset, lateOrderWhileLeaves, drainTimed, drainUntimed, drainLapsed, cutOff, drainCutOff, leaseExpired,
 	leftWithRuns, leftUnannounced, leftReplaced, longRunningLapsed, longRunningDrained, longRunningCancelled,
 	workerRestarted, longRunningRestarted, domainRestarted, allRestarted, restartedUnlisted, restartedSmaller, lateCallAfterRestart, bornBefore,
-	workerShrunk, workerShrunkBelow, domainShrunk,
+	workerShrunk, workerShrunkBelow, domainShrunk, deadlySubmitted, deadlyCrashed,
 }
 
 // faultCounts counts fault events over all episodes of a test.
--- a/process/owner/random_test.go
+++ b/process/owner/random_test.go
@@ -327,6 +327,7 @@
 	e.await("all jobs", recoveryLimit, e.allComplete)
 	if e.workerFaults != nil {
 		e.workerFaults.checkLongRunning()
+		e.workerFaults.checkDeadly()
 	}
 	e.shutdown()
 	e.checkViolations()
--- a/process/owner/worker_faults_test.go
+++ b/process/owner/worker_faults_test.go
@@ -39,9 +39,11 @@
 	restartFaults workerFaultKind = "restart"
 	// resizeFaults: workers have less room for some time.
 	resizeFaults workerFaultKind = "resize"
+	// deadlyFaults: jobs with a task that crashes each worker that starts it are submitted.
+	deadlyFaults workerFaultKind = "deadly"
 )
 
-var allWorkerFaultKinds = []workerFaultKind{lapseFaults, outageFaults, resetFaults, drainFaults, cutOffFaults, lateFaults, longRunningFaults, restartFaults, resizeFaults}
+var allWorkerFaultKinds = []workerFaultKind{lapseFaults, outageFaults, resetFaults, drainFaults, cutOffFaults, lateFaults, longRunningFaults, restartFaults, resizeFaults, deadlyFaults}
 
 var workerFaultFlag = flag.String("owner-worker-faults", joinKinds(allWorkerFaultKinds), "kinds of worker faults in random episodes")
 
@@ -73,13 +75,15 @@
 	// endsAt is the time by which all faults have ended.
 	endsAt time.Time
 
-	lapseRNG, outageRNG, resetRNG, drainRNG, cutOffRNG, lateRNG, longRunningRNG, restartRNG, resizeRNG *rand.Rand
+	lapseRNG, outageRNG, resetRNG, drainRNG, cutOffRNG, lateRNG, longRunningRNG, restartRNG, resizeRNG, deadlyRNG *rand.Rand
 
 	spares, submitted int
 	// longRunning holds the number of tasks of each long-running job that is not cancelled.
 	longRunning map[heatherhub.JobID]int
 	// cancelledLongRunning holds the long-running jobs that were cancelled during the faults.
 	cancelledLongRunning []heatherhub.JobID
+	// deadly holds the tasks that crash their workers.
+	deadly []heatherhub.StepTask
 
 	// mu guards resetShare.
 	mu sync.Mutex
@@ -100,7 +104,7 @@
 	f := &workerFaults{
 		e: e, seed: seed, kinds: make(map[workerFaultKind]bool), counts: counts, endsAt: time.Now().Add(faultPhase + workerFaultPhase + maxDrainTime),
 		lapseRNG: newRNG(6), outageRNG: newRNG(7), resetRNG: newRNG(8), drainRNG: newRNG(9),
-		cutOffRNG: newRNG(10), lateRNG: newRNG(11), longRunningRNG: newRNG(12), restartRNG: newRNG(13), resizeRNG: newRNG(14),
+		cutOffRNG: newRNG(10), lateRNG: newRNG(11), longRunningRNG: newRNG(12), restartRNG: newRNG(13), resizeRNG: newRNG(14), deadlyRNG: newRNG(15),
 		longRunning: make(map[heatherhub.JobID]int),
 	}
 	for _, k := range kinds {
@@ -167,6 +171,9 @@
 	if f.kinds[resizeFaults] && f.resizeRNG.IntN(4) == 0 {
 		f.resizeRandom()
 	}
+	if f.kinds[deadlyFaults] && f.deadlyRNG.IntN(12) == 0 {
+		f.submitDeadly()
+	}
 }
 
 // between returns a random duration from low to high.
