Refuse requests that crash replica after replica

What callers would see: one request of theirs ends the connections of all requests on a replica, and its retries do so on the next replicas; the breakers then eject those, which are healthy. Change: request/endpoint keeps suspicions by service and body. Suspects are kept apart, an answer clears, the second crash as the only suspect convicts; then the request is refused as not run for a minute. A crash is one failure of the replica, or none with a suspect on it. Ruled out: fewer attempts (the caller's retries remain).

--- a/request/endpoint/done.go
+++ b/request/endpoint/done.go
@@ -16,12 +16,10 @@
 	wasLost := !req.slotFreeAt.IsZero()
 	if !wasLost {
 		req.replica.service.inFlight--
-		if res.Outcome != Unsent {
-			p.recordOutcome(now, req.replica, res)
-		}
+		p.recordEnd(now, req, res)
 	}
 	switch {
-	case res.Outcome != Lost:
+	case res.Outcome != Lost && res.Outcome != Broken:
 		p.freeSlot(id, req)
 	case !wasLost:
 		p.holdSlot(now, id, req)
@@ -29,6 +27,28 @@
 	return p.dispatch(now, out)
 }
 
+// recordEnd records the first outcome of a request.
+func (p *Pool) recordEnd(now time.Time, req *startedRequest, res Result) {
+	isReplicaFault := true
+	switch res.Outcome {
+	case Unsent:
+		isReplicaFault = false
+	case Broken:
+		isReplicaFault = p.recordBreak(now, req)
+	case Succeeded, Failed:
+		delete(p.suspicions, req.ticket.Fingerprint)
+	}
+	if req.isSuspect {
+		r := req.replica
+		if r.suspects[req.ticket.Fingerprint]--; r.suspects[req.ticket.Fingerprint] == 0 {
+			delete(r.suspects, req.ticket.Fingerprint)
+		}
+	}
+	if isReplicaFault {
+		p.recordOutcome(now, req.replica, res)
+	}
+}
+
 // holdSlot keeps the slot of a lost request for Config.LostSlotTimeout after its
 // deadline.
 func (p *Pool) holdSlot(now time.Time, id TicketID, req *startedRequest) {
@@ -103,7 +123,7 @@
 		return
 	}
 	r.peak.add(now, max(elapsed, r.peak.value(now)))
-	if res.Outcome == Lost && elapsed < lostLatencyFactor*s.latency.mean {
+	if (res.Outcome == Lost || res.Outcome == Broken) && elapsed < lostLatencyFactor*s.latency.mean {
 		return // the caller's deadline was too short to blame the replica
 	}
 	p.updateEjection(now, r, false)
--- a/request/endpoint/endpoint.go
+++ b/request/endpoint/endpoint.go
@@ -42,6 +42,10 @@
 	Deadline time.Time
 	// Avoid lists replicas that are chosen only if no other one is free.
 	Avoid []heatherhub.TaskID
+	// Fingerprint identifies the request when it is sent again.
+	Fingerprint Fingerprint
+	// Broken means that a replica of another shard ended the connection of an earlier attempt.
+	Broken bool
 }
 
 // Endpoint describes a replica to SetEndpoints.
@@ -86,6 +90,8 @@
 	ReasonQueueFull Reason = "full"
 	// ReasonNoReplica means that the shard has no active replica of the service.
 	ReasonNoReplica Reason = "noReplica"
+	// ReasonHarmful means that the request has crashed several replicas.
+	ReasonHarmful Reason = "harmful"
 )
 
 // Decision is the action to take for one ticket.
@@ -117,6 +123,8 @@
 	// Lost means that no answer came on time. The request may still be running, so
 	// its slot stays taken.
 	Lost
+	// Broken is Lost because the connection ended: the replica may have crashed.
+	Broken
 	// Unsent means that the request was cancelled before it was sent.
 	Unsent
 )
--- a/request/endpoint/offer.go
+++ b/request/endpoint/offer.go
@@ -1,9 +1,8 @@
 package endpoint
 
 import (
+	"slices"
 	"time"
-
-	"heatherhub.example/heatherhub"
 )
 
 // Offer adds a new ticket. The first decision returned is the one on this ticket.
@@ -13,6 +12,9 @@
 	if s == nil || s.active(now) == 0 {
 		return append([]Decision{refuse(t.ID, ReasonNoReplica, maxRetryAfter/5)}, out...)
 	}
+	if p.isHarmful(now, t.Fingerprint) {
+		return append([]Decision{p.refuseHarmful(now, t)}, out...)
+	}
 	e := p.estimate(now, s, t.Caller)
 	remaining := t.Deadline.Sub(now)
 	// With nothing in flight the estimate is ignored, so that a request can show
@@ -21,8 +23,8 @@
 		return append([]Decision{refuse(t.ID, ReasonLate, e.QueueTime+p.cfg.Admission.TimeNeeded(e)-remaining)}, out...)
 	}
 	if s.queue.size == 0 {
-		if r := p.pickReplica(now, s, t.Avoid); r != nil {
-			return append([]Decision{p.start(s, t, r)}, out...)
+		if r := p.pickReplica(now, s, t); r != nil {
+			return append([]Decision{p.start(now, s, t, r)}, out...)
 		}
 	}
 	return append(p.enqueue(now, s, t, e), out...)
@@ -93,19 +95,29 @@
 	delete(p.waiting, w.ticket.ID)
 }
 
+func (p *Pool) refuseHarmful(now time.Time, t Ticket) Decision {
+	return Decision{Ticket: t.ID, Kind: Refuse, Reason: ReasonHarmful, RetryAfter: p.harmfulRetryAfter(now, t.Fingerprint)}
+}
+
 func refuse(id TicketID, reason Reason, wait time.Duration) Decision {
 	return Decision{Ticket: id, Kind: Refuse, Reason: reason, RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter)}
 }
 
 // pickReplica chooses a replica with capacity, or returns nil. A probing replica
 // comes first once its probe is due, and otherwise only if no other one has
-// capacity.
-func (p *Pool) pickReplica(now time.Time, s *service, avoid []heatherhub.TaskID) *Replica {
-	free := s.candidates(now, p.cfg.SlowStart, avoid, p.scratch)
+// capacity. A suspected request goes to a replica without another suspect, if there is one.
+func (p *Pool) pickReplica(now time.Time, s *service, t Ticket) *Replica {
+	free := s.candidates(now, p.cfg.SlowStart, t.Avoid, p.scratch)
 	p.scratch = free[:0]
 	if len(free) == 0 {
 		return nil
 	}
+	if p.isSuspect(now, t) {
+		hasOther := func(r *Replica) bool { return p.hasOtherSuspect(r, t.Fingerprint) }
+		if apart := slices.DeleteFunc(slices.Clone(free), hasOther); len(apart) > 0 {
+			free = apart
+		}
+	}
 	healthy := 0
 	for _, r := range free {
 		if r.probing && !now.Before(r.probeAt) {
@@ -123,12 +135,16 @@
 }
 
 // start takes a slot of the replica and of its worker.
-func (p *Pool) start(s *service, t Ticket, r *Replica) Decision {
+func (p *Pool) start(now time.Time, s *service, t Ticket, r *Replica) Decision {
 	r.inFlight++
 	r.load.inFlight++
 	s.inFlight++
 	s.virtualTime += max(s.latency.mean, minLatency)
-	p.running[t.ID] = &startedRequest{replica: r, deadline: t.Deadline}
+	req := &startedRequest{replica: r, deadline: t.Deadline, ticket: t, startedAt: now, isSuspect: p.isSuspect(now, t)}
+	if req.isSuspect {
+		r.suspects[t.Fingerprint]++
+	}
+	p.running[t.ID] = req
 	return Decision{Ticket: t.ID, Kind: Start, Task: r.task, Worker: r.workerID}
 }
 
@@ -149,14 +165,19 @@
 		if w == nil {
 			continue
 		}
-		r := p.pickReplica(now, s, w.ticket.Avoid)
+		if p.isHarmful(now, w.ticket.Fingerprint) {
+			p.removeWaiter(w)
+			out = append(out, p.refuseHarmful(now, w.ticket))
+			continue
+		}
+		r := p.pickReplica(now, s, w.ticket)
 		if r == nil {
 			blocked[s] = true
 			continue
 		}
 		s.queue.pop()
 		delete(p.waiting, w.ticket.ID)
-		out = append(out, p.start(s, w.ticket, r))
+		out = append(out, p.start(now, s, w.ticket, r))
 	}
 }
 
--- a/request/endpoint/pool.go
+++ b/request/endpoint/pool.go
@@ -75,6 +75,10 @@
 type startedRequest struct {
 	replica  *Replica
 	deadline time.Time
+	ticket   Ticket
+	// startedAt is when it was sent, and isSuspect says that it was suspected then.
+	startedAt time.Time
+	isSuspect bool
 	// slotFreeAt is when the slot of a lost request is freed. It is zero until the
 	// request is lost.
 	slotFreeAt time.Time
@@ -89,6 +93,8 @@
 	workers    map[heatherhub.WorkerID]*workerLoad
 	waiting    map[TicketID]*waiter
 	running    map[TicketID]*startedRequest
+	// suspicions are the requests that were on replicas whose connections ended.
+	suspicions map[Fingerprint]*suspicion
 	// lost holds the tickets of lost requests that keep their slots.
 	lost []TicketID
 	// scratch is reused for lists of candidates.
@@ -102,7 +108,7 @@
 		services: make(map[heatherhub.WorkloadID]*service),
 		workers:  make(map[heatherhub.WorkerID]*workerLoad),
 		waiting:  make(map[TicketID]*waiter),
-		running:  make(map[TicketID]*startedRequest),
+		running:  make(map[TicketID]*startedRequest), suspicions: make(map[Fingerprint]*suspicion),
 	}
 }
 
@@ -179,7 +185,7 @@
 		p.workers[e.Worker] = w
 	}
 	w.replicas++
-	return &Replica{task: e.Task, workerID: e.Worker, load: w, service: s, breaker: p.cfg.NewBreaker()}
+	return &Replica{task: e.Task, workerID: e.Worker, load: w, service: s, breaker: p.cfg.NewBreaker(), suspects: make(map[Fingerprint]int)}
 }
 
 func (p *Pool) removeReplica(r *Replica) {
--- a/request/endpoint/replica.go
+++ b/request/endpoint/replica.go
@@ -24,6 +24,10 @@
 	draining bool
 	removed  bool
 	inFlight int
+	// suspects counts the suspected requests in flight, brokenAt is when connections of the
+	// replica ended last.
+	suspects map[Fingerprint]int
+	brokenAt time.Time
 	peak     peakAverage
 	breaker  Breaker
 	// slowStartFrom is when its slow start began, or zero.
--- a/request/route/call.go
+++ b/request/route/call.go
@@ -8,6 +8,7 @@
 
 	"heatherhub.example/heatherhub"
 	"heatherhub.example/heatherhub/connection/worker"
+	"heatherhub.example/heatherhub/request/endpoint"
 )
 
 // MaxAvoid is the largest number of replicas in ServeCall.Avoid.
@@ -30,7 +31,9 @@
 	// Avoid lists replicas that failed earlier attempts of the request. They are
 	// chosen only if no other one is free.
 	Avoid []heatherhub.TaskID `msgpack:"avoid,omitempty"`
-	Body  []byte              `msgpack:"body,omitempty"`
+	// Broken means that the connection of an earlier attempt ended before its answer.
+	Broken bool   `msgpack:"broken,omitempty"`
+	Body   []byte `msgpack:"body,omitempty"`
 }
 
 // Check returns the first error found in a call, or nil.
@@ -52,6 +55,15 @@
 	return nil
 }
 
+// fingerprint identifies the request when its caller sends it again.
+func (c *ServeCall) fingerprint() endpoint.Fingerprint {
+	d := xxhash.New()
+	_, _ = d.WriteString(string(c.Workload))
+	_, _ = d.Write([]byte{0})
+	_, _ = d.Write(c.Body)
+	return endpoint.Fingerprint(d.Sum64())
+}
+
 // DecodeMsgpack decodes a call and checks it. On an error the call is unchanged.
 func (c *ServeCall) DecodeMsgpack(d *msgpack.Decoder) error {
 	type wire ServeCall
--- a/request/route/router.go
+++ b/request/route/router.go
@@ -116,6 +116,8 @@
 	keyed       bool
 	avoid       []heatherhub.TaskID
 	triedShards map[heatherhub.ShardID]bool
+	// isBroken means that the connection of an attempt to its replica ended before its answer.
+	isBroken bool
 	// failedAnswer is the last answer that reports a failure of the replica. It is
 	// returned if no later attempt succeeds.
 	failedAnswer *worker.Answer
@@ -146,6 +148,7 @@
 		}
 		if err != nil && !heatherhub.DidNotRun(err) {
 			s.unknownErr = err
+			s.isBroken = ctx.Err() == nil
 		}
 		last = err
 		if s.refreshOwner(ctx, p, err) {
@@ -291,7 +294,7 @@
 	s.router.backoffs.beginProbe(s.router.cfg.Clock.Now(), p.Owner)
 	reply, err := peer.Call[ServeReply](ctx, s.router.cfg.Peers, p.Owner, peer.MethodServe, ServeCall{
 		ID: s.req.ID, Workload: s.req.Workload, Shard: p.Shard,
-		Key: s.req.Key, Caller: s.req.Caller, Avoid: s.avoid, Body: s.req.Body,
+		Key: s.req.Key, Caller: s.req.Caller, Avoid: s.avoid, Broken: s.isBroken, Body: s.req.Body,
 	})
 	if !s.keyed { // a claim can also fail because of the store, which is no fault of the owner
 		s.router.backoffs.record(s.router.cfg.Clock.Now(), placeKey{p.Shard, s.req.Workload}, p.Owner, err)
--- a/request/route/run.go
+++ b/request/route/run.go
@@ -81,7 +81,7 @@
 func (o *Owner) sendAndRecord(ctx context.Context, p *shardPool, c ServeCall, d endpoint.Decision, deadline time.Time) (ServeReply, error) {
 	start := o.cfg.Clock.Now()
 	a, err := o.send(ctx, c, d, deadline)
-	p.done(d.Ticket, endpoint.Result{Outcome: outcomeOf(a, err), Elapsed: o.cfg.Clock.Since(start)})
+	p.done(d.Ticket, endpoint.Result{Outcome: outcomeOf(ctx, a, err), Elapsed: o.cfg.Clock.Since(start)})
 	if err != nil {
 		return ServeReply{}, err
 	}
@@ -123,7 +123,7 @@
 }
 
 // outcomeOf returns the outcome of a send to record in the pool.
-func outcomeOf(a worker.Answer, err error) endpoint.Outcome {
+func outcomeOf(ctx context.Context, a worker.Answer, err error) endpoint.Outcome {
 	switch {
 	case err == nil && isFailure(a):
 		return endpoint.Failed
@@ -131,6 +131,9 @@
 		return endpoint.Succeeded
 	case heatherhub.DidNotRun(err):
 		return endpoint.Rejected
+	case ctx.Err() == nil && a.ID == "":
+		// Nothing came, and not for want of time.
+		return endpoint.Broken
 	default:
 		return endpoint.Lost
 	}
@@ -143,6 +146,9 @@
 	case endpoint.ReasonNoReplica:
 		err := heatherhub.ErrUnavailable.New("shard %s has no replica of %q that takes requests: retry later", c.Shard, c.Workload)
 		return heatherhub.WithRetryAfter(err, d.RetryAfter)
+	case endpoint.ReasonHarmful:
+		err := heatherhub.ErrNotRun.New("requests to %q with this body have ended the replicas that they were sent to: change the request, or ask the service's team to look at it", c.Workload)
+		return heatherhub.WithRetryAfter(err, d.RetryAfter)
 	case endpoint.ReasonQueueFull:
 		err := heatherhub.ErrNotRun.New("the queue of shard %s is full: retry later", c.Shard)
 		return heatherhub.WithRetryAfter(err, d.RetryAfter)
--- a/request/route/shardpool.go
+++ b/request/route/shardpool.go
@@ -98,6 +98,7 @@
 	id := p.lastTicket
 	decisions := p.pool.Offer(now, endpoint.Ticket{
 		ID: id, Workload: c.Workload, Caller: c.Caller, Deadline: now.Add(remaining), Avoid: c.Avoid,
+		Fingerprint: c.fingerprint(), Broken: c.Broken,
 	})
 	var ch chan endpoint.Decision
 	if decisions[0].Kind == endpoint.Wait {
