Park jobs of the own interface whose task crashes its workers

Change: a new incarnation of a worker counts as a crash for the batch tasks that it had not listed 500 ms after their start. The count is in the ledger (two new kinds of records), so it outlives the owner. A suspect starts only on a worker without another task that is not proven, and none starts beside it; the third crash in a row parks the job with a reason. A task that works is cleared. Not covered: replicas of services that crash their workers as they start.

--- a/job.go
+++ b/job.go
@@ -42,6 +42,9 @@
 	Finished []int `msgpack:"f,omitempty" json:"finished,omitempty"`
 	// Checkpoints maps the index of an evicted task to its latest checkpoint.
 	Checkpoints map[int]CheckpointRef `msgpack:"c,omitempty" json:"checkpoints,omitempty"`
+	// Crashes maps the index of a task to the number of workers that have crashed in a row
+	// shortly after they had started it.
+	Crashes map[int]int `msgpack:"cr,omitempty" json:"crashes,omitempty"`
 }
 
 // IsFinal reports whether the job is done or cancelled. A parked job isn't final.
--- a/process/shard/core/jobs.go
+++ b/process/shard/core/jobs.go
@@ -58,6 +58,7 @@
 	c := *job
 	c.Finished = slices.Clone(job.Finished)
 	c.Checkpoints = maps.Clone(job.Checkpoints)
+	c.Crashes = maps.Clone(job.Crashes)
 	return c
 }
 
--- a/process/shard/core/report.go
+++ b/process/shard/core/report.go
@@ -88,6 +88,9 @@
 	}
 	w.lastReadAt = a.SentAt
 	w.failures = 0
+	if w.incarnation != 0 && a.Report.Incarnation != w.incarnation {
+		s.recordCrash(now, w)
+	}
 	w.incarnation = a.Report.Incarnation
 	s.updateScheduler(now, w)
 	if s.canRecord(now) {
@@ -148,6 +151,7 @@
 	if st.LeaseUntil.After(p.leaseUntil) {
 		p.leaseUntil = st.LeaseUntil
 	}
+	s.proveIfDue(now, p)
 }
 
 // foundUnknown handles a running task that the shard has not placed on the worker. It
--- a/process/shard/core/requests.go
+++ b/process/shard/core/requests.go
@@ -99,6 +99,8 @@
 		s.dequeueJob(now, r.ID)
 	case ledger.KindFinished, ledger.KindCheckpoint:
 		s.taskRecorded(now, c)
+	case ledger.KindCrash:
+		s.crashRecorded(now, c)
 	case ledger.KindWorker:
 		s.workerRecorded(now, c)
 	case ledger.KindClaim:
@@ -121,6 +123,11 @@
 // be durable.
 func (s *shard) recordDropped(c ledger.Committed, err error) {
 	s.forgetRequest(c.Record)
+	if c.Record.Kind == ledger.KindCrash {
+		for _, n := range c.Record.Indexes {
+			delete(s.recordingCrash, heatherhub.JobTaskID(c.Record.ID, n))
+		}
+	}
 	s.replyAll(c, err)
 }
 
--- a/process/shard/core/shard.go
+++ b/process/shard/core/shard.go
@@ -76,6 +76,9 @@
 	servicesRecovered bool
 	// recordingFinish holds the tasks whose finish is not durable yet.
 	recordingFinish map[heatherhub.TaskID]bool
+	// recordingCrash holds, by task, the number of the record of its last crash until that is
+	// durable.
+	recordingCrash map[heatherhub.TaskID]uint64
 
 	requests requests
 	// superseded means that a higher epoch of the shard was seen.
@@ -141,8 +144,8 @@
 		workers:         make(map[heatherhub.WorkerID]*workerState),
 		tasks:           make(map[heatherhub.TaskID]*placedTask),
 		queued:          make(map[heatherhub.TaskID]bool),
-		recordingFinish: make(map[heatherhub.TaskID]bool),
-		requests:        newRequests(),
+		recordingFinish: make(map[heatherhub.TaskID]bool), recordingCrash: make(map[heatherhub.TaskID]uint64),
+		requests: newRequests(),
 		log: ledger.New(ledger.Config{
 			Prefix:                    ledgerPrefix(c.shard),
 			Epoch:                     c.epoch,
--- a/process/shard/core/task.go
+++ b/process/shard/core/task.go
@@ -56,6 +56,9 @@
 	// were requested earlier are ignored for the task.
 	lastAnswerAt time.Time
 	runningSince time.Time
+	// isProven means that the worker has listed the task some time after its start, so that it
+	// does not crash its workers.
+	isProven bool
 	// stopAt is when a draining replica is stopped.
 	stopAt          time.Time
 	nextAttempt     time.Time
@@ -159,7 +162,7 @@
 	if isPlaced || isEnded || isUnwanted {
 		return false
 	}
-	return a.Task.Size.Fits(w.host.Capacity.Sub(w.reserved()))
+	return a.Task.Size.Fits(w.host.Capacity.Sub(w.reserved())) && s.mayStartBeside(w, a.Task)
 }
 
 func (s *shard) startAnswered(now time.Time, a Answer) {
--- a/process/shard/ledger/record.go
+++ b/process/shard/ledger/record.go
@@ -25,6 +25,10 @@
 	KindCheckpoint Kind = "c"
 	// KindPark parks a job.
 	KindPark Kind = "p"
+	// KindCrash counts a crash of the worker of a task, which may have caused it.
+	KindCrash Kind = "h"
+	// KindWorked takes back the crashes of a task that has worked since.
+	KindWorked Kind = "o"
 	// KindClaim grants the only run of an idempotency key.
 	KindClaim Kind = "k"
 	// KindAnswer records the answer of a granted run.
@@ -54,7 +58,8 @@
 	At  int64            `msgpack:"a"`
 	Job *heatherhub.Job  `msgpack:"j,omitempty"`
 	ID  heatherhub.JobID `msgpack:"i,omitempty"`
-	// Indexes holds the indexes of finished tasks, or of the task with a checkpoint.
+	// Indexes holds the indexes of finished tasks, of those that a crash or its withdrawal is
+	// about, or of the task with a checkpoint.
 	Indexes []int                    `msgpack:"n,omitempty"`
 	Ref     heatherhub.CheckpointRef `msgpack:"c,omitempty"`
 	Reason  string                   `msgpack:"r,omitempty"`
@@ -85,7 +90,7 @@
 		if r.Job == nil {
 			return heatherhub.ErrInvalid.New("ledger record of kind %q has no job: restore the segment", r.Kind)
 		}
-	case KindCancel, KindFinished, KindCheckpoint, KindPark:
+	case KindCancel, KindFinished, KindCheckpoint, KindPark, KindCrash, KindWorked:
 		if r.ID == "" {
 			return heatherhub.ErrInvalid.New("ledger record of kind %q has no job id: restore the segment", r.Kind)
 		}
@@ -223,6 +228,17 @@
 			job.Checkpoints = make(map[int]heatherhub.CheckpointRef)
 		}
 		job.Checkpoints[r.Indexes[0]] = r.Ref
+	case KindCrash:
+		if job.Crashes == nil {
+			job.Crashes = make(map[int]int)
+		}
+		for _, n := range r.Indexes {
+			job.Crashes[n]++
+		}
+	case KindWorked:
+		for _, n := range r.Indexes {
+			delete(job.Crashes, n)
+		}
 	case KindFinished:
 		finishTasks(job, r.Indexes)
 	}
@@ -236,11 +252,13 @@
 			job.Finished = append(job.Finished, n)
 		}
 		delete(job.Checkpoints, n)
+		delete(job.Crashes, n)
 	}
 	if len(job.Finished) == job.Tasks && job.State != heatherhub.JobCancelled {
 		job.State = heatherhub.JobDone
 		job.Finished = nil
 		job.Checkpoints = nil
+		job.Crashes = nil
 	}
 }
 
