Check crashes of gangs and of tasks in other shards, and look at a worker's room once

Tests of two cases that had none: a gang whose members crash all their workers (given up after at most 5 starts) and a long-running task that runs in another shard than its job's (its crashes go home with it, the owner there gives the job up). The check of a worker's labels and room ran twice for each candidate; now once.

--- a/process/dispatch/crash_test.go
+++ b/process/dispatch/crash_test.go
@@ -323,3 +323,68 @@
 		t.Error("got no start on the worker after its suspects were proven, want some")
 	}
 }
+
+// TestGangThatCrashesItsWorkersIsGivenUp guards against a gang that takes the workers of all of its
+// members down again and again.
+func TestGangThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	w := newCrashWorld(t, 8)
+	step := tasks(3, 4000, time.Second)
+	step.Gang = true
+	w.add("gang", step)
+	w.add("innocent", tasks(4, 1000, time.Second))
+	for i := range 3 {
+		w.deadly[heatherhub.StepTask{Job: "gang", Index: i}] = true
+	}
+	w.play(20 * time.Second)
+	w.checkState("gang", heatherhub.WorkflowFailed)
+	w.checkState("innocent", heatherhub.WorkflowCompleted)
+	if got := w.startsOf(heatherhub.StepTask{Job: "gang"}); got > 5 {
+		t.Errorf("got %d starts of the gang, want at most 5", got)
+	}
+}
+
+// TestCrashedGuestGoesBackToItsShard guards against crashes that nobody counts, because the task runs
+// in another shard than the one that keeps its job's progress.
+func TestCrashedGuestGoesBackToItsShard(t *testing.T) {
+	const home, away = 0, 1
+	shard := func(n int) heatherhub.ShardID { return heatherhub.ShardID{Domain: "d", Index: n} }
+	newEngine := func(n, generation int) *crashWorld {
+		w := newCrashWorldAfter(t, 0, generation)
+		w.e = dispatch.New(dispatch.Config{Token: agent.Token(1 + n), Shard: shard(n)})
+		w.e.SetPolicies(map[heatherhub.QueueID]dispatch.Policy{queue: {Pool: pool, MaxAttempts: 3, Stretch: 2}})
+		for i := range 4 {
+			w.join(fmt.Sprintf("a%d%d", n, i))
+		}
+		return w
+	}
+	step := tasks(1, 1000, time.Second)
+	step.LongRunning = true
+	flow := &heatherhub.Workflow{ID: "deadly", Queue: queue, Steps: []heatherhub.Step{step}, Shard: shard(home), TaskShards: map[int]heatherhub.ShardID{0: shard(away)}}
+	task := heatherhub.StepTask{Job: "deadly"}
+	owner, guest := newEngine(home, 0), newEngine(away, 100)
+	revision := ledger.Revision(1)
+	starts := 0
+	for range 6 {
+		flow.Accepted = owner.now.Wall
+		for _, w := range []*crashWorld{owner, guest} {
+			w.workflows["deadly"], w.deadly[task] = flow, true
+			w.e.AddJob(w.now, dispatch.JobRecord{Workflow: flow, RecordRevision: revision})
+			before := w.startsOf(task)
+			w.play(time.Second)
+			starts += w.startsOf(task) - before
+		}
+		moves := guest.e.CrashedGuests()
+		if len(moves) == 0 {
+			break
+		}
+		next, _, ok := guest.e.PrepareMove(moves[0], moves[0].Home)
+		if !ok || len(next.Crashes) == 0 || next.ShardOf(0) != shard(home) {
+			t.Fatalf("got record %+v, %v, want the task at home with its crashes", next, ok)
+		}
+		flow, revision = next, revision+1
+	}
+	owner.checkState("deadly", heatherhub.WorkflowFailed)
+	if starts < 3 || starts > 5 {
+		t.Errorf("got %d starts of the deadly task in both shards, want 3 to 5", starts)
+	}
+}
--- a/process/dispatch/order.go
+++ b/process/dispatch/order.go
@@ -180,7 +180,7 @@
 	var best *node
 	var bestRatio float64
 	for _, n := range e.sortedNodes {
-		if !e.acceptsTask(now, n, s, t) {
+		if !e.hasLabelsAndRoom(now, n, s) || !n.isOpenTo(now.Steady, t) {
 			continue
 		}
 		ratio := e.logTailRatio(n) + e.logTailRise(n, s.spec.Image, n.shareOf(s.spec.Need.CPU))
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"heatherhub.example/heatherhub"
 )
 
@@ -30,16 +32,16 @@
 	return best
 }
 
-// acceptsTask reports whether a worker accepts a task of a step. It does not check the
-// spare processors that a filler needs.
-func (e *Engine) acceptsTask(now Moment, n *node, s *stepRun, t *task) bool {
+// isOpenTo reports whether runs that are kept apart leave the worker to a task.
+func (n *node) isOpenTo(now time.Duration, t *task) bool {
 	if t.needsIsolation() {
-		return e.hasLabelsAndRoom(now, n, s) && n.isIsolating(now.Steady, t)
+		return n.isIsolating(now, t)
 	}
-	return e.hasLabelsAndRoom(now, n, s) && n.isolatedJob(now.Steady) == nil
+	return n.isolatedJob(now) == nil
 }
 
-// hasLabelsAndRoom is acceptsTask without regard to runs that are kept apart.
+// hasLabelsAndRoom reports whether a worker accepts tasks of a step. It does not check the spare
+// processors that a filler needs.
 func (e *Engine) hasLabelsAndRoom(now Moment, n *node, s *stepRun) bool {
 	switch {
 	case !n.isAvailable(now.Steady):
@@ -52,7 +54,7 @@
 }
 
 func (e *Engine) isEligible(now Moment, n *node, s *stepRun, t *task) bool {
-	return e.acceptsTask(now, n, s, t) && e.hasRoom(now, n, s, t)
+	return n.isOpenTo(now.Steady, t) && e.hasRoom(now, n, s, t)
 }
 
 // hasRoom is isEligible without regard to runs that are kept apart.
