--- a/process/shard/core/crash_test.go
+++ b/process/shard/core/crash_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/connection/worker"
 	"heatherhub.example/heatherhub/process/shard/core"
 )
 
@@ -55,3 +56,41 @@
 		})
 	}
 }
+
+// maxDeadlyStarts is the number of starts that a task may have if it crashes its workers.
+const maxDeadlyStarts = 5
+
+// crashIfDeadly crashes a worker that has started a task which does that.
+func (sim *simulation) crashIfDeadly(c core.Call, a core.Answer) {
+	n, isDeadly := sim.deadlyStarts[c.Task]
+	if c.Kind != core.CallStart || a.Err != nil || !isDeadly {
+		return
+	}
+	sim.deadlyStarts[c.Task] = n + 1
+	if n+1 > maxDeadlyStarts {
+		sim.violate("task %s that crashes its workers starts for the %dth time", c.Task, n+1)
+	}
+	wk := sim.byID[c.Worker]
+	sim.after(10*time.Millisecond, func() { wk.model.Kill(sim.now); wk.model.Revive(sim.now) })
+}
+
+// roomNotice is how long after a worker has shrunk its former room may still be used. The list
+// takes a few seconds to reach the hosts, and starts may be late.
+const roomNotice = 2 * hostListLag
+
+// auditRoom checks that a start fits the room that a worker has had for some time.
+func (sim *simulation) auditRoom(c core.Call) {
+	wk := sim.byID[c.Worker]
+	if c.Kind != core.CallStart || wk == nil || wk.shrunkAt.IsZero() || sim.now.Sub(wk.shrunkAt) < roomNotice {
+		return
+	}
+	used := c.Start.Task.Size
+	for _, st := range wk.model.Tasks(sim.now) {
+		if st.State == worker.TaskRunning && st.Task.ID != c.Task {
+			used = used.Add(st.Task.Size)
+		}
+	}
+	if !used.Fits(wk.host.Capacity) {
+		sim.violate("worker %s starts %s and then holds %s of %s", c.Worker, c.Task, used, wk.host.Capacity)
+	}
+}
--- a/process/shard/core/faults_test.go
+++ b/process/shard/core/faults_test.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"pgregory.net/rapid"
 
+	"heatherhub.example/heatherhub"
 	"heatherhub.example/heatherhub/connection/hostlist"
 	"heatherhub.example/heatherhub/process/placement"
 	"heatherhub.example/heatherhub/process/shard/core"
@@ -155,6 +156,21 @@
 			})
 		}
 	},
+	// A job with a task that crashes each worker that starts it.
+	"deadly job": func(sim *simulation, _ fault) {
+		sim.countEffect("deadly job")
+		id := heatherhub.JobID(fmt.Sprintf("deadly-%d", len(sim.deadlyStarts)))
+		sim.deadlyStarts[heatherhub.JobTaskID(id, 0)] = 0
+		sim.submit(heatherhub.Job{ID: id, Workload: "letter", Tasks: 1, State: heatherhub.JobQueued}, 2)
+	},
+	"shrink worker": func(sim *simulation, f fault) {
+		wk := sim.workers[f.Target%len(sim.workers)]
+		sim.countEffect("worker shrunk")
+		former := wk.host.Capacity
+		wk.host.Capacity.CPU /= 2
+		wk.shrunkAt = sim.now
+		sim.after(f.Duration, func() { wk.host.Capacity = former })
+	},
 	"freeze worker": func(sim *simulation, f fault) {
 		wk := sim.workers[f.Target%len(sim.workers)]
 		sim.countEffect("worker frozen")
@@ -293,7 +309,7 @@
 	}
 	wanted := []string{
 		"pause of an owner", "death of an owner", "store down", "lost answer", "late call", "cut e-s", "cut e-w", "worker killed", "eviction",
-		"living w unlisted", "living e unlisted", "worker drains", "muted worker", "late heartbeat", "single failed call", "worker restarted",
+		"living w unlisted", "living e unlisted", "worker drains", "muted worker", "late heartbeat", "single failed call", "worker restarted", "deadly job", "worker shrunk",
 	}
 	for _, k := range wanted {
 		if effects[k] == 0 && !testing.Short() {
--- a/process/shard/core/sim_jobs_test.go
+++ b/process/shard/core/sim_jobs_test.go
@@ -197,6 +197,12 @@
 		return fmt.Sprintf("%d of %d shards are owned", owners, sim.cfg.shards)
 	}
 	for id := range sim.requests.accepted {
+		if _, isDeadly := sim.deadlyStarts[heatherhub.JobTaskID(id, 0)]; isDeadly {
+			if state := states[id]; state != heatherhub.JobParked {
+				return fmt.Sprintf("the deadly job %s is %q", id, state)
+			}
+			continue
+		}
 		_, isCancelled := sim.requests.cancelled[id]
 		switch state := states[id]; {
 		case isCancelled && state != heatherhub.JobCancelled:
--- a/process/shard/core/sim_network_test.go
+++ b/process/shard/core/sim_network_test.go
@@ -98,7 +98,9 @@
 		sim.after(d.delay, func() { answer(core.Answer{Err: heatherhub.ErrUnavailable.New("refused")}) })
 	case deliveryArrives:
 		sim.after(d.delay, func() {
+			sim.auditRoom(c)
 			a := sim.apply(c)
+			sim.crashIfDeadly(c, a)
 			if sim.observe != nil {
 				sim.observe(c, a)
 			}
--- a/process/shard/core/sim_test.go
+++ b/process/shard/core/sim_test.go
@@ -99,6 +99,8 @@
 	// isHealed stops the random evictions.
 	isHealed   bool
 	violations []string
+	// deadlyStarts counts the starts of the tasks that crash each worker that starts them.
+	deadlyStarts map[heatherhub.TaskID]int
 	// observe is called with each call that takes effect and its answer, if set.
 	observe func(core.Call, core.Answer)
 }
@@ -125,6 +127,8 @@
 	host   hostlist.Host
 	model  *model.Worker
 	deadAt time.Time
+	// shrunkAt is when the host list stated less capacity than before, last.
+	shrunkAt time.Time
 }
 
 func newSimulation(cfg simConfig) *simulation {
@@ -138,7 +142,7 @@
 		layout:   layout.Layout{Shards: map[heatherhub.FailureDomain]int{simDomain: cfg.shards}},
 		cutUntil: make(map[string]time.Time), unlistedUntil: make(map[string]time.Time), mutedUntil: make(map[string]time.Time),
 		byID:    make(map[heatherhub.WorkerID]*simWorker),
-		effects: make(map[string]int),
+		effects: make(map[string]int), deadlyStarts: make(map[heatherhub.TaskID]int),
 	}
 	sim.requests = newRequestLog(sim)
 	sim.snapshot = simSnapshot(cfg.serviceReplicas)
