Name the task with the most crashes when a job is given up

Also: crashes that a successor had counted without a run number were not given back to the task after the next takeover (read, no test of its own; the job's progress kept them, so the limit held). What a loss says of a run is a function of its own now.

--- a/process/dispatch/crash.go
+++ b/process/dispatch/crash.go
@@ -142,28 +142,53 @@
 	if how == crashed {
 		e.crashes = slices.DeleteFunc(e.crashes, func(c crashLog) bool { return now.Steady-c.lostAt > crashMemory })
 	}
-	isSimultaneous, common := e.simultaneousLoss(n, lostAt, suspects)
+	l := loss{how: how, lostAt: lostAt, hasIsolated: hasIsolated}
+	l.isSimultaneous, l.common = e.simultaneousLoss(n, lostAt, suspects)
 	if how == crashed {
 		e.crashes = append(e.crashes, crashLog{lostAt: lostAt, address: n.worker.Address, suspects: suspects})
 	}
 	for _, a := range lost {
-		evidence, counts := heatherhub.CrashBeside, true
-		_, isCommon := common[a.task.step.occ.job.workflow.ID]
-		isSuspect := !a.isProven && (!isSimultaneous || isCommon || a.isIsolated || lostAt-a.startedAt <= youngAge)
-		switch {
-		case hasIsolated && (a.isProven || !a.isIsolated):
-			counts = false
-		case hasIsolated && isSuspect && how == crashed:
-			evidence = heatherhub.CrashIsolated
-		case isSuspect && how == crashed:
-			evidence = heatherhub.CrashSuspect
-		case a.isProven:
-			counts = how == crashed && !isSimultaneous && lostAt-a.startedAt <= maxSuspectAge
-		}
-		if counts {
-			e.addCrash(now, a, evidence, lostAt)
+		if evidence, counts := l.evidenceAgainst(a); counts {
+			e.addCrash(a, evidence, lostAt)
 		}
 	}
+	for _, a := range lost {
+		e.giveUpIfDue(now, a.task.step.occ.job)
+	}
+}
+
+// loss is what is known of the loss of a worker.
+type loss struct {
+	how    departure
+	lostAt time.Duration
+	// hasIsolated means that the worker had an isolated run that was not proven.
+	hasIsolated bool
+	// isSimultaneous means that other workers were lost together with it, and common has the jobs
+	// with unproven runs on all of them.
+	isSimultaneous bool
+	common         map[heatherhub.JobID]struct{}
+}
+
+// evidenceAgainst returns what the loss says of a run, and whether it counts at all: an isolated run
+// explains it, and a proven one is counted only if it is young and a crash took its worker alone.
+func (l *loss) evidenceAgainst(a *attempt) (heatherhub.CrashEvidence, bool) {
+	age := l.lostAt - a.startedAt
+	if a.isProven {
+		return heatherhub.CrashBeside, l.how == crashed && !l.hasIsolated && !l.isSimultaneous && age <= maxSuspectAge
+	}
+	if l.hasIsolated && !a.isIsolated {
+		return heatherhub.CrashBeside, false
+	}
+	_, isCommon := l.common[a.task.step.occ.job.workflow.ID]
+	isExcused := l.isSimultaneous && !isCommon && !a.isIsolated && age > youngAge
+	switch {
+	case l.how != crashed || isExcused:
+		return heatherhub.CrashBeside, true
+	case l.hasIsolated:
+		return heatherhub.CrashIsolated, true
+	default:
+		return heatherhub.CrashSuspect, true
+	}
 }
 
 // simultaneousLoss reports whether other workers were lost together with n at lostAt, and returns
@@ -193,7 +218,7 @@
 }
 
 // addCrash records the run of an attempt as lost with its worker.
-func (e *Engine) addCrash(now Moment, a *attempt, evidence heatherhub.CrashEvidence, lostAt time.Duration) {
+func (e *Engine) addCrash(a *attempt, evidence heatherhub.CrashEvidence, lostAt time.Duration) {
 	t := a.task
 	j := t.step.occ.job
 	c := heatherhub.CrashedRun{
@@ -209,11 +234,11 @@
 		evidence, c.Evidence = heatherhub.CrashSuspect, heatherhub.CrashSuspect
 	}
 	a.crashEvidence = evidence
-	e.appendCrash(now, t, c)
+	e.appendCrash(t, c)
 }
 
-// appendCrash records a crash of a task and gives its job up if that is due.
-func (e *Engine) appendCrash(now Moment, t *task, c heatherhub.CrashedRun) {
+// appendCrash records a crash of a task.
+func (e *Engine) appendCrash(t *task, c heatherhub.CrashedRun) {
 	j := t.step.occ.job
 	e.Stats.Crashed++
 	t.crashes = append(t.crashes, c)
@@ -223,18 +248,17 @@
 		j.crashChange = j.changed
 		j.updateSuspicion()
 	}
-	e.giveUpIfDue(now, t)
 }
 
-// giveUpIfDue fails the job of a task that crashes its workers. Only the owner of the job does so.
-func (e *Engine) giveUpIfDue(now Moment, t *task) {
-	j := t.step.occ.job
+// giveUpIfDue fails a job with a task that crashes its workers. Only the owner of the job does so.
+func (e *Engine) giveUpIfDue(now Moment, j *job) {
 	if j.isOver() || j.isOwnedElsewhere {
 		return
 	}
 	if !j.progress.isGivenUp() {
 		return
 	}
+	t := j.mostCrashed()
 	e.recordEvent(EventRecord{
 		Event: EventJobGivenUp, Job: j.workflow.ID, Step: t.step.index, Index: t.index, Count: len(t.crashes), Workers: crashedWorkers(t.crashes),
 		Reason: "task crashes its workers",
@@ -242,6 +266,17 @@
 	e.endJob(now, j, heatherhub.WorkflowFailed)
 }
 
+// mostCrashed returns the task with the most crashes of a job that has some.
+func (j *job) mostCrashed() *task {
+	var worst *task
+	for _, c := range j.progress.Crashes {
+		if t := j.taskOf(c); t != nil && (worst == nil || len(t.crashes) > len(worst.crashes)) {
+			worst = t
+		}
+	}
+	return worst
+}
+
 // isGivenUp reports whether the crashes of a job suffice to give it up.
 func (p *Progress) isGivenUp() bool {
 	var isolated []heatherhub.CrashedRun
@@ -309,10 +344,12 @@
 			cleared[t] = max(cleared[t], c.Run)
 		}
 	}
-	var changed []*task
 	for _, c := range slices.Concat(j.progress.Crashes, j.workflow.Crashes) {
 		t := j.taskOf(c)
-		if t == nil || c.Evidence == heatherhub.CrashCleared || c.Run <= cleared[t] || hasCrash(t.crashes, c) {
+		if t == nil || c.Evidence == heatherhub.CrashCleared || hasCrash(t.crashes, c) {
+			continue
+		}
+		if run, ok := cleared[t]; ok && c.Run <= run {
 			continue
 		}
 		t.crashes = append(t.crashes, c)
@@ -322,12 +359,9 @@
 		j.progress.Crashes = append(j.progress.Crashes, c)
 		e.markChanged(j)
 		j.crashChange = j.changed
-		changed = append(changed, t)
 	}
 	j.updateSuspicion()
-	for _, t := range changed {
-		e.giveUpIfDue(now, t)
-	}
+	e.giveUpIfDue(now, j)
 }
 
 // taskOf returns the task of a crashed run, or nil.
@@ -459,8 +493,9 @@
 			if slices.ContainsFunc(t.crashes, func(c heatherhub.CrashedRun) bool { return c.Worker == id }) {
 				continue
 			}
-			e.appendCrash(now, t, heatherhub.CrashedRun{Occurrence: t.step.occ.index, Task: t.flatIndex(), Worker: id, Evidence: evidence, Age: last.Age})
+			e.appendCrash(t, heatherhub.CrashedRun{Occurrence: t.step.occ.index, Task: t.flatIndex(), Worker: id, Evidence: evidence, Age: last.Age})
 		}
+		e.giveUpIfDue(now, j)
 	}
 }
 
--- a/process/dispatch/crash_test.go
+++ b/process/dispatch/crash_test.go
@@ -119,6 +119,12 @@
 	if v, _ := w.e.Job("deadly"); len(v.CrashedWorkers) != 3 {
 		t.Errorf("got crashed workers %v, want 3", v.CrashedWorkers)
 	}
+	isGivenUp := func(r dispatch.EventRecord) bool { return r.Event == dispatch.EventJobGivenUp }
+	events := slices.DeleteFunc(w.e.TakeEvents(), func(r dispatch.EventRecord) bool { return !isGivenUp(r) })
+	// Both tasks of the job were isolated together, so either may be named.
+	if len(events) != 1 || events[0].Job != "deadly" || events[0].Count != 3 || len(events[0].Workers) != 3 {
+		t.Errorf("got events %+v, want one with 3 crashes on 3 workers", events)
+	}
 }
 
 // TestJobOfDeadlyTasksIsGivenUpAsAWhole guards against a job that crashes workers once for each
