--- a/command/explain/explain_test.go
+++ b/command/explain/explain_test.go
@@ -60,11 +60,12 @@
 
 // TestStoriesOfFailedRequests compares timelines with golden files, from logs of benchmark
 // runs: a job refused in an outage of the store, one that was late after its owner was
-// partitioned off, and one whose tasks were started again after runs at workers failed.
+// partitioned off, one whose tasks were started again after runs at workers failed, and one that
+// was given up since a task crashes its workers.
 func TestStoriesOfFailedRequests(t *testing.T) {
 	files, err := filepath.Glob(filepath.Join("testdata", "*.log"))
-	if err != nil || len(files) != 3 {
-		t.Fatalf("got logs %v, error %v, want three", files, err)
+	if err != nil || len(files) != 4 {
+		t.Fatalf("got logs %v, error %v, want four", files, err)
 	}
 	for _, file := range files {
 		_, id, _ := strings.Cut(strings.TrimSuffix(filepath.Base(file), ".log"), "-")
