Hold a refused task against the task, once several workers have refused it

Change: from the third refusal in a row on, the task waits 0.1 s to 1 s between its starts and the workers stay in use. Refusals for want of room count as before. TestTaskThatIsRefusedByAllWorkersLeavesThemToOthers fails on the former code.

--- a/process/dispatch/decide.go
+++ b/process/dispatch/decide.go
@@ -145,6 +145,7 @@
 
 func (e *Engine) handleStartResult(now Moment, a *attempt, result Outcome) {
 	if result == Confirmed {
+		a.task.refusals = 0
 		if a.state != running {
 			e.confirm(now, a)
 		}
@@ -163,7 +164,9 @@
 	e.Stats.Refused++
 	e.recordTaskEvent(EventStartRefused, a, result.String())
 	switch result {
-	case RefusedNoCapacity, RefusedUnhealthy:
+	case Refused, RefusedUnhealthy:
+		e.recordRefusal(now, a, result)
+	case RefusedNoCapacity:
 		a.node.backoffUntil = now.Steady + e.cfg.RefusalBackoff
 	case NotSent:
 		a.node.markUnresponsive(now.Steady)
@@ -172,6 +175,29 @@
 	e.requeue(now, a)
 }
 
+// recordRefusal records a refusal that has nothing to do with room. If several workers in a row have
+// refused a task, it is the task: the worker gets others, and the task waits between its starts.
+func (e *Engine) recordRefusal(now Moment, a *attempt, result Outcome) {
+	t := a.task
+	t.refusals++
+	if t.refusals < maxRefusals {
+		if result == RefusedUnhealthy {
+			a.node.backoffUntil = now.Steady + e.cfg.RefusalBackoff
+		}
+		return
+	}
+	t.notBefore = now.Steady + min(e.cfg.RetryDelay<<min(t.refusals-maxRefusals, maxRefusals), maxRefusalDelay)
+}
+
+// Limits of repeated refusals of one task.
+const (
+	// maxRefusals is the number of refusals in a row from which on the task is at fault.
+	maxRefusals = 3
+	// maxRefusalDelay is the longest time between two starts of such a task. A task may not wait
+	// for three seconds while a worker has room for it.
+	maxRefusalDelay = time.Second
+)
+
 func handleStopResult(now Moment, a *attempt, result Outcome) {
 	switch result {
 	case Confirmed, Refused:
--- a/process/dispatch/flow_test.go
+++ b/process/dispatch/flow_test.go
@@ -50,3 +50,36 @@
 		t.Errorf("got %d starts after the worker was lost, want %d", got, want)
 	}
 }
+
+// TestTaskThatIsRefusedByAllWorkersLeavesThemToOthers guards against a task that every worker refuses,
+// which keeps its owner busy and each worker from getting other tasks.
+func TestTaskThatIsRefusedByAllWorkersLeavesThemToOthers(t *testing.T) {
+	for name, outcome := range map[string]dispatch.Outcome{"refused": dispatch.Refused, "unhealthy": dispatch.RefusedUnhealthy} {
+		t.Run(name, func(t *testing.T) {
+			b := newSimulation(t, dispatch.Policy{}, 4)
+			refused := 0
+			b.outcome = func(o dispatch.Order) dispatch.Outcome {
+				if o.Task.Job == "refused" && o.Kind == dispatch.StartTask {
+					refused++
+					return outcome
+				}
+				return dispatch.Confirmed
+			}
+			b.add("refused", tasks(1, 1000, time.Second))
+			for range 100 {
+				b.step(20 * time.Millisecond)
+			}
+			b.add("other", tasks(4, 9000, time.Second))
+			for range 70 {
+				b.step(20 * time.Millisecond)
+			}
+			if _, ok := b.doneAt["other"]; !ok {
+				t.Error("the other job is not done although all workers are free for it")
+			}
+			// Three at once, then after 0.1 s, 0.2 s, 0.4 s, 0.8 s and each second.
+			if refused > 12 {
+				t.Errorf("got %d starts of the refused task in 3.4 s, want at most 12", refused)
+			}
+		})
+	}
+}
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -230,6 +230,8 @@
 	attempts   []*attempt
 	// crashes has the runs that were lost with crashed workers since a run was proven.
 	crashes []heatherhub.CrashedRun
+	// refusals counts the refusals of its starts in a row.
+	refusals int
 	// notBefore is the earliest time of the next attempt after a failure.
 	notBefore time.Duration
 	// avoidWorker is the worker on which the last attempt failed or stalled. The task
