--- a/process/dispatch/crash.go
+++ b/process/dispatch/crash.go
@@ -75,8 +75,8 @@
 	suspects map[heatherhub.JobID]struct{}
 }
 
-// proven returns the age at which a run of the task counts as harmless.
-func (t *task) proven() time.Duration {
+// requiredAge returns the age at which a run of the task counts as harmless.
+func (t *task) requiredAge() time.Duration {
 	age := provenAge
 	for _, c := range t.crashes {
 		age = max(age, min(2*c.Age, maxProvenAge))
@@ -374,7 +374,7 @@
 
 // proveIfDue records that a listed run has shown that it does no harm, once it is old enough.
 func (e *Engine) proveIfDue(now Moment, a *attempt) {
-	if a.isProven || now.Steady-a.startedAt < a.task.proven() {
+	if a.isProven || now.Steady-a.startedAt < a.task.requiredAge() {
 		return
 	}
 	n := a.node
@@ -432,9 +432,16 @@
 func (e *Engine) chooseIsolated(now Moment, s *stepRun, t *task) *node {
 	j := t.step.occ.job
 	var best, next *node
+	// The worker that is stored as that of the next isolated start comes first.
+	rank := func(n *node) int {
+		if n.worker.ID == j.progress.IsolatedOn {
+			return 0
+		}
+		return 1
+	}
 	compare := func(a, b *node) int {
 		return cmp.Or(
-			-compareBool(a.worker.ID == j.progress.IsolatedOn, b.worker.ID == j.progress.IsolatedOn),
+			cmp.Compare(rank(a), rank(b)),
 			cmp.Compare(e.crashesAt(now, a), e.crashesAt(now, b)),
 			cmp.Compare(a.usedShare(), b.usedShare()),
 		)
@@ -514,18 +521,6 @@
 	return out
 }
 
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
-	}
-}
-
 // usedShare returns the reserved and the filler processors as a fraction of the worker's.
 func (n *node) usedShare() float64 {
 	return n.shareOf(n.used.CPU + n.fillerCPU)
--- a/process/dispatch/view.go
+++ b/process/dispatch/view.go
@@ -88,7 +88,8 @@
 	}
 }
 
-// Progress returns a copy of the progress of a job, which need not be durable yet.
+// Progress returns a copy of the progress of a job, which need not be durable yet. It is empty for
+// jobs that this shard does not know.
 func (e *Engine) Progress(id heatherhub.JobID) Progress {
 	if j := e.jobs[id]; j != nil {
 		return j.progress.clone()
