Read a large configuration once, also on a slow link

Each submission with the former configuration also got the whole new one with the refusal.

A submission does not read the items of a conflict above 64 KB and looks its job up instead.

--- a/connection/ledger/ledger.go
+++ b/connection/ledger/ledger.go
@@ -71,12 +71,17 @@
 	Preconditions []Precondition
 	Puts          []Put
 	Deletes       []string
+	// MaxConflictBytes is the size up to which the current items are read if a precondition
+	// fails. Zero means that they are always read.
+	MaxConflictBytes int64
 }
 
 // ConflictError means that a precondition did not hold. Items contains the current
 // items of the keys in the preconditions, without the absent ones.
 type ConflictError struct {
 	Items []Item
+	// IsIncomplete means that the items exceed Txn.MaxConflictBytes and were not read.
+	IsIncomplete bool
 }
 
 // Error returns a message with the number of existing keys and the remedy.
--- a/request/intake/intake_test.go
+++ b/request/intake/intake_test.go
@@ -159,6 +159,22 @@
 	}
 }
 
+// TestConflictWithoutItemsIsLookedUp guards against a submission that takes a conflict whose items
+// were too large to read for a change of the configuration, although its job is stored.
+func TestConflictWithoutItemsIsLookedUp(t *testing.T) {
+	incomplete := func(ledger.Txn) (ledger.Revision, error) { return 0, &ledger.ConflictError{IsIncomplete: true} }
+	s := &scriptedStore{commits: []func(ledger.Txn) (ledger.Revision, error){incomplete, incomplete}}
+	api := newJobAPI(s, &testClock{now: time.Second})
+	if err := api.Submit(t.Context(), newWorkflow(), table); !intake.IsTableChanged(err) {
+		t.Errorf("job absent: got error %v, want ErrTableChanged", err)
+	}
+	key := record.JobKey(newWorkflow().ID)
+	s.items[key] = ledger.Item{Key: key, Revision: 7}
+	if err := api.Submit(t.Context(), newWorkflow(), table); err != nil {
+		t.Errorf("job stored: got error %v, want none", err)
+	}
+}
+
 func TestCancelOfMissingJobIsNotFound(t *testing.T) {
 	s := &scriptedStore{}
 	api := newJobAPI(s, &testClock{now: time.Second})
--- a/request/intake/jobs.go
+++ b/request/intake/jobs.go
@@ -69,6 +69,9 @@
 	// storeProbeInterval is the time between submissions that are let through to
 	// probe an unresponsive store. All others fail at once.
 	storeProbeInterval = 400 * time.Millisecond
+	// maxConflictBytes excludes the configuration from the answer to a refused submission. It
+	// may have hundreds of kilobytes, which the host reads once, by its watch.
+	maxConflictBytes = 64 << 10
 	// outageRetryAfter is the retry delay returned with refused submissions. Store
 	// outages last seconds.
 	outageRetryAfter = time.Second
@@ -144,6 +147,8 @@
 	txn := ledger.Txn{
 		Preconditions: []ledger.Precondition{{Key: key}, {Key: a.cfg.TableKey, Revision: table.Revision}},
 		Puts:          []ledger.Put{{Key: key, Value: value}},
+
+		MaxConflictBytes: maxConflictBytes,
 	}
 	started := time.Now()
 	err = a.commit(ctx, txn, key)
@@ -162,6 +167,14 @@
 		_, err = a.commitOnce(ctx, txn)
 	}
 	var conflict *ledger.ConflictError
+	if errors.As(err, &conflict) && conflict.IsIncomplete {
+		it, getErr := a.cfg.Store.Get(ctx, key)
+		if getErr != nil {
+			return heatherhub.ErrUnknown.Wrap(getErr, "the job may have been accepted: send it again with the same id")
+		}
+		conflict = &ledger.ConflictError{Items: []ledger.Item{it}}
+		err = conflict
+	}
 	switch {
 	case errors.As(err, &conflict) && conflict.Find(key).Revision > 0:
 		return nil
