Start nothing on workers of evacuated domains

What runs goes on. The order outcome Withdrawn requeues the task and blames neither its worker, as NotSent does, nor the task.

--- a/process/dispatch/decide.go
+++ b/process/dispatch/decide.go
@@ -52,11 +52,14 @@
 	NoReply
 	// Outdated: the order stayed in the send queue too long and was dropped.
 	Outdated
+	// Withdrawn: the owner dropped a start before it was sent, since the worker gets none any
+	// more. The worker itself is not at fault.
+	Withdrawn
 )
 
 // String names the outcome for logs.
 func (o Outcome) String() string {
-	return [...]string{"obeyed", "unsent", "refused", "no room", "unhealthy", "unanswered", "outdated"}[o]
+	return [...]string{"obeyed", "unsent", "refused", "no room", "unhealthy", "unanswered", "outdated", "withdrawn"}[o]
 }
 
 // Decide returns the orders that are due. The caller sends them and reports each
--- a/process/dispatch/load.go
+++ b/process/dispatch/load.go
@@ -12,8 +12,8 @@
 // Load summarizes the shard's load. It is used to choose a shard for new or waiting
 // work.
 type Load struct {
-	// Capacity and Reserved are totals over the workers that are reachable and not
-	// draining.
+	// Capacity and Reserved are totals over the workers that are reachable, not draining and
+	// not evacuated.
 	Capacity, Reserved heatherhub.MilliCPU
 	// FillerDemand is the processor demand of the filler tasks on these workers.
 	FillerDemand heatherhub.MilliCPU
@@ -25,7 +25,7 @@
 func (e *Engine) Load() Load {
 	var l Load
 	for _, n := range e.sortedNodes {
-		if n.worker.Draining || n.isUnresponsive {
+		if !n.isInService() {
 			continue
 		}
 		l.Capacity += n.worker.Capacity.CPU
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -8,6 +8,7 @@
 	"heatherhub.example/heatherhub"
 	"heatherhub.example/heatherhub/connection/agent"
 	"heatherhub.example/heatherhub/connection/ledger"
+	"heatherhub.example/heatherhub/version/evacuation"
 )
 
 // Moment is a point in time on both clocks of the host.
@@ -89,8 +90,10 @@
 	isHoldingStarts bool
 	// isRoomStale holds back all starts.
 	isRoomStale bool
-	model       *interference
-	finished    []*job
+	// evacuated has the failure domains whose workers get no starts.
+	evacuated evacuation.Set
+	model     *interference
+	finished  []*job
 	// progressCheckedAt is the time of the last check for stalled runs.
 	progressCheckedAt time.Duration
 	// meanSpeed is the average speed over all workers.
@@ -379,6 +382,8 @@
 	// leavesAt at the earliest.
 	isLeaving bool
 	leavesAt  time.Duration
+	// isEvacuated means that the worker's failure domain is evacuated.
+	isEvacuated bool
 	// backoffUntil is the time until which the worker gets no new tasks after a refusal
 	// or stall.
 	backoffUntil time.Duration
@@ -412,7 +417,7 @@
 
 // isAvailable is acceptsTasks without regard to runs that are kept apart.
 func (n *node) isAvailable(now time.Duration) bool {
-	return !n.isUnresponsive && !n.worker.Draining && n.backoffUntil <= now && !n.health.isQuarantined(now) && len(n.unaccounted) == 0
+	return n.isInService() && n.backoffUntil <= now && !n.health.isQuarantined(now) && len(n.unaccounted) == 0
 }
 
 func (n *node) free() heatherhub.Resources {
@@ -481,6 +486,7 @@
 }
 
 func (e *Engine) addNode(n *node) {
+	n.isEvacuated = e.evacuated.Has(n.worker.Domain)
 	e.nodes[n.worker.ID] = n
 	at, _ := slices.BinarySearchFunc(e.sortedNodes, n, compareNodes)
 	e.sortedNodes = slices.Insert(e.sortedNodes, at, n)
