Apply evacuations in the owner, up to the last moment of a start

The term passes the set to the engine before each decision and before each start is sent, under the same lock. Starts that wait to be sent to an evacuated worker are dropped and reported as withdrawn. Nothing starts before the requests were read once, nor 2.86 s after the store's last answer about them: a request may be acknowledged right after the answer, and a worker may accept a start for 2.04 s after it was sent, which makes 5 s. The load record says, while a domain is evacuated, which pools are left. Log lines, and gauges of evacuated domains and of the tasks in them.

Ruled out: a message to each term from the watch. The check at the send is needed anyway, as a decision and the request may cross.

The simulated hosts of all tests now watch evacuations, and every start is audited against the bound.

--- a/process/owner/commit.go
+++ b/process/owner/commit.go
@@ -323,16 +323,19 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.reportWorkers()
+	t.syncEvacuated(t.now())
 	l := t.engine.Load()
 	waiting := t.engine.QueuedJobs()
 	t.log.Info("load", zap.Int64("capacity", int64(l.Capacity)), zap.Int64("reserved", int64(l.Reserved)), zap.Int64("filling", int64(l.FillerDemand)), zap.Duration("backlog", l.Backlog),
 		zap.Any("waiting", waiting), zap.Any("unconfirmed", t.engine.UnconfirmedJobs()), zap.Any("stats", t.engine.Stats))
 	now := t.now()
+	inService, evacuated := t.poolsInService()
 	value, err := record.Encode(record.Load{
 		Capacity: l.Capacity, Reserved: l.Reserved, FillerDemand: l.FillerDemand, Backlog: l.Backlog,
 		Waiting: waiting, BegunGuests: t.engine.BegunGuests(), MovedJobs: t.engine.MovedJobs(now), JobsRead: t.jobsRead, JobsReadAge: now.Steady - t.jobsAnsweredAt,
 		Racks: t.engine.Racks(), LargestFree: t.engine.LargestFree(now, record.MaxLargestFree),
 		LargestSpare: t.engine.LargestSpare(now, record.MaxLargestFree), FillerRoom: t.engine.FillerRoom(now), At: now.Wall,
+		PoolsInService: inService, EvacuatedPools: evacuated,
 	})
 	return value, t.engine.RemoveExpired(now, t.host.cfg.EndedRetention, maxExpiredPerCommit), err
 }
--- a/process/owner/host.go
+++ b/process/owner/host.go
@@ -16,6 +16,7 @@
 	"heatherhub.example/heatherhub/connection/ledger"
 	"heatherhub.example/heatherhub/process/dispatch"
 	"heatherhub.example/heatherhub/process/record"
+	"heatherhub.example/heatherhub/version/evacuation"
 	"heatherhub.example/heatherhub/version/queues"
 )
 
@@ -41,8 +42,11 @@
 	// DecodeWorker decodes a worker's registration.
 	DecodeWorker func(ledger.Item) (agent.Worker, error)
 	Tables       *queues.Current
-	Clock        Clock
-	Log          *zap.Logger
+	// Evacuated holds the evacuated failure domains. If it is nil, there are none; otherwise
+	// nothing starts before it is known.
+	Evacuated *evacuation.Current
+	Clock     Clock
+	Log       *zap.Logger
 	// Registry registers the metrics, if set.
 	Registry prometheus.Registerer
 	Limits
@@ -66,6 +70,9 @@
 	WorkersPerShard int
 	// EndedRetention is how long ended jobs are kept in the store.
 	EndedRetention time.Duration
+	// EvacuateTime is the time after the store has acknowledged the evacuation of a failure
+	// domain from which on no task may start there.
+	EvacuateTime time.Duration
 }
 
 // Defaults of the limits.
@@ -80,6 +87,7 @@
 	// site need 0.17 cores at the peak. Fewer shards strand less room and learn faster.
 	defaultWorkersPerShard = 240
 	defaultEndedRetention  = 150 * time.Second
+	defaultEvacuateTime    = 5 * time.Second
 )
 
 func (l *Limits) setDefaults() {
@@ -90,6 +98,7 @@
 	heatherhub.SetDefault(&l.MaxStoreSilence, defaultMaxStoreSilence)
 	heatherhub.SetDefault(&l.WorkersPerShard, defaultWorkersPerShard)
 	heatherhub.SetDefault(&l.EndedRetention, defaultEndedRetention)
+	heatherhub.SetDefault(&l.EvacuateTime, defaultEvacuateTime)
 }
 
 // Host claims and runs shards for one host of the site. Its methods may be called
@@ -142,6 +151,7 @@
 		ownerlessSince: make(map[heatherhub.ShardID]time.Duration), campaignWake: make(chan struct{}, 1),
 		metrics: newMetrics(cfg.Registry),
 	}
+	h.metrics.registerEvacuated(cfg.Registry, func() float64 { return float64(h.evacuated().Len()) })
 	h.view.Store(&View{Owners: map[heatherhub.ShardID]record.Owner{}})
 	h.session.host = h
 	return h
--- a/process/owner/metrics.go
+++ b/process/owner/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"heatherhub.example/heatherhub"
 	"heatherhub.example/heatherhub/process/dispatch"
 )
 
@@ -22,6 +23,8 @@
 	workersGone *prometheus.CounterVec
 	// workerRestarts counts workers that were seen in another incarnation.
 	workerRestarts prometheus.Counter
+	// evacuatedTasks counts the tasks that run in evacuated domains, by shard, domain and kind.
+	evacuatedTasks *prometheus.GaugeVec
 }
 
 // waitBuckets are the histogram buckets of waiting times, in seconds. Most starts take
@@ -57,9 +60,12 @@
 		workerRestarts: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "heatherhub_worker_restarts_total", Help: "Workers that started again under their ID.",
 		}),
+		evacuatedTasks: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "heatherhub_evacuated_tasks", Help: "Tasks that run in evacuated failure domains, in this host's shards.",
+		}, []string{"shard", "domain", "kind"}),
 	}
 	if r != nil {
-		r.MustRegister(m.events, m.takeovers, m.shardsLost, m.commits, m.commitTime, m.stepWait, m.jobTime, m.workers, m.workersGone, m.workerRestarts)
+		r.MustRegister(m.events, m.takeovers, m.shardsLost, m.commits, m.commitTime, m.stepWait, m.jobTime, m.workers, m.workersGone, m.workerRestarts, m.evacuatedTasks)
 	}
 	return m
 }
@@ -104,3 +110,29 @@
 	g.WithLabelValues("silent").Set(float64(silent))
 	g.WithLabelValues("draining").Set(float64(draining))
 }
+
+// registerEvacuated registers the gauge of evacuated domains with r unless r is nil.
+func (m *metrics) registerEvacuated(r prometheus.Registerer, count func() float64) {
+	if r != nil {
+		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "heatherhub_evacuated_domains", Help: "Evacuated failure domains.",
+		}, count))
+	}
+}
+
+// Values of the label "kind" of evacuatedTasks.
+const (
+	batchTasks       = "batch"
+	longRunningTasks = "longRunning"
+)
+
+// setEvacuated sets the gauges of a shard's tasks in an evacuated domain.
+func (m *metrics) setEvacuated(s heatherhub.ShardID, d dispatch.EvacuatedDomain) {
+	m.evacuatedTasks.WithLabelValues(s.String(), string(d.Domain), batchTasks).Set(float64(d.Batch))
+	m.evacuatedTasks.WithLabelValues(s.String(), string(d.Domain), longRunningTasks).Set(float64(d.LongRunning))
+}
+
+// forgetEvacuated removes the gauges of a shard's tasks in a domain.
+func (m *metrics) forgetEvacuated(s heatherhub.ShardID, d heatherhub.FailureDomain) {
+	m.evacuatedTasks.DeletePartialMatch(prometheus.Labels{"shard": s.String(), "domain": string(d)})
+}
--- a/process/owner/move.go
+++ b/process/owner/move.go
@@ -91,6 +91,7 @@
 // moveAll moves work to shards with free capacity. Tasks that do not fit in one shard go
 // to the next.
 func (t *term) moveAll(moves []dispatch.Move, loads map[heatherhub.ShardID]record.Load) {
+	t.dropEvacuated(loads)
 	m := movePlanner{own: t.shard, owners: t.host.View().Owners, loads: loads}
 	t.recentMoves = slices.DeleteFunc(t.recentMoves, func(r recentMove) bool {
 		return t.now().Steady-r.at > recentMoveTTL || loads[r.to].JobsRead >= r.revision
--- a/process/owner/store_test.go
+++ b/process/owner/store_test.go
@@ -41,6 +41,8 @@
 	outages int
 	// silentPrefix is the prefix of watches that get no answer.
 	silentPrefix string
+	// silentRange is the prefix of ranges that get no answer.
+	silentRange string
 	// delayedKey is a key whose commits take effect late and without an answer.
 	delayedKey string
 	// beforePut is called before a commit that puts a key.
@@ -223,6 +225,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if prefix == s.silentRange {
+		return ledger.Snapshot{}, heatherhub.ErrUnknown.New("no answer to the range")
+	}
 	s.expire()
 	snap := ledger.Snapshot{Revision: s.rev}
 	for k, it := range s.items {
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -15,6 +15,7 @@
 	"heatherhub.example/heatherhub/connection/ledger"
 	"heatherhub.example/heatherhub/process/dispatch"
 	"heatherhub.example/heatherhub/process/record"
+	"heatherhub.example/heatherhub/version/evacuation"
 )
 
 // term is one period of ownership of a shard by this host, from the claim until the
@@ -41,7 +42,8 @@
 	wakePublish chan struct{}
 
 	// mu guards the engine, workers, incarnations, known, ended, fleet, policyVersion, hasJobs, isResolved, jobsRead,
-	// jobsAnsweredAt, entriesAnsweredAt, isRoomStale and committed.
+	// jobsAnsweredAt, entriesAnsweredAt, isRoomStale, evacuated, emptied, evacuatedCheckedAt and
+	// committed.
 	mu      sync.Mutex
 	engine  *dispatch.Engine
 	workers map[heatherhub.WorkerID]*workerLoop
@@ -67,6 +69,11 @@
 	// workers, and isRoomStale says that it is too long ago to start tasks.
 	entriesAnsweredAt time.Duration
 	isRoomStale       bool
+	// evacuated is the set that the engine has, emptied has the evacuated domains without a
+	// batch task, and evacuatedCheckedAt is the steady time of the last look at them.
+	evacuated          evacuation.Set
+	emptied            map[heatherhub.FailureDomain]bool
+	evacuatedCheckedAt time.Duration
 
 	// committed is closed, and replaced, at the next successful commit of progress.
 	committed  chan struct{}
@@ -92,7 +99,7 @@
 	t := &term{
 		host: h, shard: s, token: agent.Token(rev), ownerRevision: rev,
 		log: h.cfg.Log.With(zap.Stringer("shard", s), zap.Uint64("token", uint64(rev))),
-		ctx: ctx, cancel: cancel, startedAt: now, succession: succession{isOver: make(chan struct{})},
+		ctx: ctx, cancel: cancel, startedAt: now, emptied: make(map[heatherhub.FailureDomain]bool), succession: succession{isOver: make(chan struct{})},
 		engine:  dispatch.New(dispatch.Config{Token: agent.Token(rev), Shard: s, InheritUntil: formerStopsAt, MaxPendingStarts: h.maxPendingStarts()}),
 		workers: make(map[heatherhub.WorkerID]*workerLoop), fleet: newFleet(),
 		incarnations: make(map[heatherhub.WorkerName][]*workerLoop), known: make(map[heatherhub.WorkerName]heatherhub.WorkerID), ended: make(map[heatherhub.WorkerName]endedIncarnation),
@@ -383,7 +390,7 @@
 		t.isRoomStale = isStale
 		t.log.Warn("capacities of workers", zap.Bool("stale", isStale), zap.Duration("age", age))
 	}
-	t.engine.SetRoomStale(isStale)
+	t.engine.SetRoomStale(isStale || t.host.isEvacuationStale(now))
 }
 
 // applyJobChanges applies new jobs and cancellations. Deletions of keys are ignored: the
@@ -455,12 +462,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.syncPolicies()
+	t.syncEvacuated(now)
 	t.updateRoomStale(now.Steady)
 	for _, o := range t.engine.Decide(now) {
 		if w := t.workers[o.Worker]; w != nil {
 			w.enqueue(now, o)
 		}
 	}
+	t.checkEvacuated(now.Steady)
 	t.removeRestarted()
 	if t.engine.HasChanges() {
 		signal(t.wakeCommit)
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -568,8 +568,9 @@
 }
 
 // grantStart returns the end of the lease of a start that is sent at now, and zero for other
-// orders. It reports false for a start that no longer stands: the worker counts as gone. Both
-// are decided under the term's mu, like the end of the worker's lease.
+// orders. It reports false for a start that no longer stands: the worker counts as gone, or its
+// failure domain is evacuated. All of it is decided under the term's mu, like the end of the
+// worker's lease.
 func (w *workerLoop) grantStart(now time.Duration, o dispatch.Order) (agent.Clock, bool) {
 	if o.Kind != dispatch.StartTask {
 		return 0, true
@@ -580,6 +581,11 @@
 	if !t.engine.HasAttempt(o) {
 		return 0, false
 	}
+	if at := (dispatch.Moment{Steady: now, Wall: t.now().Wall}); !t.mayStartOn(at, w.id) {
+		t.engine.OrderResult(at, o, dispatch.Withdrawn)
+		signal(t.wakeDecide)
+		return 0, false
+	}
 	return w.grantLease(now, startValidity), true
 }
 
--- a/process/owner/world_test.go
+++ b/process/owner/world_test.go
@@ -19,6 +19,7 @@
 	"heatherhub.example/heatherhub/process/dispatch"
 	"heatherhub.example/heatherhub/process/owner"
 	"heatherhub.example/heatherhub/process/record"
+	"heatherhub.example/heatherhub/version/evacuation"
 	"heatherhub.example/heatherhub/version/queues"
 )
 
@@ -91,6 +92,8 @@
 	crashed int
 	// callFaults resets and delays calls to workers, if set.
 	callFaults atomic.Pointer[workerFaults]
+	// evacuatedAt has the times at which failure domains were evacuated.
+	evacuatedAt map[heatherhub.FailureDomain]time.Time
 }
 
 // newSimSite returns a site without workers and hosts.
@@ -101,7 +104,8 @@
 		dead: make(map[heatherhub.HostID]bool), unfrozen: make(map[heatherhub.HostID]chan struct{}),
 		cancelHosts: make(map[heatherhub.HostID]context.CancelFunc), hosts: make(map[heatherhub.HostID]*owner.Host), jobs: make(map[heatherhub.JobID]*heatherhub.Workflow),
 		completed: make(map[heatherhub.StepTask]bool), acknowledged: make(map[heatherhub.StepTask]bool),
-		starts: make(map[heatherhub.StepTask]int), begunAt: make(map[heatherhub.JobID]time.Time), jobShard: heatherhub.ShardID{Domain: record.SiteDomain},
+		evacuatedAt: make(map[heatherhub.FailureDomain]time.Time),
+		starts:      make(map[heatherhub.StepTask]int), begunAt: make(map[heatherhub.JobID]time.Time), jobShard: heatherhub.ShardID{Domain: record.SiteDomain},
 	}
 }
 
@@ -197,6 +201,8 @@
 
 // startHost runs a host until shutdown or kill ends it.
 func (site *simSite) startHost(id heatherhub.HostID, domain heatherhub.FailureDomain) *owner.Host {
+	var evacuated evacuation.Current
+	clock := testClock{start: time.Now()}
 	var tables queues.Current
 	tables.Offer(&queues.Table{Version: 1, Queues: []queues.Queue{{ID: testQueue, QueuePolicy: heatherhub.QueuePolicy{Pool: testPool, MaxAttempts: 3, Stretch: 2}}}})
 	h := owner.New(owner.Config{
@@ -204,8 +210,8 @@
 		Dial: func(worker heatherhub.WorkerID, _ string) agent.Agent {
 			return &hostAgent{site: site, host: id, worker: heatherhub.WorkerID(worker.Name()), id: worker}
 		},
-		WorkerPrefix: workerPrefix, DecodeWorker: site.decodeWorker, Tables: &tables,
-		Clock: testClock{start: time.Now()}, Log: newTraceLog().With(zap.String("host", string(id))), Limits: owner.Limits{WorkersPerShard: site.workersPerShard, MaxWorkerLease: longestLease},
+		WorkerPrefix: workerPrefix, DecodeWorker: site.decodeWorker, Tables: &tables, Evacuated: &evacuated,
+		Clock: clock, Log: newTraceLog().With(zap.String("host", string(id))), Limits: owner.Limits{WorkersPerShard: site.workersPerShard, MaxWorkerLease: longestLease},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	site.mu.Lock()
@@ -216,6 +222,7 @@
 	site.cancelHosts[id] = cancel
 	site.hosts[id] = h
 	site.mu.Unlock()
+	site.tasks.Go(func() { site.watchEvacuations(ctx, id, clock, &evacuated) })
 	site.tasks.Go(func() { h.Run(ctx) })
 	return h
 }
@@ -422,6 +429,7 @@
 	site.mu.Lock()
 	defer site.mu.Unlock()
 	site.starts[t]++
+	site.auditEvacuation(m, t)
 	if site.begunAt[t.Job].IsZero() {
 		site.begunAt[t.Job] = time.Now()
 	}
--- a/process/record/load.go
+++ b/process/record/load.go
@@ -27,6 +27,11 @@
 	JobsReadAge time.Duration   `msgpack:"ja" json:"jobsReadAge"`
 	// Racks are the racks of the shard's workers.
 	Racks []heatherhub.Rack `msgpack:"k,omitempty" json:"racks,omitempty"`
+	// EvacuatedPools are the pools with a worker in an evacuated failure domain, and
+	// PoolsInService, while any domain is evacuated, those with a worker in another one that
+	// does not drain.
+	EvacuatedPools []heatherhub.PoolID `msgpack:"ep,omitempty" json:"evacuatedPools,omitempty"`
+	PoolsInService []heatherhub.PoolID `msgpack:"ps,omitempty" json:"poolsInService,omitempty"`
 	// LargestFree has, by pool, the free resources of the workers with the most free
 	// processors, the largest first.
 	LargestFree map[heatherhub.PoolID][]heatherhub.Resources `msgpack:"o,omitempty" json:"holes,omitempty"`
