Send no job to an evacuated shard, and refuse those of evacuated pools

The choice of the shard leaves out shards of an evacuated domain, and those whose load has no worker left because of an evacuation, while another has one. If all workers of a queue's pool are evacuated according to the loads, the job is refused with ErrUnavailable before anything is written. A caller that sends a job again whose first answer was lost gets it confirmed: the job's record is read before the refusal. The host feeds the set from its watch of op/.

--- a/command/serve/serve.go
+++ b/command/serve/serve.go
@@ -37,6 +37,7 @@
 	"heatherhub.example/heatherhub/request/intake"
 	"heatherhub.example/heatherhub/request/operator"
 	"heatherhub.example/heatherhub/request/overview"
+	"heatherhub.example/heatherhub/version/evacuation"
 	"heatherhub.example/heatherhub/version/queues"
 )
 
@@ -111,6 +112,7 @@
 	store         *platform.Store
 	clock         *steady.Clock
 	tables        queues.Current
+	evacuated     evacuation.Current
 	owner         *owner.Host
 	shards        *intake.ShardSelector
 	jobAPI        *intake.JobAPI
@@ -133,10 +135,10 @@
 		Self: s.Host, Domain: s.Domain, Cores: s.Cores, Address: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPeerPort)), Store: h.store,
 		Dial:         func(id heatherhub.WorkerID, address string) agent.Agent { return platform.NewAgent(id, address) },
 		WorkerPrefix: platform.WorkerPrefix, DecodeWorker: decoder.Decode,
-		Tables: &h.tables, Clock: h.clock, Log: log, Registry: h.registry, Limits: limits,
+		Tables: &h.tables, Evacuated: &h.evacuated, Clock: h.clock, Log: log, Registry: h.registry, Limits: limits,
 	})
 	queueCounter := intake.NewQueueCounter(intake.QueueCounterConfig{Store: h.store, View: h.owner.View, Clock: h.clock, Log: log, Registry: registry})
-	h.shards = intake.NewShardSelector(intake.ShardSelectorConfig{Store: h.store, View: h.owner.View, Random: rand.Float64, OnLoads: queueCounter.Observe, Log: log})
+	h.shards = intake.NewShardSelector(intake.ShardSelectorConfig{Store: h.store, View: h.owner.View, Random: rand.Float64, OnLoads: queueCounter.Observe, Evacuated: &h.evacuated, Log: log})
 	h.peerServer = peer.NewServer(peer.ServerConfig{Self: s.Host, Log: log})
 	h.peerServer.Handle(peer.MethodWorkflowState, intake.StateHandler(h.owner.JobState))
 	h.peerServer.Handle(peer.MethodOverview, overview.Handler(h.owner.Overview))
@@ -194,7 +196,7 @@
 			h.log.Error("peers are not served", zap.Error(err))
 		}
 	})
-	group.Go(func() { h.watchTable(background) })
+	group.Go(func() { h.watchOperator(background) })
 	group.Go(func() { h.shards.Run(background) })
 	group.Go(func() { h.owner.Run(ctx) })
 	h.awaitStop(ctx)
@@ -284,16 +286,20 @@
 	})
 }
 
-// watchTable watches the configuration in the store, a queues.Table, until ctx ends.
-func (h *host) watchTable(ctx context.Context) {
+// watchOperator watches the keys that the operator writes to the store until ctx ends: the
+// configuration, a queues.Table, and the requests to evacuate failure domains.
+func (h *host) watchOperator(ctx context.Context) {
+	evacuations := evacuation.Reader{Current: &h.evacuated, Decode: platform.EvacuatedDomain, Log: h.log}
 	watcher := ledger.Watcher{
 		Store: h.store, Prefix: platform.OperatorPrefix, WatchTimeout: configWatchTimeout, Log: h.log,
 		OnSnapshot: func(s ledger.Snapshot) {
+			evacuations.ApplySnapshot(s, time.Now())
 			for _, item := range s.Items {
 				h.applyTable(item)
 			}
 		},
 		OnChanges: func(events []ledger.Event) {
+			evacuations.ApplyChanges(events, time.Now())
 			for _, e := range events {
 				if !e.Deleted {
 					h.applyTable(e.Item)
@@ -301,7 +307,9 @@
 			}
 		},
 		OnReply: func() {
-			h.lastStoreReply.Store(int64(h.clock.Now().Steady))
+			now := h.clock.Now().Steady
+			h.lastStoreReply.Store(int64(now))
+			h.evacuated.MarkRead(now)
 			h.jobAPI.MarkStoreAvailable()
 		},
 	}
--- a/request/intake/intake_test.go
+++ b/request/intake/intake_test.go
@@ -13,6 +13,7 @@
 	"heatherhub.example/heatherhub/process/owner"
 	"heatherhub.example/heatherhub/process/record"
 	"heatherhub.example/heatherhub/request/intake"
+	"heatherhub.example/heatherhub/version/evacuation"
 	"heatherhub.example/heatherhub/version/queues"
 )
 
@@ -313,3 +314,89 @@
 		}
 	}
 }
+
+// newEvacuatedSelector returns a selector for two shards with evacuated domains.
+func newEvacuatedSelector(t *testing.T, loads map[heatherhub.ShardID]record.Load, domains ...heatherhub.FailureDomain) *intake.ShardSelector {
+	var evacuated evacuation.Current
+	var requests []evacuation.Request
+	for _, d := range domains {
+		requests = append(requests, evacuation.Request{Domain: d})
+	}
+	evacuated.Replace(requests)
+	view := &owner.View{
+		Layout: record.Layout{Shards: []record.ShardSize{{Shard: north, CPU: 10_000}, {Shard: south, CPU: 10_000}}},
+		Owners: map[heatherhub.ShardID]record.Owner{north: {Host: "a"}, south: {Host: "b"}},
+	}
+	s := intake.NewShardSelector(intake.ShardSelectorConfig{
+		Store: &loadStore{loads: loads}, View: func() *owner.View { return view }, Random: func() float64 { return 0 }, Evacuated: &evacuated, Log: zap.NewNop(),
+	})
+	if err := s.Refresh(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// TestEvacuatedShardIsNotChosen guards against jobs that go to a shard without a usable worker: its
+// load looks empty, and a load from before the evacuation looks free.
+func TestEvacuatedShardIsNotChosen(t *testing.T) {
+	pools := []heatherhub.PoolID{"p"}
+	free, full := record.Load{Capacity: 10_000}, record.Load{Capacity: 10_000, Reserved: 9_000, Backlog: time.Minute}
+	for name, c := range map[string]struct {
+		north, south record.Load
+		evacuated    []heatherhub.FailureDomain
+		want         heatherhub.ShardID
+	}{
+		"load from before the evacuation":   {free, full, []heatherhub.FailureDomain{north.Domain}, south},
+		"no worker left":                    {record.Load{EvacuatedPools: pools}, full, []heatherhub.FailureDomain{"rack-domain"}, south},
+		"load from before the return":       {record.Load{EvacuatedPools: pools}, full, nil, north},
+		"all evacuated, the less busy one":  {free, full, []heatherhub.FailureDomain{north.Domain, south.Domain}, north},
+		"evacuation of an unrelated domain": {free, full, []heatherhub.FailureDomain{"elsewhere"}, north},
+	} {
+		s := newEvacuatedSelector(t, map[heatherhub.ShardID]record.Load{north: c.north, south: c.south}, c.evacuated...)
+		if got, err := s.Choose(&heatherhub.Workflow{ID: "j", Steps: []heatherhub.Step{{Tasks: 1}}}); err != nil || got != c.want {
+			t.Errorf("%s: got shard %s, error %v, want %s", name, got, err, c.want)
+		}
+	}
+}
+
+// TestJobsOfEvacuatedPoolAreRefused guards against jobs that are accepted and cannot start, against
+// refusals while a worker is left, and against a refusal of a job that was accepted before.
+func TestJobsOfEvacuatedPoolAreRefused(t *testing.T) {
+	pools := []heatherhub.PoolID{"p"}
+	gone, other := record.Load{EvacuatedPools: pools}, record.Load{Capacity: 1000, PoolsInService: []heatherhub.PoolID{"other"}}
+	for name, c := range map[string]struct {
+		north, south record.Load
+		evacuated    heatherhub.FailureDomain
+		isRecorded   bool
+		want         heatherhub.Code
+	}{
+		"all evacuated":                      {gone, other, "x", false, heatherhub.CodeUnavailable},
+		"all evacuated, accepted before":     {gone, other, "x", true, ""},
+		"a worker left in the other shard":   {gone, record.Load{Capacity: 1000, PoolsInService: pools}, "x", false, ""},
+		"a worker free in an old load":       {gone, record.Load{Capacity: 1000, LargestFree: map[heatherhub.PoolID][]heatherhub.Resources{"p": nil}}, "x", false, ""},
+		"returned to service, old load":      {gone, other, "", false, ""},
+		"pool that no load has":              {other, other, "x", false, ""},
+		"evacuated, and all of the same one": {gone, gone, "x", false, heatherhub.CodeUnavailable},
+	} {
+		var evacuated []heatherhub.FailureDomain
+		if c.evacuated != "" {
+			evacuated = append(evacuated, c.evacuated)
+		}
+		flow := newWorkflow()
+		s := &scriptedStore{items: map[string]ledger.Item{tableKey: {Key: tableKey, Revision: 5}}}
+		if c.isRecorded {
+			s.items[record.JobKey(flow.ID)] = ledger.Item{Key: record.JobKey(flow.ID), Revision: 7}
+		}
+		api := intake.New(intake.Config{
+			Store: s, TableKey: tableKey, Clock: &testClock{now: time.Second}, Log: zap.NewNop(),
+			Shards: newEvacuatedSelector(t, map[heatherhub.ShardID]record.Load{north: c.north, south: c.south}, evacuated...),
+		})
+		err := api.Submit(t.Context(), flow, &queues.Table{Version: 1, Revision: 5, Queues: []queues.Queue{{ID: "q", QueuePolicy: heatherhub.QueuePolicy{Pool: "p"}}}})
+		if (c.want == "") != (err == nil) || (err != nil && heatherhub.CodeOf(err) != c.want) {
+			t.Errorf("%s: got error %v, want code %q", name, err, c.want)
+		}
+		if err != nil && (s.calls > 0 || heatherhub.RetryAfter(err) <= 0) {
+			t.Errorf("%s: got %d writes and retry after %s, want none and a delay", name, s.calls, heatherhub.RetryAfter(err))
+		}
+	}
+}
--- a/request/intake/jobs.go
+++ b/request/intake/jobs.go
@@ -133,6 +133,9 @@
 		a.cfg.Log.Info("job refused", zap.String("job", string(flow.ID)), zap.String("why", "store silent"))
 		return err
 	}
+	if isAccepted, err := a.checkPool(ctx, flow, table); isAccepted || err != nil {
+		return err
+	}
 	shard, err := a.cfg.Shards.Choose(flow)
 	if err != nil {
 		return err
@@ -158,6 +161,34 @@
 	return err
 }
 
+// checkPool returns heatherhub.ErrUnavailable if no worker may take the tasks of the job because of
+// evacuations. It reports true if the job was accepted before: a caller that has missed the answer
+// sends it again, and must not be told that it has not run.
+func (a *JobAPI) checkPool(ctx context.Context, flow *heatherhub.Workflow, table *queues.Table) (bool, error) {
+	q := table.Queue(flow.Queue)
+	if q == nil {
+		return false, nil
+	}
+	refusal := a.cfg.Shards.CheckPool(q.Pool)
+	if refusal == nil {
+		return false, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	it, err := a.cfg.Store.Get(ctx, record.JobKey(flow.ID))
+	a.recordStoreResult(err)
+	a.cfg.Log.Info("job refused", zap.String("job", string(flow.ID)), zap.String("queue", string(flow.Queue)), zap.String("why", "pool evacuated"),
+		zap.Bool("accepted", it.Revision > 0), zap.Error(err))
+	switch {
+	case err != nil:
+		return false, heatherhub.ErrUnknown.Wrap(err, "the job may have been accepted: send it again with the same id")
+	case it.Revision > 0:
+		return true, nil
+	default:
+		return false, refusal
+	}
+}
+
 // commit writes a job. If the reply is lost, a second attempt finds out whether the
 // first one took effect, because the job's key then exists.
 func (a *JobAPI) commit(ctx context.Context, txn ledger.Txn, key string) error {
--- a/request/intake/shards.go
+++ b/request/intake/shards.go
@@ -14,6 +14,7 @@
 	"heatherhub.example/heatherhub/connection/ledger"
 	"heatherhub.example/heatherhub/process/owner"
 	"heatherhub.example/heatherhub/process/record"
+	"heatherhub.example/heatherhub/version/evacuation"
 )
 
 // ShardSelector chooses the shard of a new job from the loads that the owners publish
@@ -22,6 +23,8 @@
 	store ledger.Store
 	view  func() *owner.View
 	log   *zap.Logger
+	// evacuated may be nil.
+	evacuated *evacuation.Current
 	// onLoads may be nil.
 	onLoads func(map[heatherhub.ShardID]record.Load)
 
@@ -50,13 +53,15 @@
 	Random func() float64
 	// OnLoads, if set, is called with the loads after each read.
 	OnLoads func(map[heatherhub.ShardID]record.Load)
-	Log     *zap.Logger
+	// Evacuated, if set, holds the evacuated failure domains.
+	Evacuated *evacuation.Current
+	Log       *zap.Logger
 }
 
 // NewShardSelector returns a selector without loads. Run and Refresh read them.
 func NewShardSelector(cfg ShardSelectorConfig) *ShardSelector {
 	return &ShardSelector{
-		store: cfg.Store, view: cfg.View, log: cfg.Log, onLoads: cfg.OnLoads,
+		store: cfg.Store, view: cfg.View, log: cfg.Log, onLoads: cfg.OnLoads, evacuated: cfg.Evacuated,
 		loads: make(map[heatherhub.ShardID]record.Load), unreported: make(map[heatherhub.ShardID]unreportedLoad),
 		random: cfg.Random,
 	}
@@ -101,8 +106,9 @@
 // Choose returns the shard with the lowest cost for a new job: the one that has the rack
 // of its data, unless that shard is much busier, otherwise the least loaded one. Jobs
 // with long-running tasks go to the shard with the lowest share of reserved processors.
-// Shards without an owner are chosen only if no shard has one. Choose returns
-// heatherhub.ErrUnavailable while no shard is known.
+// Shards without an owner are chosen only if no shard has one, and those without a usable
+// worker, by their load or because their failure domain is evacuated, only if no shard has
+// one. Choose returns heatherhub.ErrUnavailable while no shard is known.
 func (s *ShardSelector) Choose(flow *heatherhub.Workflow) (heatherhub.ShardID, error) {
 	v := s.view()
 	if len(v.Layout.Shards) == 0 {
@@ -117,6 +123,9 @@
 		if _, ok := v.Owners[size.Shard]; !ok {
 			cost += noOwnerCost
 		}
+		if s.isUnusable(size.Shard) {
+			cost += unusableCost
+		}
 		if !isFound || cost < bestCost {
 			best, bestCost, isFound = size.Shard, cost, true
 		}
@@ -130,6 +139,8 @@
 const (
 	// noOwnerCost is higher than the cost of any shard with an owner.
 	noOwnerCost = 1e6
+	// unusableCost is higher still: a shard without an owner has one within seconds.
+	unusableCost = 1e9
 	// jitter is the largest random addition to a cost. It keeps hosts that have read
 	// the same loads from all choosing the same shard until the next read.
 	jitter = 0.06
@@ -199,3 +210,48 @@
 	}
 	return nil
 }
+
+// evacuatedRetryAfter is the retry delay returned when all workers of a pool are evacuated. An
+// evacuation lasts longer than that, and its end is known to all hosts within a second.
+const evacuatedRetryAfter = 2 * time.Second
+
+// CheckPool returns heatherhub.ErrUnavailable if all workers of a pool are in evacuated failure
+// domains, according to the loads. A pool of which the loads say nothing passes.
+func (s *ShardSelector) CheckPool(pool heatherhub.PoolID) error {
+	if s.evacuatedSet().Len() == 0 {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	isEvacuated := false
+	for _, l := range s.loads {
+		_, isFree := l.LargestFree[pool]
+		if isFree || slices.Contains(l.PoolsInService, pool) {
+			return nil
+		}
+		isEvacuated = isEvacuated || slices.Contains(l.EvacuatedPools, pool)
+	}
+	if !isEvacuated {
+		return nil
+	}
+	return heatherhub.WithRetryAfter(heatherhub.ErrUnavailable.New("all workers of pool %s are in evacuated failure domains: try again later", pool), evacuatedRetryAfter)
+}
+
+func (s *ShardSelector) evacuatedSet() evacuation.Set {
+	if s.evacuated == nil {
+		return evacuation.NewSet()
+	}
+	return s.evacuated.Load()
+}
+
+// isUnusable reports whether no worker of a shard can take a start because of an evacuation. The
+// shards of the whole site have the workers of other domains, so only their loads count. The
+// caller holds mu.
+func (s *ShardSelector) isUnusable(id heatherhub.ShardID) bool {
+	set := s.evacuatedSet()
+	if set.Has(id.Domain) {
+		return true
+	}
+	l, ok := s.loads[id]
+	return ok && set.Len() > 0 && l.Capacity == 0 && len(l.EvacuatedPools) > 0
+}
