Prefer workers that are not cold for tasks with an objective

Cause: workers of a domain that has returned to service are slow for a while and say so in their entry (cold_remaining_ms), which was not read. They are taken only if no other worker has room, except near the data of the task: the weight is between that of serving tasks beside and that of the rack. Long-running tasks outlast the cold time and are placed as before.

Also keeps the first load of a term waiting for the workers' answers: the first reading of the evacuations published it at once (TestFirstLoadHasTheRoomOfAllWorkers failed on it).

--- a/connection/agent/worker.go
+++ b/connection/agent/worker.go
@@ -21,6 +21,8 @@
 	Draining bool
 	// DrainRemaining is the minimum time until a draining worker shuts down.
 	DrainRemaining time.Duration
+	// ColdRemaining is the time for which the worker remains slow.
+	ColdRemaining time.Duration
 }
 
 // HasLabel reports whether the worker has a label.
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -25,6 +25,7 @@
 			continue
 		}
 		score, ok := e.score(n, s)
+		score -= n.coldPenalty(now.Steady, s)
 		if ok && (best == nil || score > bestScore) {
 			best, bestScore = n, score
 		}
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -384,6 +384,8 @@
 	leavesAt  time.Duration
 	// isEvacuated means that the worker's failure domain is evacuated.
 	isEvacuated bool
+	// coldUntil is the time until which the worker is slow; see coldPenalty.
+	coldUntil time.Duration
 	// backoffUntil is the time until which the worker gets no new tasks after a refusal
 	// or stall.
 	backoffUntil time.Duration
--- a/process/owner/evacuate.go
+++ b/process/owner/evacuate.go
@@ -47,7 +47,8 @@
 }
 
 // syncEvacuated passes the evacuated domains to the engine if they have changed, and drops the
-// starts that wait to be sent to their workers. The caller holds t.mu.
+// starts that wait to be sent to their workers. The next load is published at once, unless it
+// would be the first one, which waits for the workers to answer. The caller holds t.mu.
 func (t *term) syncEvacuated(now dispatch.Moment) {
 	set := t.host.evacuated()
 	if set.Equal(t.evacuated) {
@@ -66,7 +67,9 @@
 	}
 	t.logEvacuations(now, old)
 	signal(t.wakeDecide)
-	signal(t.wakePublish)
+	if t.isResolved {
+		signal(t.wakePublish)
+	}
 }
 
 // dropStarts removes and returns the starts that wait to be sent.
--- a/process/owner/fleet.go
+++ b/process/owner/fleet.go
@@ -254,6 +254,8 @@
 		entry.Draining = entry.Draining || w.hasDrained
 		w.entry, w.isListed = entry, true
 		t.engine.UpdateWorker(entry)
+		w.coldUntil = t.now().Steady + entry.ColdRemaining
+		t.engine.WorkerCold(w.id, w.coldUntil)
 		w.updateVacated()
 		return entry.ID, true
 	}
@@ -297,7 +299,8 @@
 	ctx, cancel := context.WithCancel(t.ctx)
 	w := &workerLoop{
 		term: t, id: entry.ID, entry: entry, isListed: isListed, ctx: ctx, cancel: cancel, confirmedAt: never, createdAt: t.now().Steady,
-		client: t.host.cfg.Dial(entry.ID, entry.Address), queueReady: make(chan struct{}, 1),
+		coldUntil: t.now().Steady + entry.ColdRemaining,
+		client:    t.host.cfg.Dial(entry.ID, entry.Address), queueReady: make(chan struct{}, 1),
 	}
 	if _, isClosed := t.fleet.closed[entry.ID]; isClosed || (isListed && entry.Draining) {
 		w.entry.Draining = true
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -69,6 +69,8 @@
 	// the earliest. It stays closed then.
 	hasDrained bool
 	leavesAt   time.Duration
+	// coldUntil is the steady time until which the worker is slow.
+	coldUntil time.Duration
 	// isVacated says that the worker has drained and that no task can run there any more.
 	isVacated bool
 	// isUp says that the worker has answered this owner and is known to the engine.
@@ -394,6 +396,7 @@
 	} else {
 		w.isUp, w.isGone = true, false
 		t.engine.WorkerUp(now, w.entry, r)
+		t.engine.WorkerCold(w.id, w.coldUntil)
 		if w.hasDrained {
 			t.engine.WorkerDrains(w.id, w.leavesAt)
 			t.closeWorker()
