Show operators the failure domains and their evacuation

The data comes from the owners of all shards, as for the other lists; a shard without an answer is named.

The check that the operators' page has all log events now covers version/evacuation.

--- a/command/dispatch.go
+++ b/command/dispatch.go
@@ -6,6 +6,7 @@
 	"heatherhub.example/heatherhub/command/apply"
 	"heatherhub.example/heatherhub/command/check"
 	"heatherhub.example/heatherhub/command/demo"
+	domainlist "heatherhub.example/heatherhub/command/domain/list"
 	"heatherhub.example/heatherhub/command/entry"
 	"heatherhub.example/heatherhub/command/exitcode"
 	"heatherhub.example/heatherhub/command/experiment/colocation"
@@ -38,6 +39,7 @@
 	Job      *Job             `arg:"subcommand:job" help:"add, cancel, list and view jobs"`
 	Worker   *Worker          `arg:"subcommand:worker" help:"list workers"`
 	Host     *Host            `arg:"subcommand:host" help:"list entry hosts"`
+	Domain   *Domain          `arg:"subcommand:domain" help:"list failure domains and their evacuation"`
 	Status   *status.Options  `arg:"subcommand:status" help:"sum up what an entry host knows"`
 	Apply    *apply.Options   `arg:"subcommand:apply" help:"put declarations in force"`
 	Check    *check.Options   `arg:"subcommand:check" help:"validate declarations without a network"`
@@ -82,6 +84,11 @@
 	List *hostlist.Options `arg:"subcommand:list" help:"list entry hosts"`
 }
 
+// Domain holds the subcommands of "heatherhub domain".
+type Domain struct {
+	List *domainlist.Options `arg:"subcommand:list" help:"list failure domains and their evacuation"`
+}
+
 // Experiment holds the subcommands of "heatherhub experiment".
 type Experiment struct {
 	Routing    *routing.Options    `arg:"subcommand:routing" help:"compare ways to choose replicas"`
--- a/command/explain/explain_test.go
+++ b/command/explain/explain_test.go
@@ -94,7 +94,7 @@
 	}
 	logCall := regexp.MustCompile(`[lL]og\.(?:Debug|Info|Warn|Error)\("([^"]+)"|Event = "([^"]+)"`)
 	n := 0
-	for _, dir := range []string{"platform", "process/owner", "process/dispatch", "request/intake", "command/serve", "connection/ledger"} {
+	for _, dir := range []string{"platform", "process/owner", "process/dispatch", "request/intake", "command/serve", "connection/ledger", "version/evacuation"} {
 		files, err := filepath.Glob(filepath.Join(root, dir, "*.go"))
 		if err != nil {
 			t.Fatal(err)
--- a/command/serve/serve.go
+++ b/command/serve/serve.go
@@ -281,7 +281,7 @@
 		Cancel: h.jobAPI.Cancel, State: h.jobAPI.State, Tables: &h.tables, IsStale: h.isStale, IsLeaving: h.isDraining.Load, Log: h.log,
 	})
 	return operator.New(operator.Config{
-		Backend: backend, Configuration: backend, Log: h.log, Registerer: h.registry,
+		Backend: backend, Configuration: backend, Domains: backend.Domains, Log: h.log, Registerer: h.registry,
 		Metrics: promhttp.HandlerFor(h.registry, promhttp.HandlerOpts{}),
 	})
 }
--- a/command/session_test.go
+++ b/command/session_test.go
@@ -94,6 +94,15 @@
 	}}, nil
 }
 
+func (b *fakeBackend) Domains(context.Context) (operatorapi.DomainList, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return operatorapi.DomainList{Domains: []operatorapi.DomainView{
+		{Domain: "gent", Workers: 1, Batch: 2},
+		{Domain: "leuven", Evacuated: true, Since: b.clock.Now(), Workers: 1, LongRunning: 3, Waiting: 4},
+	}, MissingShards: b.missing}, nil
+}
+
 func (b *fakeBackend) Hosts(context.Context) (operatorapi.HostList, error) {
 	return operatorapi.HostList{Hosts: []operatorapi.HostView{
 		{ID: "e1", Domain: "gent", Address: "10.0.0.1:7103", State: hostlist.StateLive, Reachable: true, Version: 2, Shards: []heatherhub.ShardID{{Domain: "gent"}, {Domain: "gent", Index: 1}}},
@@ -142,7 +151,7 @@
 	clock := clockwork.NewFakeClockAt(time.Date(2026, 9, 1, 8, 0, 0, 0, time.UTC))
 	s := &session{store: memory.New(memory.Config{Clock: clock}), backend: &fakeBackend{clock: clock}}
 	configuration := config.New(config.Config{Store: s.store, Clock: clock})
-	srv := httptest.NewServer(operator.New(operator.Config{Backend: s.backend, Configuration: configuration, Token: token}))
+	srv := httptest.NewServer(operator.New(operator.Config{Backend: s.backend, Configuration: configuration, Domains: s.backend.Domains, Token: token}))
 	env.Defer(srv.Close)
 	env.Setenv("ENTRY", srv.URL)
 	env.Setenv("TOKEN", token)
--- a/connection/operatorapi/client.go
+++ b/connection/operatorapi/client.go
@@ -142,6 +142,11 @@
 	return get[WorkerList](ctx, c, "/v1/workers?"+q.Encode())
 }
 
+// Domains returns the failure domains.
+func (c *Client) Domains(ctx context.Context) (*DomainList, error) {
+	return get[DomainList](ctx, c, "/v1/domains")
+}
+
 // Hosts returns all entry hosts.
 func (c *Client) Hosts(ctx context.Context) (*HostList, error) {
 	return get[HostList](ctx, c, "/v1/hosts")
--- a/connection/operatorapi/message.go
+++ b/connection/operatorapi/message.go
@@ -112,6 +112,30 @@
 	MissingShards []heatherhub.ShardID `json:"missing,omitempty"`
 }
 
+// DomainView is a failure domain as known to the owners of the shards.
+type DomainView struct {
+	Domain    heatherhub.FailureDomain `json:"domain"`
+	Evacuated bool                     `json:"evacuated"`
+	// Since is the time at which the first host has read that the domain is evacuated. A host
+	// that has started since then has read it later.
+	Since time.Time `json:"since,omitzero"`
+	// Workers counts the workers, Batch and LongRunning the tasks on them that are not known to
+	// be over.
+	Workers     int `json:"workers"`
+	Batch       int `json:"batch"`
+	LongRunning int `json:"longRunning"`
+	// Waiting is the number of jobs of the domain's shards that have started no task. The jobs
+	// of a shard of the whole site wait for no domain.
+	Waiting int `json:"waiting"`
+}
+
+// DomainList is a list of failure domains.
+type DomainList struct {
+	Domains []DomainView `json:"domains"`
+	// MissingShards lists the shards whose owner did not answer.
+	MissingShards []heatherhub.ShardID `json:"missing,omitempty"`
+}
+
 // HostView is an entry host as known to the host that answers.
 type HostView struct {
 	ID      heatherhub.HostID        `json:"id"`
--- a/process/dispatch/view.go
+++ b/process/dispatch/view.go
@@ -43,6 +43,10 @@
 	Draining    bool `msgpack:"l,omitempty" json:"draining,omitempty"`
 	Silent      bool `msgpack:"s,omitempty" json:"silent,omitempty"`
 	Quarantined bool `msgpack:"q,omitempty" json:"quarantined,omitempty"`
+	// Evacuated workers are in an evacuated failure domain. LongRunning counts the long-running
+	// ones of the tasks.
+	Evacuated   bool `msgpack:"e,omitempty" json:"evacuated,omitempty"`
+	LongRunning int  `msgpack:"lr,omitempty" json:"longRunning,omitempty"`
 }
 
 // Job returns the view of a job. It reports false if this shard does not own it.
@@ -122,9 +126,13 @@
 			ID: n.worker.ID, Address: n.worker.Address, Domain: n.worker.Domain, Rack: n.worker.Rack,
 			Shard: e.cfg.Shard, Capacity: n.worker.Capacity, Reserved: n.used,
 			Draining: n.worker.Draining, Silent: n.isUnresponsive, Quarantined: n.health.isQuarantined(now.Steady),
+			Evacuated: n.isEvacuated,
 		}
 		for _, a := range n.attemptsByRun() {
 			v.Tasks = append(v.Tasks, a.task.id())
+			if a.task.step.spec.LongRunning {
+				v.LongRunning++
+			}
 		}
 		out = append(out, v)
 	}
--- a/process/owner/host.go
+++ b/process/owner/host.go
@@ -324,6 +324,19 @@
 	Workers []dispatch.WorkerView `msgpack:"w,omitempty" json:"workers"`
 	// HasMore says that there are more jobs than OverviewQuery.MaxJobs.
 	HasMore bool `msgpack:"m,omitempty" json:"hasMore"`
+	// Domains has the evacuated failure domains and those of the shards.
+	Domains []DomainOverview `msgpack:"d,omitempty" json:"domains,omitempty"`
+}
+
+// DomainOverview is what a host knows of a failure domain.
+type DomainOverview struct {
+	Domain heatherhub.FailureDomain `msgpack:"d" json:"domain"`
+	// Since is the time at which the host has read that the domain is evacuated; zero if it is
+	// not.
+	Since time.Time `msgpack:"s" json:"since"`
+	// Waiting is the number of jobs in the host's shards of the domain that have started no
+	// task.
+	Waiting int `msgpack:"w,omitempty" json:"waiting"`
 }
 
 // OverviewQuery selects the contents of an Overview.
@@ -336,6 +349,7 @@
 	// MaxJobs is the maximum number of jobs to list; zero lists none.
 	MaxJobs int  `msgpack:"n,omitempty"`
 	Workers bool `msgpack:"w,omitempty"`
+	Domains bool `msgpack:"d,omitempty"`
 }
 
 func (q *OverviewQuery) matches(v dispatch.JobView) bool {
@@ -347,6 +361,11 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var out Overview
+	if q.Domains {
+		for _, r := range h.evacuated().Requests() {
+			out.Domains = append(out.Domains, DomainOverview{Domain: r.Domain, Since: r.Since})
+		}
+	}
 	for _, t := range h.terms {
 		t.appendOverview(&out, q)
 	}
@@ -374,4 +393,11 @@
 	if q.Workers {
 		out.Workers = append(out.Workers, t.engine.Workers(t.now())...)
 	}
+	if q.Domains {
+		d := DomainOverview{Domain: t.shard.Domain}
+		for _, n := range t.engine.QueuedJobs() {
+			d.Waiting += n
+		}
+		out.Domains = append(out.Domains, d)
+	}
 }
--- a/request/operator/handlers.go
+++ b/request/operator/handlers.go
@@ -180,6 +180,13 @@
 	return list, nil
 }
 
+func (a *api) domains(r *http.Request, _ httprouter.Params) (any, error) {
+	if a.cfg.Domains == nil {
+		return nil, heatherhub.ErrInvalid.New("this host does not list failure domains: see drainDomains in heatherhub preset view, and heatherhub worker list --domain")
+	}
+	return a.cfg.Domains(r.Context())
+}
+
 func (a *api) hosts(r *http.Request, _ httprouter.Params) (any, error) {
 	return a.cfg.Backend.Hosts(r.Context())
 }
--- a/request/operator/operator.go
+++ b/request/operator/operator.go
@@ -71,6 +71,8 @@
 type Config struct {
 	Backend       Backend
 	Configuration Configuration
+	// Domains lists the failure domains. It is nil where presets express their evacuation.
+	Domains func(context.Context) (operatorapi.DomainList, error)
 	// Token is the bearer token that every request must have. If it is empty, requests
 	// need none.
 	Token string
@@ -149,6 +151,7 @@
 	a.get("/v1/jobs/:id", a.job)
 	a.post("/v1/jobs/:id/cancel", a.cancelJob)
 	a.get("/v1/workers", a.workers)
+	a.get("/v1/domains", a.domains)
 	a.get("/v1/hosts", a.hosts)
 	a.get("/v1/status", a.status)
 	if a.cfg.Metrics != nil {
--- a/request/overview/overview.go
+++ b/request/overview/overview.go
@@ -26,6 +26,7 @@
 	"heatherhub.example/heatherhub/connection/peer"
 	"heatherhub.example/heatherhub/process/dispatch"
 	"heatherhub.example/heatherhub/process/owner"
+	"heatherhub.example/heatherhub/process/record"
 	"heatherhub.example/heatherhub/request/operator"
 	"heatherhub.example/heatherhub/version/config"
 	"heatherhub.example/heatherhub/version/queues"
@@ -256,6 +257,40 @@
 	return out
 }
 
+// Domains returns the evacuated failure domains and those with workers, by name. The shards
+// whose owner did not reply are listed as missing.
+func (b *Backend) Domains(ctx context.Context) (operatorapi.DomainList, error) {
+	replies := b.queryOwners(ctx, owner.OverviewQuery{Workers: true, Domains: true})
+	domains := make(map[heatherhub.FailureDomain]operatorapi.DomainView)
+	for _, r := range replies {
+		for _, d := range r.Domains {
+			v := domains[d.Domain]
+			v.Waiting += d.Waiting
+			if !d.Since.IsZero() && (!v.Evacuated || d.Since.Before(v.Since)) {
+				v.Evacuated, v.Since = true, d.Since.UTC()
+			}
+			domains[d.Domain] = v
+		}
+		for i := range r.Workers {
+			w := &r.Workers[i]
+			v := domains[w.Domain]
+			v.Workers++
+			v.Batch += len(w.Tasks) - w.LongRunning
+			v.LongRunning += w.LongRunning
+			domains[w.Domain] = v
+		}
+	}
+	// No worker is in the domain of the shards of the whole site.
+	delete(domains, record.SiteDomain)
+	list := operatorapi.DomainList{MissingShards: b.missingShards(replies)}
+	for d, v := range domains {
+		v.Domain = d
+		list.Domains = append(list.Domains, v)
+	}
+	slices.SortFunc(list.Domains, func(a, c operatorapi.DomainView) int { return cmp.Compare(a.Domain, c.Domain) })
+	return list, nil
+}
+
 // Hosts returns this host and the hosts that own shards, by id. It does not know of any
 // others.
 func (b *Backend) Hosts(ctx context.Context) (operatorapi.HostList, error) {
--- a/request/overview/overview_test.go
+++ b/request/overview/overview_test.go
@@ -32,11 +32,18 @@
 	cancelled      []heatherhub.JobID
 }
 
-// overviewOf returns the overview of a host with one shard, one running job and one worker.
+// overviewOf returns the overview of a host with one shard, one running job and one worker. The
+// task in the north is long-running, and its host has read the evacuation of the south first.
 func overviewOf(s heatherhub.ShardID, job heatherhub.JobID, worker heatherhub.WorkerID) func(owner.OverviewQuery) owner.Overview {
 	return func(q owner.OverviewQuery) owner.Overview {
 		out := owner.Overview{Shards: []heatherhub.ShardID{s}}
 		v := dispatch.JobView{ID: job, Queue: "letters", Shard: s, State: heatherhub.WorkflowRunning, Tasks: 4, Running: 3, Finished: 1}
+		if q.Domains {
+			out.Domains = []owner.DomainOverview{{Domain: s.Domain, Waiting: 2}, {Domain: south.Domain, Since: time.Unix(2000, 0)}}
+			if s == north {
+				out.Domains[1].Since = time.Unix(1996, 0)
+			}
+		}
 		if q.Job == job || (q.Job == "" && q.MaxJobs > 0 && (q.State == "" || q.State == v.State)) {
 			out.Jobs = []dispatch.JobView{v}
 		}
@@ -45,6 +52,9 @@
 				ID: worker, Address: "10.0.0.9:80", Domain: s.Domain, Shard: s, Silent: s == south,
 				Capacity: heatherhub.Resources{CPU: 1000, Memory: 10}, Tasks: []heatherhub.StepTask{{Job: job, Index: 2}},
 			}}
+			if s == north {
+				out.Workers[0].LongRunning = 1
+			}
 		}
 		return out
 	}
@@ -81,7 +91,7 @@
 		},
 		IsStale: func() bool { return false }, IsLeaving: func() bool { return false },
 	})
-	server := httptest.NewServer(operator.New(operator.Config{Backend: b, Configuration: b}))
+	server := httptest.NewServer(operator.New(operator.Config{Backend: b, Configuration: b, Domains: b.Domains}))
 	t.Cleanup(server.Close)
 	c, err := operatorapi.NewClient(operatorapi.Config{Address: server.URL})
 	if err != nil {
@@ -116,6 +126,25 @@
 	}
 }
 
+// TestDomainsShowWhatIsLeftInThem guards against an evacuation that looks done while tasks run, or
+// that has another beginning on each host: the earliest one counts.
+func TestDomainsShowWhatIsLeftInThem(t *testing.T) {
+	s := &twoOwners{}
+	c := s.client(t)
+	got, err := c.Domains(t.Context())
+	want := []operatorapi.DomainView{
+		{Domain: "north", Workers: 1, LongRunning: 1, Waiting: 2},
+		{Domain: "south", Evacuated: true, Since: time.Unix(1996, 0).UTC(), Workers: 1, Batch: 1, Waiting: 2},
+	}
+	if err != nil || !slices.Equal(got.Domains, want) || len(got.MissingShards) > 0 {
+		t.Errorf("got %+v, error %v, want %+v", got, err, want)
+	}
+	s.isDisconnected = true
+	if got, err = c.Domains(t.Context()); err != nil || !slices.Equal(got.MissingShards, []heatherhub.ShardID{south}) {
+		t.Errorf("got %+v, error %v, want %s missing", got, err, south)
+	}
+}
+
 // TestUnreachableOwnerIsReported checks that the shard of an unreachable owner is listed as
 // missing, rather than shown as empty, and that its job has its durable state.
 func TestUnreachableOwnerIsReported(t *testing.T) {
