Evacuate failure domains in the random episodes

A new kind of fault evacuates a domain, or all, for up to 14 s; some watches of the requests get no answer meanwhile. The audit reports a start later than 5 s after the request.

--- a/process/owner/evacuate_test.go
+++ b/process/owner/evacuate_test.go
@@ -42,7 +42,7 @@
 	log := newTraceLog()
 	reader := evacuation.Reader{Current: current, Log: log, Decode: func(key string) (heatherhub.FailureDomain, bool, error) {
 		d, ok := strings.CutPrefix(key, evacuationPrefix)
-		return heatherhub.FailureDomain(d), ok, nil
+		return heatherhub.FailureDomain(d), ok && !site.ignoreEvacuations.Load(), nil
 	}}
 	watcher := ledger.Watcher{
 		Store: &hostStore{fakeStore: site.store, site: site, host: id}, Prefix: evacuationPrefix, WatchTimeout: time.Second, Log: log,
@@ -62,6 +62,43 @@
 	}
 }
 
+// evacuateRandom evacuates a failure domain, or all, for up to 14 s. Some watches of the requests
+// get no answer meanwhile.
+func (f *workerFaults) evacuateRandom() {
+	const domains = 3
+	d := f.evacuationRNG.IntN(domains)
+	span := min(between(f.evacuationRNG, 300*time.Millisecond, 14*time.Second), time.Until(f.endsAt))
+	isWhole, isUnheard := f.evacuationRNG.IntN(6) == 0, f.evacuationRNG.IntN(3) == 0
+	if isUnheard {
+		f.counts.add(evacuationUnheard)
+		f.e.store.setEvacuationsSilent(true)
+		f.e.after(min(between(f.evacuationRNG, time.Second, 9*time.Second), time.Until(f.endsAt)), func() { f.e.store.setEvacuationsSilent(false) })
+	}
+	if isWhole {
+		f.counts.add(allEvacuated)
+	}
+	if span > evacuationBound {
+		f.counts.add(longEvacuated)
+	}
+	for k := range domains {
+		domain := heatherhub.FailureDomain(fmt.Sprintf("d%d", k))
+		if k != d && !isWhole {
+			continue
+		}
+		if f.e.runningIn(domain) > 0 {
+			f.counts.add(domainEvacuated)
+		}
+		f.e.evacuate(domain)
+		f.e.after(span, func() { f.e.returnToService(domain) })
+	}
+}
+
+func (s *fakeStore) setEvacuationsSilent(isSilent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.areEvacuationsSilent = isSilent
+}
+
 // runningIn returns the number of tasks that run in a failure domain.
 func (site *simSite) runningIn(d heatherhub.FailureDomain) int {
 	n := 0
--- a/process/owner/fault_events_test.go
+++ b/process/owner/fault_events_test.go
@@ -47,6 +47,10 @@
 	domainShrunk         faultEvent = "workers of a failure domain shrunk"
 	deadlySubmitted      faultEvent = "job with a task that crashes its workers submitted"
 	deadlyCrashed        faultEvent = "worker crashed by a task"
+	domainEvacuated      faultEvent = "failure domain with runs evacuated"
+	allEvacuated         faultEvent = "all failure domains evacuated"
+	longEvacuated        faultEvent = "failure domain evacuated for longer than the bound"
+	evacuationUnheard    faultEvent = "failure domain evacuated while no watch is answered"
 	bornBefore           faultEvent = "new incarnation states an earlier start than the former one"
 )
 
@@ -57,6 +61,7 @@
 	leftWithRuns, leftUnannounced, leftReplaced, longRunningLapsed, longRunningDrained, longRunningCancelled,
 	workerRestarted, longRunningRestarted, domainRestarted, allRestarted, restartedUnlisted, restartedSmaller, lateCallAfterRestart, bornBefore,
 	workerShrunk, workerShrunkBelow, domainShrunk, deadlySubmitted, deadlyCrashed,
+	domainEvacuated, allEvacuated, longEvacuated, evacuationUnheard,
 }
 
 // faultCounts counts fault events over all episodes of a test.
--- a/process/owner/random_test.go
+++ b/process/owner/random_test.go
@@ -133,6 +133,7 @@
 		"workers ignore the end of their lease":     {withWorkerFaults(cutOffFaults, longRunningFaults), func(site *simSite) { site.ignoreLeases.Store(true) }},
 		"reset poll reported as replaced worker":    {withWorkerFaults(allWorkerFaultKinds...), func(site *simSite) { site.reportResetAsReplaced.Store(true) }},
 		"incarnations of a worker taken for one":    {withoutIncarnations, func(*simSite) {}},
+		"hosts ignore evacuations":                  {withWorkerFaults(evacuationFaults), func(site *simSite) { site.ignoreEvacuations.Store(true) }},
 		"draining workers list no runs":             {withWorkerFaults(allWorkerFaultKinds...), func(site *simSite) { site.hideDrainingRuns.Store(true) }},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/process/owner/store_test.go
+++ b/process/owner/store_test.go
@@ -41,6 +41,8 @@
 	outages int
 	// silentPrefix is the prefix of watches that get no answer.
 	silentPrefix string
+	// areEvacuationsSilent leaves the watches of evacuations without an answer.
+	areEvacuationsSilent bool
 	// silentRange is the prefix of ranges that get no answer.
 	silentRange string
 	// delayedKey is a key whose commits take effect late and without an answer.
@@ -274,7 +276,7 @@
 			return ledger.Changes{}, err
 		}
 		s.mu.Lock()
-		if s.silentPrefix != "" && strings.HasPrefix(prefix, s.silentPrefix) {
+		if (s.silentPrefix != "" && strings.HasPrefix(prefix, s.silentPrefix)) || (s.areEvacuationsSilent && prefix == evacuationPrefix) {
 			s.mu.Unlock()
 			ledger.Sleep(ctx, time.Until(until)+callTimeout)
 			return ledger.Changes{}, heatherhub.ErrUnknown.New("no answer to the watch")
--- a/process/owner/worker_faults_test.go
+++ b/process/owner/worker_faults_test.go
@@ -41,9 +41,11 @@
 	resizeFaults workerFaultKind = "resize"
 	// deadlyFaults: jobs with a task that crashes each worker that starts it are submitted.
 	deadlyFaults workerFaultKind = "deadly"
+	// evacuationFaults: failure domains are evacuated for some time, and hosts do not learn of it.
+	evacuationFaults workerFaultKind = "evacuation"
 )
 
-var allWorkerFaultKinds = []workerFaultKind{lapseFaults, outageFaults, resetFaults, drainFaults, cutOffFaults, lateFaults, longRunningFaults, restartFaults, resizeFaults, deadlyFaults}
+var allWorkerFaultKinds = []workerFaultKind{lapseFaults, outageFaults, resetFaults, drainFaults, cutOffFaults, lateFaults, longRunningFaults, restartFaults, resizeFaults, deadlyFaults, evacuationFaults}
 
 var workerFaultFlag = flag.String("owner-worker-faults", joinKinds(allWorkerFaultKinds), "kinds of worker faults in random episodes")
 
@@ -75,7 +77,7 @@
 	// endsAt is the time by which all faults have ended.
 	endsAt time.Time
 
-	lapseRNG, outageRNG, resetRNG, drainRNG, cutOffRNG, lateRNG, longRunningRNG, restartRNG, resizeRNG, deadlyRNG *rand.Rand
+	lapseRNG, outageRNG, resetRNG, drainRNG, cutOffRNG, lateRNG, longRunningRNG, restartRNG, resizeRNG, deadlyRNG, evacuationRNG *rand.Rand
 
 	spares, submitted int
 	// longRunning holds the number of tasks of each long-running job that is not cancelled.
@@ -104,7 +106,7 @@
 	f := &workerFaults{
 		e: e, seed: seed, kinds: make(map[workerFaultKind]bool), counts: counts, endsAt: time.Now().Add(faultPhase + workerFaultPhase + maxDrainTime),
 		lapseRNG: newRNG(6), outageRNG: newRNG(7), resetRNG: newRNG(8), drainRNG: newRNG(9),
-		cutOffRNG: newRNG(10), lateRNG: newRNG(11), longRunningRNG: newRNG(12), restartRNG: newRNG(13), resizeRNG: newRNG(14), deadlyRNG: newRNG(15),
+		cutOffRNG: newRNG(10), lateRNG: newRNG(11), longRunningRNG: newRNG(12), restartRNG: newRNG(13), resizeRNG: newRNG(14), deadlyRNG: newRNG(15), evacuationRNG: newRNG(16),
 		longRunning: make(map[heatherhub.JobID]int),
 	}
 	for _, k := range kinds {
@@ -174,6 +176,9 @@
 	if f.kinds[deadlyFaults] && f.deadlyRNG.IntN(12) == 0 {
 		f.submitDeadly()
 	}
+	if f.kinds[evacuationFaults] && f.evacuationRNG.IntN(12) == 0 {
+		f.evacuateRandom()
+	}
 }
 
 // between returns a random duration from low to high.
--- a/process/owner/world_test.go
+++ b/process/owner/world_test.go
@@ -86,6 +86,8 @@
 	// delaysCallsInNetwork has late calls to a worker that starts again carried out by its next
 	// incarnation. Otherwise the incarnation that has received them holds them.
 	delaysCallsInNetwork atomic.Bool
+	// ignoreEvacuations injects a fault: hosts do not read requests to evacuate a failure domain.
+	ignoreEvacuations atomic.Bool
 	// crashes has the tasks that crash each worker that starts them.
 	crashes map[heatherhub.StepTask]crash
 	// crashed counts the workers that crashed because of a task.
