--- a/process/owner/host.go
+++ b/process/owner/host.go
@@ -16,6 +16,7 @@
 	"heatherhub.example/heatherhub/connection/ledger"
 	"heatherhub.example/heatherhub/process/dispatch"
 	"heatherhub.example/heatherhub/process/record"
+	"heatherhub.example/heatherhub/version/evacuation"
 	"heatherhub.example/heatherhub/version/queues"
 )
 
@@ -41,8 +42,11 @@
 	// DecodeWorker decodes a worker's registration.
 	DecodeWorker func(ledger.Item) (agent.Worker, error)
 	Tables       *queues.Current
-	Clock        Clock
-	Log          *zap.Logger
+	// Evacuated holds the evacuated failure domains. If it is nil, there are none; otherwise
+	// nothing starts before it is known.
+	Evacuated *evacuation.Current
+	Clock     Clock
+	Log       *zap.Logger
 	// Registry registers the metrics, if set.
 	Registry prometheus.Registerer
 	Limits
@@ -66,6 +70,9 @@
 	WorkersPerShard int
 	// EndedRetention is how long ended jobs are kept in the store.
 	EndedRetention time.Duration
+	// EvacuateTime is the time after the store has acknowledged the evacuation of a failure
+	// domain from which on no task may start there.
+	EvacuateTime time.Duration
 }
 
 // Defaults of the limits.
@@ -80,6 +87,7 @@
 	// site need 0.17 cores at the peak. Fewer shards strand less room and learn faster.
 	defaultWorkersPerShard = 240
 	defaultEndedRetention  = 150 * time.Second
+	defaultEvacuateTime    = 5 * time.Second
 )
 
 func (l *Limits) setDefaults() {
@@ -90,6 +98,7 @@
 	heatherhub.SetDefault(&l.MaxStoreSilence, defaultMaxStoreSilence)
 	heatherhub.SetDefault(&l.WorkersPerShard, defaultWorkersPerShard)
 	heatherhub.SetDefault(&l.EndedRetention, defaultEndedRetention)
+	heatherhub.SetDefault(&l.EvacuateTime, defaultEvacuateTime)
 }
 
 // Host claims and runs shards for one host of the site. Its methods may be called
@@ -142,6 +151,7 @@
 		ownerlessSince: make(map[heatherhub.ShardID]time.Duration), campaignWake: make(chan struct{}, 1),
 		metrics: newMetrics(cfg.Registry),
 	}
+	h.metrics.registerEvacuated(cfg.Registry, func() float64 { return float64(h.evacuated().Len()) })
 	h.view.Store(&View{Owners: map[heatherhub.ShardID]record.Owner{}})
 	h.session.host = h
 	return h
@@ -314,6 +324,19 @@
 	Workers []dispatch.WorkerView `msgpack:"w,omitempty" json:"workers"`
 	// HasMore says that there are more jobs than OverviewQuery.MaxJobs.
 	HasMore bool `msgpack:"m,omitempty" json:"hasMore"`
+	// Domains has the evacuated failure domains and those of the shards.
+	Domains []DomainOverview `msgpack:"d,omitempty" json:"domains,omitempty"`
+}
+
+// DomainOverview is what a host knows of a failure domain.
+type DomainOverview struct {
+	Domain heatherhub.FailureDomain `msgpack:"d" json:"domain"`
+	// Since is the time at which the host has read that the domain is evacuated; zero if it is
+	// not.
+	Since time.Time `msgpack:"s" json:"since"`
+	// Waiting is the number of jobs in the host's shards of the domain that have started no
+	// task.
+	Waiting int `msgpack:"w,omitempty" json:"waiting"`
 }
 
 // OverviewQuery selects the contents of an Overview.
@@ -326,6 +349,7 @@
 	// MaxJobs is the maximum number of jobs to list; zero lists none.
 	MaxJobs int  `msgpack:"n,omitempty"`
 	Workers bool `msgpack:"w,omitempty"`
+	Domains bool `msgpack:"d,omitempty"`
 }
 
 func (q *OverviewQuery) matches(v dispatch.JobView) bool {
@@ -337,6 +361,11 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var out Overview
+	if q.Domains {
+		for _, r := range h.evacuated().Requests() {
+			out.Domains = append(out.Domains, DomainOverview{Domain: r.Domain, Since: r.Since})
+		}
+	}
 	for _, t := range h.terms {
 		t.appendOverview(&out, q)
 	}
@@ -364,4 +393,11 @@
 	if q.Workers {
 		out.Workers = append(out.Workers, t.engine.Workers(t.now())...)
 	}
+	if q.Domains {
+		d := DomainOverview{Domain: t.shard.Domain}
+		for _, n := range t.engine.QueuedJobs() {
+			d.Waiting += n
+		}
+		out.Domains = append(out.Domains, d)
+	}
 }
