--- a/command/serve/serve.go
+++ b/command/serve/serve.go
@@ -31,6 +31,7 @@
 	"heatherhub.example/heatherhub/connection/ledger"
 	"heatherhub.example/heatherhub/connection/peer"
 	"heatherhub.example/heatherhub/platform"
+	"heatherhub.example/heatherhub/process/dispatch"
 	"heatherhub.example/heatherhub/process/logs"
 	"heatherhub.example/heatherhub/process/owner"
 	"heatherhub.example/heatherhub/process/steady"
@@ -128,7 +129,10 @@
 	h := &host{settings: s, log: log, registry: registry, reloadSignals: make(chan os.Signal, 1), store: platform.NewStore(s.StoreAddress, registry), clock: steady.New()}
 	h.lastStoreReply.Store(int64(-configStaleAfter))
 	var decoder platform.WorkerDecoder
-	limits := owner.Limits{SessionTTL: max(s.MinStoreLease, owner.DefaultSessionTTL), WorkerLease: min(s.MaxWorkerLease, owner.DefaultWorkerLease), MaxWorkerLease: s.MaxWorkerLease, WorkerHeartbeat: s.Heartbeat}
+	limits := owner.Limits{
+		SessionTTL: max(s.MinStoreLease, owner.DefaultSessionTTL), WorkerLease: min(s.MaxWorkerLease, owner.DefaultWorkerLease),
+		MaxWorkerLease: s.MaxWorkerLease, WorkerHeartbeat: s.Heartbeat, Tuning: tuningOf(s),
+	}
 	h.owner = owner.New(owner.Config{
 		Self: s.Host, Domain: s.Domain, Cores: s.Cores, Address: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPeerPort)), Store: h.store,
 		Dial:         func(id heatherhub.WorkerID, address string) agent.Agent { return platform.NewAgent(id, address) },
@@ -149,6 +153,17 @@
 	return h
 }
 
+// tuningOf returns the delays and thresholds that the settings determine.
+func tuningOf(s platform.Settings) dispatch.Tuning {
+	// A time of zero would select the default.
+	positive := func(d time.Duration) time.Duration { return max(d, time.Nanosecond) }
+	return dispatch.Tuning{
+		StopTime: positive(s.StopTime), CheckpointInterval: positive(s.CheckpointInterval), RestoreTime: positive(s.RestoreTime),
+		RemoteFactor: s.RemoteFactor, HarmTime: positive(s.HarmTime), PaceTime: positive(s.PaceTime),
+		NoticeTime: positive(s.NoticeTime), CancelTime: positive(s.CancelTime), EvacuateTime: positive(s.EvacuateTime),
+	}
+}
+
 // isStale reports whether the last reply on the configuration is too old to rely on.
 func (h *host) isStale() bool {
 	return h.clock.Now().Steady-time.Duration(h.lastStoreReply.Load()) > configStaleAfter
--- a/process/dispatch/dispatch_test.go
+++ b/process/dispatch/dispatch_test.go
@@ -46,8 +46,12 @@
 }
 
 func newSimulation(t *testing.T, policy dispatch.Policy, workers int) *simulation {
+	return newTunedSimulation(t, dispatch.Tuning{}, policy, workers)
+}
+
+func newTunedSimulation(t *testing.T, tuning dispatch.Tuning, policy dispatch.Policy, workers int) *simulation {
 	b := &simulation{
-		t: t, e: dispatch.New(dispatch.Config{Token: 1}), now: dispatch.Moment{Steady: time.Second, Wall: time.Unix(1000, 0)},
+		t: t, e: dispatch.New(dispatch.Config{Token: 1, Tuning: tuning}), now: dispatch.Moment{Steady: time.Second, Wall: time.Unix(1000, 0)},
 		runs: make(map[heatherhub.WorkerID][]*run), ended: make(map[heatherhub.WorkerID]uint64),
 		workflows: make(map[heatherhub.JobID]*heatherhub.Workflow), placed: make(map[heatherhub.StepTask]heatherhub.WorkerID),
 		doneAt: make(map[heatherhub.JobID]time.Duration),
@@ -294,7 +298,11 @@
 // newThrottledWorker returns a simulation of one worker with two fillers and a serving
 // task, whose latency the test sets by tail.
 func newThrottledWorker(t *testing.T, tail *float64) *simulation {
-	b := newSimulation(t, dispatch.Policy{}, 1)
+	return newTunedThrottledWorker(t, dispatch.Tuning{}, tail)
+}
+
+func newTunedThrottledWorker(t *testing.T, tuning dispatch.Tuning, tail *float64) *simulation {
+	b := newTunedSimulation(t, tuning, dispatch.Policy{}, 1)
 	b.tail = func(string, []string) float64 { return *tail }
 	s := tasks(1, 2000, time.Second)
 	s.LongRunning, s.Image, s.LatencyTarget = true, "weak", 18*time.Millisecond
--- a/process/dispatch/drain.go
+++ b/process/dispatch/drain.go
@@ -12,9 +12,9 @@
 // worker can still report it.
 
 const (
-	// drainStopTime is the time that a stop takes until its end is reported: up to 0.9 s at
-	// the worker, the order and the poll.
-	drainStopTime = 1200 * time.Millisecond
+	// stopReportTime is what the order and the poll add to the time of a stop until its end is
+	// reported.
+	stopReportTime = 300 * time.Millisecond
 	// drainReportTime is the time that the end of a run takes to be reported.
 	drainReportTime = 100 * time.Millisecond
 	// drainMoveTime is how long before the last moment long-running tasks move as soon as they
@@ -49,7 +49,7 @@
 
 // vacate requests a stop of a run on a draining worker, if it is time for it.
 func (e *Engine) vacate(now Moment, a *attempt) {
-	step, last := a.task.step, a.node.leavesAt-drainStopTime
+	step, last := a.task.step, a.node.leavesAt-e.drainStopTime()
 	if step.spec.LongRunning && now.Steady < last-drainMoveTime {
 		return
 	}
@@ -62,6 +62,11 @@
 	e.recordTaskEvent(EventRunVacated, a, "worker drains")
 }
 
+// drainStopTime returns the longest time that a stop takes until its end is reported.
+func (e *Engine) drainStopTime() time.Duration {
+	return e.cfg.StopTime + stopReportTime
+}
+
 // move is a task whose former run is over, and the worker that had room reserved for it.
 type move struct {
 	task *task
--- a/process/dispatch/health.go
+++ b/process/dispatch/health.go
@@ -132,11 +132,14 @@
 	if a.task.step.spec.Checkpoints && a.checkpoint != "" {
 		workElsewhere = total * (1 - float64(a.progress)/100)
 	}
-	return timeLeft > workElsewhere/e.typicalSpeed()+restartCost.Seconds()
+	return timeLeft > workElsewhere/e.typicalSpeed()+e.restartCost().Seconds()
 }
 
-// restartCost is the time that stopping a run and starting it elsewhere takes.
-const restartCost = 800 * time.Millisecond
+// restartCost returns the mean time that stopping a run and starting it elsewhere takes. A stop
+// takes five ninths of StopTime on average.
+func (e *Engine) restartCost() time.Duration {
+	return e.cfg.StopTime*5/9 + stopReportTime
+}
 
 // progressCheckInterval is the time between two checks for stalled runs. A stall takes
 // seconds to detect, so checking on every call would add nothing.
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -107,7 +107,7 @@
 // New returns an engine without jobs and workers. Zero fields of Tuning are set to
 // their defaults.
 func New(cfg Config) *Engine {
-	cfg.setDefaults()
+	cfg.SetDefaults()
 	return &Engine{
 		cfg:         cfg,
 		policies:    make(map[heatherhub.QueueID]Policy),
--- a/process/dispatch/throttle.go
+++ b/process/dispatch/throttle.go
@@ -29,11 +29,6 @@
 	// Samples are noisy, so a shorter time mistakes noise for recovery; a longer one
 	// halts fillers needlessly.
 	recoveryTime = 300 * time.Millisecond
-	// haltAfter is how long a target may be missed before the fillers that may
-	// interfere with a serving task of the worker are halted. After haltAllAfter all
-	// fillers are halted.
-	haltAfter    = 1200 * time.Millisecond
-	haltAllAfter = 1900 * time.Millisecond
 	// inheritedSpeed is the share of its processors below which a filler of a previous owner
 	// may have been slowed down by that owner.
 	inheritedSpeed = 0.7
@@ -42,6 +37,18 @@
 	noticeableRise = 0.05
 )
 
+// haltAfter returns how long a target may be missed before the fillers that may interfere with
+// a serving task of the worker are halted: 1.2 s of a HarmTime of 4 s.
+func (t *Tuning) haltAfter() time.Duration {
+	return t.HarmTime * 3 / 10
+}
+
+// haltAllAfter returns how long a target may be missed before all fillers are halted: 1.9 s of a
+// HarmTime of 4 s.
+func (t *Tuning) haltAllAfter() time.Duration {
+	return t.HarmTime * 19 / 40
+}
+
 // fillerThrottle holds the state on which the speed limits of a worker's fillers are
 // decided.
 type fillerThrottle struct {
@@ -108,12 +115,12 @@
 	if now.Steady-n.throttle.changedAt < throttleInterval {
 		return
 	}
-	isHalted := n.throttle.missedFor(now.Steady) >= haltAfter
+	isHalted := n.throttle.missedFor(now.Steady) >= e.cfg.haltAfter()
 	if isHalted && !n.throttle.isHalted {
 		e.recordEvent(EventRecord{Event: EventFillersHalted, Worker: n.worker.ID, Count: len(missed), Waited: n.throttle.missedFor(now.Steady)})
 	}
 	n.throttle.isHalted = isHalted
-	isAllHalted := n.throttle.missedFor(now.Steady) >= haltAllAfter
+	isAllHalted := n.throttle.missedFor(now.Steady) >= e.cfg.haltAllAfter()
 	for _, a := range n.attemptsByRun() {
 		if !a.task.step.spec.Filler || a.state != running || a.stop != noStop {
 			continue
--- a/process/owner/host.go
+++ b/process/owner/host.go
@@ -66,6 +66,8 @@
 	WorkersPerShard int
 	// EndedRetention is how long ended jobs are kept in the store.
 	EndedRetention time.Duration
+	// Tuning has the delays and thresholds of the decisions.
+	Tuning dispatch.Tuning
 }
 
 // Defaults of the limits.
@@ -90,6 +92,7 @@
 	heatherhub.SetDefault(&l.MaxStoreSilence, defaultMaxStoreSilence)
 	heatherhub.SetDefault(&l.WorkersPerShard, defaultWorkersPerShard)
 	heatherhub.SetDefault(&l.EndedRetention, defaultEndedRetention)
+	l.Tuning.SetDefaults()
 }
 
 // Host claims and runs shards for one host of the site. Its methods may be called
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -93,7 +93,7 @@
 		host: h, shard: s, token: agent.Token(rev), ownerRevision: rev,
 		log: h.cfg.Log.With(zap.Stringer("shard", s), zap.Uint64("token", uint64(rev))),
 		ctx: ctx, cancel: cancel, startedAt: now, succession: succession{isOver: make(chan struct{})},
-		engine:  dispatch.New(dispatch.Config{Token: agent.Token(rev), Shard: s, InheritUntil: formerStopsAt, MaxPendingStarts: h.maxPendingStarts()}),
+		engine:  dispatch.New(dispatch.Config{Token: agent.Token(rev), Shard: s, InheritUntil: formerStopsAt, MaxPendingStarts: h.maxPendingStarts(), Tuning: h.cfg.Tuning}),
 		workers: make(map[heatherhub.WorkerID]*workerLoop), fleet: newFleet(),
 		incarnations: make(map[heatherhub.WorkerName][]*workerLoop), known: make(map[heatherhub.WorkerName]heatherhub.WorkerID), ended: make(map[heatherhub.WorkerName]endedIncarnation),
 		committed: make(chan struct{}), wakeDecide: make(chan struct{}, 1), wakeCommit: make(chan struct{}, 1),
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -21,9 +21,9 @@
 	// pollWait is how long a worker may hold a poll until a task ends. It is also the
 	// interval at which usage is reported.
 	pollWait = time.Second
-	// missedTargetPollWait replaces pollWait while a task on the worker misses its target:
-	// filler tasks beside it have to be halted well within 4 s.
-	missedTargetPollWait = 400 * time.Millisecond
+	// missedTargetPolls is the number of polls within Tuning.HarmTime while a task on the worker
+	// misses its target: filler tasks beside it have to be halted well within that time.
+	missedTargetPolls = 10
 	// unconfirmedPollWait replaces pollWait while the store is late to confirm the ownership:
 	// the answers of the workers then have to be younger than confirmationTTL.
 	unconfirmedPollWait = 500 * time.Millisecond
@@ -334,7 +334,7 @@
 	switch {
 	case !isUp || w.isSilent.Load():
 	case isTargetMissed:
-		p.Wait = missedTargetPollWait
+		p.Wait = min(t.host.cfg.Tuning.HarmTime/missedTargetPolls, pollWait)
 	case sentAt-t.lastConfirmed() > publishInterval:
 		p.Wait = unconfirmedPollWait
 	default:
