--- a/process/owner/evacuate.go
+++ b/process/owner/evacuate.go
@@ -16,9 +16,9 @@
 // domains. They end within seconds.
 const evacuationCheckInterval = 250 * time.Millisecond
 
-// minEvacuationAge is the least value of maxEvacuationAge: a watch of the requests is answered
-// every second, and a lost answer takes 1.6 s to be noticed.
-const minEvacuationAge = 2 * time.Second
+// minEvacuationAge is the least value of maxEvacuationAge. Starts are held back after this time in
+// any case, since the entries of the workers are too old then.
+const minEvacuationAge = maxEntryAge
 
 // evacuationSlack is the time for the orders of a decision to be queued, and for the readings of
 // the clocks.
@@ -28,7 +28,7 @@
 // tasks are started. A request may have been acknowledged right after that answer, and a worker may
 // accept a start for startValidity after it was sent.
 func (l *Limits) maxEvacuationAge() time.Duration {
-	return max(l.EvacuateTime-onSlowestClock(startValidity)-evacuationSlack, minEvacuationAge)
+	return max(l.Tuning.EvacuateTime-onSlowestClock(startValidity)-evacuationSlack, minEvacuationAge)
 }
 
 // evacuated returns the set of evacuated domains; a host without a watch of them has none.
--- a/process/owner/host.go
+++ b/process/owner/host.go
@@ -70,9 +70,8 @@
 	WorkersPerShard int
 	// EndedRetention is how long ended jobs are kept in the store.
 	EndedRetention time.Duration
-	// EvacuateTime is the time after the store has acknowledged the evacuation of a failure
-	// domain from which on no task may start there.
-	EvacuateTime time.Duration
+	// Tuning has the delays and thresholds of the decisions.
+	Tuning dispatch.Tuning
 }
 
 // Defaults of the limits.
@@ -87,7 +86,6 @@
 	// site need 0.17 cores at the peak. Fewer shards strand less room and learn faster.
 	defaultWorkersPerShard = 240
 	defaultEndedRetention  = 150 * time.Second
-	defaultEvacuateTime    = 5 * time.Second
 )
 
 func (l *Limits) setDefaults() {
@@ -98,7 +96,7 @@
 	heatherhub.SetDefault(&l.MaxStoreSilence, defaultMaxStoreSilence)
 	heatherhub.SetDefault(&l.WorkersPerShard, defaultWorkersPerShard)
 	heatherhub.SetDefault(&l.EndedRetention, defaultEndedRetention)
-	heatherhub.SetDefault(&l.EvacuateTime, defaultEvacuateTime)
+	l.Tuning.SetDefaults()
 }
 
 // Host claims and runs shards for one host of the site. Its methods may be called
