Move jobs that have begun with their progress

Cause: a job never left its shard once one of its tasks had run, although its next step waited there and other shards had capacity.

Change: a begun job without open attempts, whose progress is stored and of which no worker holds an end, moves by one write of its record, which names the revision of the progress. Preconditions are the owner key, the record, the absence of a cancel, the revision of the progress, and the claim of the new owner, which has said in its load that it reads progress. The new owner adds the job only once it has read progress of that revision. While the move is under way the former owner neither writes the progress nor counts reported ends, and forgets its changes if the job has left. Jobs of which a vanished worker may still report a run stay.

Ruled out: the progress inside the record (written with each move, up to several KB), and a precondition on the job's record in each commit of progress, which would make each commit larger.

--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -107,7 +107,7 @@
 		e.adoptUnknown(now, workflow.ID)
 		return
 	}
-	if len(r.Progress.Done)+len(r.Progress.Failed)+len(r.Progress.Crashes) > 0 {
+	if workflow.HasBegun || len(r.Progress.Done)+len(r.Progress.Failed)+len(r.Progress.Crashes) > 0 {
 		j.begin()
 	}
 	for k := range workflow.Occurrences() {
--- a/process/dispatch/move.go
+++ b/process/dispatch/move.go
@@ -12,9 +12,10 @@
 
 // Moves balance load between shards: the workers of one shard may be lost or full while
 // another has free capacity. Only waiting work without a run moves: single tasks of
-// long-running steps, and whole jobs that have not started. The job's record says which
-// shard runs which tasks, so a move is a single write of that record. Until its outcome
-// is known, the tasks concerned start in neither shard.
+// long-running steps, whole jobs that have not started, and whole jobs of which nothing runs
+// any more and whose progress is stored. The job's record says which shard runs which tasks,
+// and from which revision of the progress on, so a move is a single write of that record.
+// Until its outcome is known, the tasks concerned start in neither shard.
 
 // Move is waiting work that another shard could run.
 type Move struct {
@@ -30,10 +31,24 @@
 	IsFiller bool
 	Image    string
 	Waited   time.Duration
+	// HasBegun means that runs of the job have ended, so that it moves with its progress.
+	HasBegun bool
 	// Home is the shard of the job, if the tasks go back to it.
 	Home heatherhub.ShardID
 }
 
+// Kind names what moves, for logs and metrics.
+func (m *Move) Kind() string {
+	switch {
+	case m.Tasks != nil:
+		return "tasks"
+	case m.HasBegun:
+		return "begun job"
+	default:
+		return "job"
+	}
+}
+
 // MovableWork returns the work that has waited for at least MoveAfter, the longest waiting
 // first.
 func (e *Engine) MovableWork(now Moment) []Move {
@@ -57,6 +72,8 @@
 			if len(m.Tasks) == 0 {
 				continue
 			}
+		} else {
+			m.HasBegun = s.occ.job.state != heatherhub.WorkflowQueued
 		}
 		out = append(out, m)
 	}
@@ -66,18 +83,44 @@
 
 func (e *Engine) isMovable(now Moment, s *stepRun) bool {
 	j := s.occ.job
-	if j.isOver() || len(s.pending) == 0 || (j.isInherited && e.openUnresolved > 0) {
+	if j.isOver() || j.isMoving || len(s.pending) == 0 || (j.isInherited && e.openUnresolved > 0) {
 		return false
 	}
 	if j.workflow.CanSplit() {
 		return true
 	}
-	if !j.isUntouched() || j.workflow.Schedule != nil || j.workflow.IsLongRunning() {
+	if !e.canMoveWhole(j) || j.workflow.Schedule != nil || j.workflow.IsLongRunning() {
 		return false
 	}
 	return !slices.ContainsFunc(j.tasksOf(nil), e.mayRunUnresolved) && e.isStartable(now.Steady, s.pending[0])
 }
 
+// canMoveWhole reports whether the whole job may move, without or with progress.
+func (e *Engine) canMoveWhole(j *job) bool {
+	return j.isUntouched() || e.isSettled(j)
+}
+
+// isSettled reports whether nothing of a begun job runs, all of its progress is stored, and no
+// worker holds an end of it that this shard would have to record. A worker that has vanished may
+// return with such an end. Gangs do not move, as their workers are chosen together.
+func (e *Engine) isSettled(j *job) bool {
+	if j.state != heatherhub.WorkflowRunning || j.isOwnedElsewhere || j.openAttempts > 0 || j.committed != j.changed {
+		return false
+	}
+	if j.mayHaveBegun || j.mayBeReported || (j.isInherited && e.hasLostUnresolved) {
+		return false
+	}
+	if slices.ContainsFunc(j.workflow.Steps, func(s heatherhub.Step) bool { return s.Gang }) || e.unknownJobs[j.workflow.ID] != nil {
+		return false
+	}
+	for _, n := range e.sortedNodes {
+		if slices.ContainsFunc(n.pendingAcks, func(a *pendingAck) bool { return a.task.Job == j.workflow.ID }) {
+			return false
+		}
+	}
+	return true
+}
+
 // isUntouched reports whether no run of the job has begun or may still begin or be
 // reported, so that the whole job may move.
 func (j *job) isUntouched() bool {
@@ -85,23 +128,29 @@
 }
 
 // PrepareMove holds back the tasks of a move so that they do not start here. It returns
-// the job record to write and the revision of the record that it replaces. It reports
-// false if the work no longer waits.
+// the job record to write, whose ProgressRevision is that of the stored progress if the job has
+// begun, and the revision of the record that it replaces. It reports false if the work no longer
+// waits. The caller calls SettleMove once the outcome is known.
 func (e *Engine) PrepareMove(m Move, to heatherhub.ShardID) (*heatherhub.Workflow, ledger.Revision, bool) {
 	j := e.jobs[m.Job]
-	if j == nil || j.isOver() || j.recordRevision == 0 {
+	if j == nil || j.isOver() || j.isMoving || j.recordRevision == 0 {
 		return nil, 0, false
 	}
 	tasks := j.tasksOf(m.Tasks)
-	if slices.ContainsFunc(tasks, func(t *task) bool { return !t.isPending && !t.isBlocked() }) {
+	if slices.ContainsFunc(tasks, func(t *task) bool { return !t.isPending && !t.isBlocked() && !t.isDone }) {
 		return nil, 0, false
 	}
-	if m.Tasks == nil && !j.isUntouched() {
+	if m.Tasks == nil && (!e.canMoveWhole(j) || slices.ContainsFunc(tasks, e.mayRunUnresolved)) {
 		return nil, 0, false
 	}
 	workflow := *j.workflow
 	if m.Tasks == nil {
 		workflow.Shard = to
+		if workflow.HasBegun = j.state != heatherhub.WorkflowQueued; workflow.HasBegun != m.HasBegun {
+			return nil, 0, false
+		}
+		j.isMoving = true
+		workflow.ProgressRevision = uint64(j.progressRevision)
 	} else {
 		workflow.TaskShards = maps.Clone(workflow.TaskShards)
 		if workflow.TaskShards == nil {
@@ -114,7 +163,8 @@
 	for _, t := range tasks {
 		t.isMoving = true
 		for _, c := range t.crashes {
-			if !hasCrash(workflow.Crashes, c) {
+			// A job that moves as a whole has them in its progress.
+			if m.Tasks != nil && !hasCrash(workflow.Crashes, c) {
 				workflow.Crashes = append(slices.Clip(workflow.Crashes), c)
 			}
 		}
@@ -122,6 +172,42 @@
 	return &workflow, j.recordRevision, true
 }
 
+// SettleMove records that the outcome of a move is known and its record was added with AddJob. What
+// has not moved may start again, and ends that were reported meanwhile count.
+func (e *Engine) SettleMove(now Moment, id heatherhub.JobID) {
+	j := e.jobs[id]
+	if j == nil {
+		return
+	}
+	j.isMoving = false
+	for _, t := range j.tasksOf(nil) {
+		t.isMoving = false
+	}
+	e.adoptUnknown(now, id)
+}
+
+// NeedsProgress reports whether a job may only be added with the progress that its record names.
+// That is so if the job has arrived by a move, also if this shard had it before.
+func (e *Engine) NeedsProgress(w *heatherhub.Workflow, recordRevision ledger.Revision) bool {
+	if w.Shard != e.cfg.Shard || w.ProgressRevision == 0 || recordRevision <= e.movedAway[w.ID].recordRevision {
+		return false
+	}
+	j := e.jobs[w.ID]
+	return j == nil || (recordRevision > j.recordRevision && j.progressRevision < ledger.Revision(w.ProgressRevision))
+}
+
+// RemoveOutdated forgets a job, if it is known, whose progress another shard has changed.
+func (e *Engine) RemoveOutdated(now Moment, id heatherhub.JobID) {
+	if j := e.jobs[id]; j != nil {
+		e.removeMovedJob(now, j)
+	}
+}
+
+// OriginNow returns the origin of a job whose record arrives now, so that the job may be added later.
+func (e *Engine) OriginNow(o JobOrigin) JobOrigin {
+	return o || JobOrigin(!e.isWatchCurrent())
+}
+
 // isBlocked reports whether the task's step waits for other steps.
 func (t *task) isBlocked() bool {
 	return t.step.blockers > 0 && len(t.attempts) == 0
@@ -159,7 +245,7 @@
 		e.movedWaiting = append(e.movedWaiting, movedJob{id: r.Workflow.ID, queue: r.Workflow.Queue, to: r.Workflow.Shard, recordRevision: r.RecordRevision, at: now.Steady})
 	}
 	j.workflow, j.recordRevision = r.Workflow, r.RecordRevision
-	if !r.Workflow.InvolvesShard(e.cfg.Shard) && j.openAttempts == 0 && !j.isOver() {
+	if !r.Workflow.InvolvesShard(e.cfg.Shard) && j.openAttempts == 0 && (!j.isOver() || j.isMoving) {
 		e.removeMovedJob(now, j)
 		return
 	}
@@ -229,5 +315,7 @@
 	delete(e.jobs, j.workflow.ID)
 	isOf := func(s *stepRun) bool { return s.occ.job == j }
 	e.ready = slices.DeleteFunc(e.ready, isOf)
-	e.changedJobs = slices.DeleteFunc(e.changedJobs, func(d *job) bool { return d == j })
+	isJob := func(d *job) bool { return d == j }
+	e.changedJobs = slices.DeleteFunc(e.changedJobs, isJob)
+	e.finished = slices.DeleteFunc(e.finished, isJob)
 }
--- a/process/dispatch/move_test.go
+++ b/process/dispatch/move_test.go
@@ -266,3 +266,97 @@
 		})
 	}
 }
+
+// startChain runs the first step of a job of two steps and leaves the second without a worker. Ends are
+// not committed.
+func startChain(t *testing.T) (*simulation, agent.Ended) {
+	b := newSimulation(t, dispatch.Policy{}, 1)
+	second := tasks(1, 6000, time.Second)
+	second.After = []int{0}
+	b.add("chain", tasks(1, 6000, time.Second), second)
+	orders := b.e.Decide(b.now)
+	if len(orders) != 1 {
+		t.Fatalf("got orders %v, want one start", orders)
+	}
+	o := orders[0]
+	b.e.OrderResult(b.now, o, dispatch.Confirmed)
+	w := b.worker(0)
+	w.Draining = true
+	b.e.UpdateWorker(w)
+	return b, agent.Ended{Sequence: 1, Task: o.Task, Run: o.Run, Kind: agent.EndDone}
+}
+
+// chainMoves returns the moves of the waiting second step.
+func chainMoves(b *simulation) []dispatch.Move {
+	return b.e.MovableWork(dispatch.Moment{Steady: b.now.Steady + 2*time.Second, Wall: b.now.Wall})
+}
+
+// TestBegunJobMovesWithItsProgress guards against a job that moves while an end of it is not durable,
+// or without the revision of the progress that its new owner has to read, and against a former
+// owner that writes its progress after the move.
+func TestBegunJobMovesWithItsProgress(t *testing.T) {
+	b, end := startChain(t)
+	worker := b.workers[0]
+	if got := chainMoves(b); len(got) != 0 {
+		t.Errorf("got moves %+v while a task runs, want none", got)
+	}
+	b.e.Report(b.now, b.now.Steady, worker, &agent.Report{Clock: 1, Ended: []agent.Ended{end}})
+	changes := b.e.TakeChanges(10)
+	if got := chainMoves(b); len(got) != 0 {
+		t.Errorf("got moves %+v before the end is durable, want none", got)
+	}
+	b.e.Committed(b.now, changes, 17)
+	moves := chainMoves(b)
+	if len(moves) != 1 || !moves[0].HasBegun || moves[0].Tasks != nil {
+		t.Fatalf("got moves %+v, want one of the begun job", moves)
+	}
+	flow, _, ok := b.e.PrepareMove(moves[0], otherShard)
+	if !ok || !flow.HasBegun || flow.ProgressRevision != 17 || flow.Shard != otherShard {
+		t.Fatalf("got record %+v (%v), want one of the other shard with progress 17", flow, ok)
+	}
+	b.e.Cancel(b.now, "chain")
+	if got := b.e.TakeChanges(10); len(got) != 0 {
+		t.Errorf("got changes %+v while the job is being moved, want none", got)
+	}
+	b.e.AddJob(b.now, dispatch.JobRecord{Workflow: flow, RecordRevision: 20})
+	b.e.SettleMove(b.now, "chain")
+	if got := b.e.TakeChanges(10); b.e.HasJob("chain") || len(got) != 0 {
+		t.Errorf("got the job in this shard (%v) and changes %+v after it moved, want neither", b.e.HasJob("chain"), got)
+	}
+
+	back := *flow
+	back.Shard, back.ProgressRevision = heatherhub.ShardID{}, 30
+	if !b.e.NeedsProgress(&back, 31) || b.e.NeedsProgress(&back, 19) {
+		t.Error("got no need for the progress of a job that came back, or one for an outdated record")
+	}
+}
+
+// TestFailedMoveLeavesTheJobAsItWas guards against a job that stays blocked, or loses an end that was
+// reported meanwhile, after its move has failed.
+func TestFailedMoveLeavesTheJobAsItWas(t *testing.T) {
+	b, end := startChain(t)
+	worker := b.workers[0]
+	b.e.Report(b.now, b.now.Steady, worker, &agent.Report{Clock: 1, Ended: []agent.Ended{end}})
+	b.e.Committed(b.now, b.e.TakeChanges(10), 17)
+	moves := chainMoves(b)
+	if len(moves) != 1 {
+		t.Fatalf("got moves %+v, want one", moves)
+	}
+	if _, _, ok := b.e.PrepareMove(moves[0], otherShard); !ok {
+		t.Fatal("got no move")
+	}
+	late := agent.Ended{Sequence: 2, Task: heatherhub.StepTask{Job: "chain", Step: 1}, Run: end.Run + 1, Kind: agent.EndDone}
+	b.e.Report(b.now, b.now.Steady, worker, &agent.Report{Clock: 1, Ended: []agent.Ended{late}})
+	if got := b.e.Acknowledged(worker); got != 1 {
+		t.Errorf("got ends acknowledged up to %d while the job is being moved, want 1", got)
+	}
+	b.e.SettleMove(b.now, "chain")
+	changes := b.e.TakeChanges(10)
+	if len(changes) != 1 || changes[0].Progress.State != heatherhub.WorkflowCompleted {
+		t.Fatalf("got changes %+v, want the completed job", changes)
+	}
+	b.e.Committed(b.now, changes, 18)
+	if got := b.e.Acknowledged(worker); got != 2 {
+		t.Errorf("got ends acknowledged up to %d, want 2", got)
+	}
+}
--- a/process/dispatch/progress.go
+++ b/process/dispatch/progress.go
@@ -86,7 +86,11 @@
 }
 
 // markChanged marks the progress of a job as changed, so that TakeChanges returns it.
+// It ignores jobs of other shards, whose progress only their owners write.
 func (e *Engine) markChanged(j *job) {
+	if j.isOwnedElsewhere {
+		return
+	}
 	j.changed++
 	if !j.isDirty {
 		j.isDirty = true
@@ -96,19 +100,24 @@
 
 // HasChanges reports whether any progress has to be made durable.
 func (e *Engine) HasChanges() bool {
-	return len(e.changedJobs) > 0
+	return slices.ContainsFunc(e.changedJobs, func(j *job) bool { return !j.isMoving })
 }
 
-// TakeChanges returns the progress of up to limit changed jobs. The caller writes it to
-// the store and then calls Committed, or RetryChanges if the write failed.
+// TakeChanges returns the progress of up to limit changed jobs, except those that are being moved.
+// The caller writes it to the store and then calls Committed, or RetryChanges if the write failed.
 func (e *Engine) TakeChanges(limit int) []Change {
-	n := min(limit, len(e.changedJobs))
-	out := make([]Change, 0, n)
-	for _, j := range e.changedJobs[:n] {
+	out := make([]Change, 0, min(limit, len(e.changedJobs)))
+	kept := e.changedJobs[:0]
+	for _, j := range e.changedJobs {
+		if len(out) == limit || j.isMoving {
+			kept = append(kept, j)
+			continue
+		}
 		j.isDirty = false
 		out = append(out, Change{Job: j.workflow.ID, Progress: j.progress.clone(), Revision: j.progressRevision, seq: j.changed})
 	}
-	e.changedJobs = slices.Delete(e.changedJobs, 0, n)
+	clear(e.changedJobs[len(kept):])
+	e.changedJobs = kept
 	return out
 }
 
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -55,6 +55,9 @@
 // again. isReplaced says that another worker has its address; otherwise its lease has expired, or
 // it has drained.
 func (e *Engine) WorkerGone(now Moment, id heatherhub.WorkerID, isReplaced bool) {
+	if _, isUnresolved := e.unresolved[id]; isUnresolved && !isReplaced {
+		e.hasLostUnresolved = true
+	}
 	e.resolve(id)
 	n := e.nodes[id]
 	if n == nil {
@@ -66,6 +69,9 @@
 		e.recordCrash(now, n, departure(isReplaced))
 	}
 	for _, a := range n.attemptsByRun() {
+		if !isReplaced {
+			a.task.step.occ.job.mayBeReported = true
+		}
 		e.endLostRun(now, a, "worker gone")
 	}
 }
@@ -224,7 +230,8 @@
 	n.lastEnd = end.Sequence
 	ack := &pendingAck{sequence: end.Sequence, task: end.Task}
 	n.pendingAcks = append(n.pendingAcks, ack)
-	if e.jobs[end.Task.Job] == nil {
+	if j := e.jobs[end.Task.Job]; j == nil || j.isMoving {
+		// The end of a run of a moving job counts once it is known whose job it is.
 		e.recordUnknownEnd(n, end, ack)
 		return
 	}
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -58,7 +58,10 @@
 	// openUnresolved counts the unresolved workers that may run any task, and heldBack has
 	// the tasks that may run on the others.
 	openUnresolved int
-	heldBack       map[heatherhub.StepTask]struct{}
+	// hasLostUnresolved means that an unresolved worker vanished. If it returns, it may report ends
+	// of inherited jobs.
+	hasLostUnresolved bool
+	heldBack          map[heatherhub.StepTask]struct{}
 	// unknownJobs are jobs that workers reported and that the caller has to look up.
 	// absent has the jobs whose lookup showed that they are not in this shard, with the
 	// time of the lookup.
@@ -138,6 +141,9 @@
 	// mayHaveBegun means that a worker was lost while it had an unconfirmed start. If the
 	// worker returns, it may report the end of that run.
 	mayHaveBegun bool
+	// mayBeReported means that a worker vanished with a confirmed run. If it returns, it may
+	// report the end of that run.
+	mayBeReported bool
 	// openAttempts counts the attempts that are not known to be over.
 	openAttempts int
 	// undoneTasks counts the tasks that are not done.
@@ -146,6 +152,9 @@
 	progressRevision ledger.Revision
 	// recordRevision is the revision at which the job's own record was last read.
 	recordRevision ledger.Revision
+	// isMoving means that a move of the whole job is under way. Its progress is neither written
+	// nor changed by reports until the outcome is known.
+	isMoving bool
 	// isOwnedElsewhere means that another shard owns the job and this one runs some of
 	// its tasks.
 	isOwnedElsewhere bool
--- a/process/owner/commit.go
+++ b/process/owner/commit.go
@@ -330,7 +330,7 @@
 	now := t.now()
 	value, err := record.Encode(record.Load{
 		Capacity: l.Capacity, Reserved: l.Reserved, FillerDemand: l.FillerDemand, Backlog: l.Backlog,
-		Waiting: waiting, BegunGuests: t.engine.BegunGuests(), MovedJobs: t.engine.MovedJobs(now), JobsRead: t.jobsRead, JobsReadAge: now.Steady - t.jobsAnsweredAt,
+		Waiting: waiting, BegunGuests: t.engine.BegunGuests(), MovedJobs: t.engine.MovedJobs(now), JobsRead: t.jobsRead, JobsReadAge: now.Steady - t.jobsAnsweredAt, OwnerRevision: t.ownerRevision,
 		Racks: t.engine.Racks(), LargestFree: t.engine.LargestFree(now, record.MaxLargestFree),
 		LargestSpare: t.engine.LargestSpare(now, record.MaxLargestFree), FillerRoom: t.engine.FillerRoom(now), At: now.Wall,
 	})
--- a/process/owner/lookup.go
+++ b/process/owner/lookup.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"maps"
+
 	"go.uber.org/zap"
 
 	"heatherhub.example/heatherhub"
@@ -19,7 +21,7 @@
 			return
 		case <-t.wakeLookup:
 		}
-		for t.ctx.Err() == nil && !t.lookUpUnknown() {
+		for t.ctx.Err() == nil && !(t.lookUpUnknown() && t.readAwaited()) {
 			ledger.Sleep(t.ctx, storeRetryDelay)
 		}
 	}
@@ -52,8 +54,92 @@
 	}
 	isKnown := t.engine.HasJob(id)
 	t.log.Info("job looked up", zap.String("job", string(id)), zap.Bool("known", isKnown))
-	if !isKnown {
+	if _, isAwaited := t.awaited[id]; !isKnown && !isAwaited {
 		t.engine.MarkAbsent(t.now(), id, it.Revision)
 	}
 	t.wakeLoops()
 }
+
+// awaitedJob is a job that arrived by a move and is not started before its progress was read.
+type awaitedJob struct {
+	item ledger.Item
+	// revision is the lowest revision that the progress may have.
+	revision    ledger.Revision
+	origin      dispatch.JobOrigin
+	isCancelled bool
+}
+
+// awaitProgress keeps a job until the lookup loop has read its progress. Records may arrive in any
+// order; older ones are ignored. The caller holds t.mu.
+func (t *term) awaitProgress(flow *heatherhub.Workflow, it ledger.Item, origin dispatch.JobOrigin) {
+	a := t.awaited[flow.ID]
+	if it.Revision <= a.item.Revision {
+		return
+	}
+	a.item, a.revision, a.origin = it, ledger.Revision(flow.ProgressRevision), t.engine.OriginNow(origin)
+	t.awaited[flow.ID] = a
+	signal(t.wakeLookup)
+}
+
+// cancelJob cancels a job, also if its progress has not been read. The caller holds t.mu.
+func (t *term) cancelJob(id heatherhub.JobID) {
+	if a, ok := t.awaited[id]; ok {
+		a.isCancelled = true
+		t.awaited[id] = a
+	}
+	t.engine.Cancel(t.now(), id)
+}
+
+// readAwaited reads the progress of the jobs that wait for it. It reports false if any of them
+// still waits afterwards.
+func (t *term) readAwaited() bool {
+	t.mu.Lock()
+	awaited := maps.Clone(t.awaited)
+	t.mu.Unlock()
+	isComplete := true
+	for id, a := range awaited {
+		progress, err := t.host.cfg.Store.Get(t.ctx, record.ProgressKey(id))
+		if err == nil && progress.Revision < a.revision {
+			// Progress is deleted with its job only.
+			var it ledger.Item
+			if it, err = t.host.cfg.Store.Get(t.ctx, record.JobKey(id)); err == nil && it.Revision == 0 {
+				t.removeAwaited(id, a)
+				continue
+			}
+		}
+		if err != nil || progress.Revision < a.revision {
+			t.log.Warn("progress of a moved job not read", zap.String("job", string(id)), zap.Uint64("revision", uint64(progress.Revision)), zap.Error(err))
+			isComplete = false
+			continue
+		}
+		t.addAwaited(id, a, progress)
+	}
+	return isComplete
+}
+
+// addAwaited adds a job whose progress was read, unless a newer record of it has arrived.
+func (t *term) addAwaited(id heatherhub.JobID, a awaitedJob, progress ledger.Item) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	latest := t.awaited[id]
+	if latest.item.Revision != a.item.Revision {
+		return
+	}
+	t.addJob(latest.item, progress, latest.origin)
+	delete(t.awaited, id)
+	if latest.isCancelled {
+		t.engine.Cancel(t.now(), id)
+	}
+	t.log.Info("moved job arrived", zap.String("job", string(id)), zap.Uint64("progress", uint64(progress.Revision)))
+	t.wakeLoops()
+}
+
+// removeAwaited forgets an awaited job that was deleted.
+func (t *term) removeAwaited(id heatherhub.JobID, a awaitedJob) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.awaited[id].item.Revision == a.item.Revision {
+		delete(t.awaited, id)
+		t.engine.MarkAbsent(t.now(), id, 0)
+	}
+}
--- a/process/owner/metrics.go
+++ b/process/owner/metrics.go
@@ -22,6 +22,8 @@
 	workersGone *prometheus.CounterVec
 	// workerRestarts counts workers that were seen in another incarnation.
 	workerRestarts prometheus.Counter
+	// moves counts the moves of work to other shards, by kind.
+	moves *prometheus.CounterVec
 }
 
 // waitBuckets are the histogram buckets of waiting times, in seconds. Most starts take
@@ -54,12 +56,15 @@
 		workersGone: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "heatherhub_workers_gone_total", Help: "Workers on which no task runs any more, by evidence.",
 		}, []string{"evidence"}),
+		moves: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "heatherhub_moves_total", Help: "Moves of waiting work to other shards by kind: tasks, job, or begun job.",
+		}, []string{"kind"}),
 		workerRestarts: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "heatherhub_worker_restarts_total", Help: "Workers that started again under their ID.",
 		}),
 	}
 	if r != nil {
-		r.MustRegister(m.events, m.takeovers, m.shardsLost, m.commits, m.commitTime, m.stepWait, m.jobTime, m.workers, m.workersGone, m.workerRestarts)
+		r.MustRegister(m.events, m.takeovers, m.shardsLost, m.commits, m.commitTime, m.stepWait, m.jobTime, m.workers, m.workersGone, m.workerRestarts, m.moves)
 	}
 	return m
 }
--- a/process/owner/move.go
+++ b/process/owner/move.go
@@ -42,7 +42,7 @@
 		t.mu.Unlock()
 		if len(crashed) > 0 && acquire(t.ctx, t.moveSem) {
 			for _, m := range crashed {
-				t.writeMove(m, m.Home)
+				t.writeMove(m, m.Home, 0)
 			}
 			release(t.moveSem)
 		}
@@ -106,7 +106,7 @@
 				break
 			}
 			written++
-			if revision := t.writeMove(part, to); revision > 0 {
+			if revision := t.writeMove(part, to, loads[to].OwnerRevision); revision > 0 {
 				t.recentMoves = append(t.recentMoves, recentMove{to: to, move: part, revision: revision, at: t.now().Steady})
 			}
 			if len(part.Tasks) == len(move.Tasks) {
@@ -174,7 +174,7 @@
 // hasCapacityFor reports whether a shard with load l can start at least one task of a move.
 // A whole job moves only to a shard whose pressure is lower by minPressureGain.
 func (m *movePlanner) hasCapacityFor(move dispatch.Move, l record.Load) bool {
-	if !canStart(move, l) {
+	if !canStart(move, l) || (move.HasBegun && l.OwnerRevision == 0) {
 		return false
 	}
 	own := m.loads[m.own]
@@ -222,32 +222,44 @@
 
 // writeMove writes a job record that assigns waiting work to another shard, and returns its
 // revision, or zero if the work was not moved. The engine learns the result from the record
-// that stands afterwards, like that of any other job.
-func (t *term) writeMove(m dispatch.Move, to heatherhub.ShardID) ledger.Revision {
+// that stands afterwards, like that of any other job. owner is the revision of the claim of the
+// shard's owner: a job with progress moves only to one that has said that it reads the progress.
+func (t *term) writeMove(m dispatch.Move, to heatherhub.ShardID, owner ledger.Revision) ledger.Revision {
 	t.mu.Lock()
 	flow, recorded, ok := t.engine.PrepareMove(m, to)
 	t.mu.Unlock()
 	if !ok {
 		return 0
 	}
-	it, err := t.replaceJobRecord(flow, recorded)
+	var more []ledger.Precondition
+	if flow.HasBegun {
+		more = append(more,
+			ledger.Precondition{Key: record.ProgressKey(m.Job), Revision: ledger.Revision(flow.ProgressRevision)},
+			ledger.Precondition{Key: record.OwnerKey(to), Revision: owner})
+	}
+	it, err := t.replaceJobRecord(flow, recorded, more)
 	if it.Revision > 0 {
 		t.mu.Lock()
 		t.addJob(it, ledger.Item{}, dispatch.OriginNew)
+		t.engine.SettleMove(t.now(), m.Job)
+		t.wakeLoops()
 		t.mu.Unlock()
 	}
+	kind := m.Kind()
 	if err != nil {
-		t.log.Info("work not moved", zap.String("job", string(m.Job)), zap.Error(err))
+		t.log.Info("work not moved", zap.String("job", string(m.Job)), zap.String("kind", kind), zap.Error(err))
 		return 0
 	}
-	t.log.Info("work moved", zap.String("job", string(m.Job)), zap.Int("count", len(m.Tasks)), zap.Stringer("to", to), zap.Duration("waited", m.Waited))
+	t.host.metrics.moves.WithLabelValues(kind).Inc()
+	t.log.Info("work moved", zap.String("job", string(m.Job)), zap.String("kind", kind), zap.Int("count", len(m.Tasks)), zap.Stringer("to", to),
+		zap.Duration("waited", m.Waited), zap.Uint64("progress", flow.ProgressRevision))
 	return it.Revision
 }
 
-// replaceJobRecord replaces the record of a job at revision recorded and returns the new
-// record. It retries until the result is known. With an error it returns the record that
+// replaceJobRecord replaces the record of a job at revision recorded, if the preconditions in
+// more hold as well, and returns the new record. It retries until the result is known. With an error it returns the record that
 // the store has instead, if it is known.
-func (t *term) replaceJobRecord(flow *heatherhub.Workflow, recorded ledger.Revision) (ledger.Item, error) {
+func (t *term) replaceJobRecord(flow *heatherhub.Workflow, recorded ledger.Revision, more []ledger.Precondition) (ledger.Item, error) {
 	value, err := record.Encode(flow)
 	if err != nil {
 		return ledger.Item{}, err
@@ -256,7 +268,7 @@
 	txn := ledger.Txn{
 		// Fails if the job was cancelled: the target shard has ignored a cancel that came
 		// before it knew the job.
-		Preconditions: []ledger.Precondition{t.ownerCondition(), {Key: key, Revision: recorded}, {Key: record.CancelKey(flow.ID)}},
+		Preconditions: append([]ledger.Precondition{t.ownerCondition(), {Key: key, Revision: recorded}, {Key: record.CancelKey(flow.ID)}}, more...),
 		Puts:          []ledger.Put{{Key: key, Value: value}},
 	}
 	for {
@@ -281,5 +293,5 @@
 		t.end("another owner has the shard")
 		return ledger.Item{}, heatherhub.ErrNotOwner.New("another owner has the shard")
 	}
-	return c.Find(key), heatherhub.ErrConflict.New("the job was cancelled, or its record has changed")
+	return c.Find(key), heatherhub.ErrConflict.New("the job was cancelled, its record or progress has changed, or the other shard has another owner")
 }
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -73,6 +73,9 @@
 	wakeDecide chan struct{}
 	wakeCommit chan struct{}
 	wakeLookup chan struct{}
+	// awaited has the jobs that arrived by a move and whose progress has not been read; mu guards
+	// it.
+	awaited map[heatherhub.JobID]awaitedJob
 	// recentMoves holds the moves of the last recentMoveTTL. Only the move loop uses it.
 	recentMoves []recentMove
 	// publishCount counts the publications. Only the publish loop uses it.
@@ -98,7 +101,7 @@
 		incarnations: make(map[heatherhub.WorkerName][]*workerLoop), known: make(map[heatherhub.WorkerName]heatherhub.WorkerID), ended: make(map[heatherhub.WorkerName]endedIncarnation),
 		committed: make(chan struct{}), wakeDecide: make(chan struct{}, 1), wakeCommit: make(chan struct{}, 1),
 		wakePublish: make(chan struct{}, 1), wakeLookup: make(chan struct{}, 1), writeSem: make(chan struct{}, 1),
-		publishSem: make(chan struct{}, 1), moveSem: make(chan struct{}, 1),
+		publishSem: make(chan struct{}, 1), moveSem: make(chan struct{}, 1), awaited: make(map[heatherhub.JobID]awaitedJob),
 	}
 	// The shard may have been lost while the answer was under way.
 	t.confirmedAt.Store(int64(claimedAt))
@@ -317,18 +320,30 @@
 		t.addJob(it, progress[id], dispatch.OriginPreviousOwner)
 	}
 	for _, id := range cancels {
-		t.engine.Cancel(t.now(), id)
+		t.cancelJob(id)
 	}
 }
 
-// addJob decodes a job and its progress, if there is any, and adds it to the engine. A
-// record that cannot be decoded is logged and skipped. The caller holds t.mu.
+// addJob decodes a job and its progress, if there is any, and adds it to the engine. A job that
+// has arrived by a move with progress waits until that was read. A record that cannot be decoded
+// is logged and skipped. The caller holds t.mu.
 func (t *term) addJob(it, progress ledger.Item, origin dispatch.JobOrigin) {
 	var flow heatherhub.Workflow
 	if err := heatherhub.Unmarshal(it.Value, &flow); err != nil {
 		t.log.Error("job unreadable", zap.String("key", it.Key), zap.Error(err))
 		return
 	}
+	if it.Revision < t.awaited[flow.ID].item.Revision {
+		return
+	}
+	if t.engine.NeedsProgress(&flow, it.Revision) {
+		t.engine.RemoveOutdated(t.now(), flow.ID)
+		if uint64(progress.Revision) < flow.ProgressRevision {
+			t.awaitProgress(&flow, it, origin)
+			return
+		}
+	}
+	delete(t.awaited, flow.ID)
 	r := dispatch.JobRecord{Workflow: &flow, RecordRevision: it.Revision, ProgressRevision: progress.Revision, Origin: origin}
 	if progress.Revision > 0 {
 		if err := heatherhub.Unmarshal(progress.Value, &r.Progress); err != nil {
@@ -397,7 +412,7 @@
 		switch {
 		case e.Deleted:
 		case isCancel:
-			t.engine.Cancel(t.now(), id)
+			t.cancelJob(id)
 		default:
 			t.addJob(e.Item, ledger.Item{}, dispatch.OriginNew)
 		}
--- a/process/record/load.go
+++ b/process/record/load.go
@@ -25,6 +25,9 @@
 	// JobsReadAge the time since the store last answered its watch of them.
 	JobsRead    ledger.Revision `msgpack:"jr" json:"jobsRead"`
 	JobsReadAge time.Duration   `msgpack:"ja" json:"jobsReadAge"`
+	// OwnerRevision is the revision of the owner's claim to the shard. Owners of earlier versions,
+	// which do not read the progress of jobs that arrive by a move, leave it out.
+	OwnerRevision ledger.Revision `msgpack:"or,omitempty" json:"ownerRevision,omitempty"`
 	// Racks are the racks of the shard's workers.
 	Racks []heatherhub.Rack `msgpack:"k,omitempty" json:"racks,omitempty"`
 	// LargestFree has, by pool, the free resources of the workers with the most free
--- a/process/record/record.go
+++ b/process/record/record.go
@@ -18,7 +18,8 @@
 //   - fleet/SHARD: the owner, if the owner's key is unchanged.
 //   - job/ID: any host, if the key is absent and the configuration is unchanged.
 //     Later the owner, to move waiting work to another shard, if the owner's key and
-//     the record are unchanged.
+//     the record are unchanged and job/ID/cancel is absent. If runs of the job have ended,
+//     also if progress/ID and the key of the other shard's owner are unchanged.
 //   - job/ID/cancel: any host, if the job's record is unchanged.
 //   - progress/ID: the owner, if the owner's key and the record are unchanged.
 //   - load/SHARD and learnt/SHARD: the owner, if the owner's key is unchanged.
--- a/workflow.go
+++ b/workflow.go
@@ -121,6 +121,12 @@
 	TaskShards map[int]ShardID `msgpack:"ho,omitempty" json:"homes,omitempty"`
 	// Crashes has the crashes of tasks that were moved to other shards, as of their last move.
 	Crashes []CrashedRun `msgpack:"cr,omitempty" json:"crashes,omitempty"`
+	// HasBegun means that a run of the workflow had begun when the workflow was last moved to
+	// another shard.
+	HasBegun bool `msgpack:"bg,omitempty" json:"begun,omitempty"`
+	// ProgressRevision is the revision that the workflow's progress had then. The owner of Shard
+	// starts nothing before it has read the progress of that revision or a later one.
+	ProgressRevision uint64 `msgpack:"pr,omitempty" json:"progressRevision,omitempty"`
 }
 
 // ShardOf returns the shard that runs a task. The task's number is counted over all
