Move up to 24 pieces of work a round, and without a wait where none helps

Cause: a round moved 8 pieces of work and a load listed the room of 8 workers, so 60 jobs took over 3 s to leave a full shard. Work that met a full shard after a move, or waited where no worker could start it, waited for 1 s.

A round moves 24 pieces, and the next one follows at once while a round is full of successful moves. Work that has arrived by a move moves on after 0.1 s without a start, and work in a shard of which all workers drain or are silent at once and regardless of pressure. The record lists the moves of the last 10 s; after 4 of a task or job it stays.

Ruled out: a count in the memory of each owner, which does not see moves between other shards; a look for urgent work in each decision (every 8 ms) instead of every 0.1 s.

--- a/process/dispatch/move.go
+++ b/process/dispatch/move.go
@@ -31,6 +31,10 @@
 	IsFiller bool
 	Image    string
 	Waited   time.Duration
+	// IsStranded means that no worker of this shard could start the work now.
+	IsStranded bool
+	// At is the wall-clock time at which the work was found to be movable.
+	At time.Time
 	// HasBegun means that runs of the job have ended, so that it moves with its progress.
 	HasBegun bool
 	// Home is the shard of the job, if the tasks go back to it.
@@ -49,23 +53,57 @@
 	}
 }
 
-// MovableWork returns the work that has waited for at least MoveAfter, the longest waiting
-// first.
+// Limits of moves without the wait of MoveAfter.
+const (
+	// maxRelocations is how often work may move within relocationWindow, so that it does not
+	// travel between shards that fill up.
+	maxRelocations   = 4
+	relocationWindow = 10 * time.Second
+	// arrivalDelay is the time that work which has arrived by a move has to start: several
+	// decisions. If it has not, the room that was reserved for it is taken.
+	arrivalDelay = 100 * time.Millisecond
+	// strandedSilence is how long a worker must be silent before work leaves a shard for that
+	// without a wait. Single calls fail now and then.
+	strandedSilence = 300 * time.Millisecond
+)
+
+// MovableWork returns the work that has waited for at least MoveAfter and the UrgentWork, the
+// longest waiting first.
 func (e *Engine) MovableWork(now Moment) []Move {
+	return e.movableWork(now, false)
+}
+
+// UrgentWork returns the work that moves without the wait of MoveAfter: that which no worker of the
+// shard could start now, and that which has arrived by a move and found no room.
+func (e *Engine) UrgentWork(now Moment) []Move {
+	return e.movableWork(now, true)
+}
+
+func (e *Engine) movableWork(now Moment, isUrgentOnly bool) []Move {
+	isStranded := e.isStranded(now)
 	var out []Move
+	seen := make(map[*job]struct{})
 	for _, s := range e.ready {
+		j := s.occ.job
 		waited := now.Steady - s.readySince
-		if waited < e.cfg.MoveAfter || !e.isMovable(now, s) {
+		hasWaited := waited >= e.cfg.MoveAfter && !isUrgentOnly
+		if (!hasWaited && !isStranded && len(j.workflow.Relocations) == 0) || !e.isMovable(now, s, isStranded) {
 			continue
 		}
 		sh := shapeOf(s, false)
 		m := Move{
-			Job: s.occ.job.workflow.ID, Need: sh.need, Reserved: s.need, Pool: sh.pool,
-			IsFiller: sh.isFiller, Image: sh.image, Waited: waited,
+			Job: j.workflow.ID, Need: sh.need, Reserved: s.need, Pool: sh.pool,
+			IsFiller: sh.isFiller, Image: sh.image, Waited: waited, IsStranded: isStranded, At: now.Wall,
 		}
-		if s.occ.job.workflow.CanSplit() {
+		count := j.relocationCounter(now.Wall)
+		isDue := func(t *task) bool {
+			n := count(t)
+			hasSettled := now.Steady-max(s.readySince, t.arrivedAt) >= arrivalDelay
+			return n < maxRelocations && (isStranded || (hasSettled && (hasWaited || n > 0)))
+		}
+		if j.workflow.CanSplit() {
 			for _, t := range s.pending {
-				if e.isStartable(now.Steady, t) {
+				if isDue(t) && e.isStartable(now.Steady, t) {
 					m.Tasks = append(m.Tasks, t.flatIndex())
 				}
 			}
@@ -73,7 +111,11 @@
 				continue
 			}
 		} else {
-			m.HasBegun = s.occ.job.state != heatherhub.WorkflowQueued
+			if _, isSeen := seen[j]; isSeen || !isDue(s.pending[0]) {
+				continue
+			}
+			seen[j] = struct{}{}
+			m.HasBegun = j.state != heatherhub.WorkflowQueued
 		}
 		out = append(out, m)
 	}
@@ -81,7 +123,48 @@
 	return out
 }
 
-func (e *Engine) isMovable(now Moment, s *stepRun) bool {
+// relocationCounter returns a function that counts the moves of a task, alone or with its job, within
+// relocationWindow.
+func (j *job) relocationCounter(now time.Time) func(*task) int {
+	whole, single := 0, make(map[int]int)
+	for _, r := range recentRelocations(j.workflow.Relocations, now) {
+		if r.Tasks == nil {
+			whole++
+		}
+		for _, k := range r.Tasks {
+			single[k]++
+		}
+	}
+	if len(single) == 0 {
+		return func(*task) int { return whole }
+	}
+	return func(t *task) int { return whole + single[t.flatIndex()] }
+}
+
+// recentRelocations returns the moves within relocationWindow of now. The times are of the wall
+// clocks of several hosts, so later ones count as well.
+func recentRelocations(all []heatherhub.Relocation, now time.Time) []heatherhub.Relocation {
+	return slices.DeleteFunc(slices.Clone(all), func(r heatherhub.Relocation) bool { return now.Sub(r.At).Abs() > relocationWindow })
+}
+
+// MarkWorkersAsked records that each worker of the shard has answered this owner, or failed to.
+func (e *Engine) MarkWorkersAsked() {
+	e.hasAskedWorkers = true
+}
+
+// isStranded reports whether it is known that no worker of the shard could start anything now.
+func (e *Engine) isStranded(now Moment) bool {
+	return e.hasAskedWorkers && !e.isUsable(now)
+}
+
+// isUsable reports whether any worker of the shard could take a start now.
+func (e *Engine) isUsable(now Moment) bool {
+	return slices.ContainsFunc(e.sortedNodes, func(n *node) bool {
+		return !n.worker.Draining && (!n.isUnresponsive || now.Steady-n.silentSince < strandedSilence)
+	})
+}
+
+func (e *Engine) isMovable(now Moment, s *stepRun, isStranded bool) bool {
 	j := s.occ.job
 	if j.isOver() || j.isMoving || len(s.pending) == 0 || (j.isInherited && e.openUnresolved > 0) {
 		return false
@@ -89,25 +172,27 @@
 	if j.workflow.CanSplit() {
 		return true
 	}
-	if !e.canMoveWhole(j) || j.workflow.Schedule != nil || j.workflow.IsLongRunning() {
+	if !e.canMoveWhole(j, isStranded) || j.workflow.Schedule != nil || j.workflow.IsLongRunning() {
 		return false
 	}
 	return !slices.ContainsFunc(j.tasksOf(nil), e.mayRunUnresolved) && e.isStartable(now.Steady, s.pending[0])
 }
 
 // canMoveWhole reports whether the whole job may move, without or with progress.
-func (e *Engine) canMoveWhole(j *job) bool {
-	return j.isUntouched() || e.isSettled(j)
+func (e *Engine) canMoveWhole(j *job, isStranded bool) bool {
+	return j.isUntouched() || e.isSettled(j, isStranded)
 }
 
 // isSettled reports whether nothing of a begun job runs, all of its progress is stored, and no
 // worker holds an end of it that this shard would have to record. A worker that has vanished may
-// return with such an end. Gangs do not move, as their workers are chosen together.
-func (e *Engine) isSettled(j *job) bool {
+// return with such an end. That does not keep the job in a shard in which nothing can start: the
+// lease of that worker is over, so its runs have to be repeated in any case. Gangs do not move, as
+// their workers are chosen together.
+func (e *Engine) isSettled(j *job, isStranded bool) bool {
 	if j.state != heatherhub.WorkflowRunning || j.isOwnedElsewhere || j.openAttempts > 0 || j.committed != j.changed {
 		return false
 	}
-	if j.mayHaveBegun || j.mayBeReported || (j.isInherited && e.hasLostUnresolved) {
+	if !isStranded && (j.mayHaveBegun || j.mayBeReported || (j.isInherited && e.hasLostUnresolved)) {
 		return false
 	}
 	if slices.ContainsFunc(j.workflow.Steps, func(s heatherhub.Step) bool { return s.Gang }) || e.unknownJobs[j.workflow.ID] != nil {
@@ -140,7 +225,7 @@
 	if slices.ContainsFunc(tasks, func(t *task) bool { return !t.isPending && !t.isBlocked() && !t.isDone }) {
 		return nil, 0, false
 	}
-	if m.Tasks == nil && (!e.canMoveWhole(j) || slices.ContainsFunc(tasks, e.mayRunUnresolved)) {
+	if m.Tasks == nil && (!e.canMoveWhole(j, m.IsStranded) || slices.ContainsFunc(tasks, e.mayRunUnresolved)) {
 		return nil, 0, false
 	}
 	workflow := *j.workflow
@@ -160,6 +245,9 @@
 			workflow.TaskShards[k] = to
 		}
 	}
+	if m.Home == (heatherhub.ShardID{}) {
+		workflow.Relocations = append(recentRelocations(workflow.Relocations, m.At), heatherhub.Relocation{At: m.At, Tasks: m.Tasks})
+	}
 	for _, t := range tasks {
 		t.isMoving = true
 		for _, c := range t.crashes {
@@ -254,7 +342,7 @@
 		for _, s := range o.steps {
 			s.spec = &j.workflow.Steps[s.index]
 			for _, t := range s.tasks {
-				e.updateTaskShard(j, t)
+				e.updateTaskShard(now, j, t)
 			}
 		}
 		e.enqueueReady(now, o)
@@ -286,9 +374,13 @@
 
 // updateTaskShard makes a task pending if this shard runs it. Otherwise it removes the
 // task from the pending ones and stops its runs.
-func (e *Engine) updateTaskShard(j *job, t *task) {
+func (e *Engine) updateTaskShard(now Moment, j *job, t *task) {
 	t.isMoving = false
+	wasRemote := t.isRemote
 	t.isRemote = j.workflow.ShardOf(t.flatIndex()) != e.cfg.Shard
+	if wasRemote && !t.isRemote {
+		t.arrivedAt = now.Steady
+	}
 	switch {
 	case !t.isRemote && len(t.attempts) == 0:
 		t.step.addPending(t)
--- a/process/dispatch/move_test.go
+++ b/process/dispatch/move_test.go
@@ -360,3 +360,62 @@
 		t.Errorf("got ends acknowledged up to %d, want 2", got)
 	}
 }
+
+// TestArrivedWorkMovesOnButDoesNotTravel guards against work that waits for MoveAfter once more in a
+// shard whose room was taken when it arrived, and against work that goes round the shards.
+func TestArrivedWorkMovesOnButDoesNotTravel(t *testing.T) {
+	for _, c := range []struct {
+		moves              int
+		age                time.Duration
+		isUrgent, isMoving bool
+	}{{0, 0, false, true}, {1, 0, true, true}, {3, 0, true, true}, {4, 0, false, false}, {4, 11 * time.Second, false, true}} {
+		b := newFullWorker(t)
+		spec := tasks(1, 2500, time.Second)
+		flow := &heatherhub.Workflow{ID: "arrived", Queue: queue, Steps: []heatherhub.Step{spec}, Accepted: b.now.Wall}
+		for range c.moves {
+			flow.Relocations = append(flow.Relocations, heatherhub.Relocation{At: b.now.Wall.Add(-c.age)})
+		}
+		b.workflows[flow.ID] = flow
+		b.e.AddJob(b.now, dispatch.JobRecord{Workflow: flow, RecordRevision: 3})
+		find := func(moves []dispatch.Move) bool {
+			return slices.ContainsFunc(moves, func(m dispatch.Move) bool { return m.Job == flow.ID })
+		}
+		if find(b.e.UrgentWork(b.now)) {
+			t.Errorf("%+v: got a move before any decision", c)
+		}
+		b.advance(200 * time.Millisecond)
+		if got := find(b.e.UrgentWork(b.now)); got != c.isUrgent {
+			t.Errorf("%+v: got urgent: %v", c, got)
+		}
+		b.advance(2 * time.Second)
+		if got := find(b.e.MovableWork(b.now)); got != c.isMoving {
+			t.Errorf("%+v: got movable: %v", c, got)
+		}
+	}
+}
+
+// TestWorkLeavesAShardWithoutUsableWorkersAtOnce guards against work that waits for MoveAfter where no
+// worker can start it, and against moves right after a takeover, before the workers were asked.
+func TestWorkLeavesAShardWithoutUsableWorkersAtOnce(t *testing.T) {
+	b := newSimulation(t, dispatch.Policy{}, 2)
+	w := b.worker(0)
+	w.Draining = true
+	b.e.UpdateWorker(w)
+	b.e.WorkerUnresponsive(b.now, b.workers[1])
+	b.add("waiting", tasks(1, 2500, time.Second))
+	if got := b.e.UrgentWork(dispatch.Moment{Steady: b.now.Steady + 400*time.Millisecond}); len(got) != 0 {
+		t.Errorf("got moves %+v before the workers were asked, want none", got)
+	}
+	b.e.MarkWorkersAsked()
+	if got := b.e.UrgentWork(b.now); len(got) != 0 {
+		t.Errorf("got moves %+v after a single call without an answer, want none", got)
+	}
+	b.now.Steady += 400 * time.Millisecond
+	if got := b.e.UrgentWork(b.now); len(got) != 1 || !got[0].IsStranded {
+		t.Errorf("got moves %+v without a usable worker, want one", got)
+	}
+	b.e.Report(b.now, b.now.Steady, b.workers[1], &agent.Report{Clock: 1})
+	if got := b.e.UrgentWork(b.now); len(got) != 0 {
+		t.Errorf("got moves %+v with a usable worker, want none", got)
+	}
+}
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -61,7 +61,9 @@
 	// hasLostUnresolved means that an unresolved worker vanished. If it returns, it may report ends
 	// of inherited jobs.
 	hasLostUnresolved bool
-	heldBack          map[heatherhub.StepTask]struct{}
+	// hasAskedWorkers means that each worker of the shard has answered this owner, or failed to.
+	hasAskedWorkers bool
+	heldBack        map[heatherhub.StepTask]struct{}
 	// unknownJobs are jobs that workers reported and that the caller has to look up.
 	// absent has the jobs whose lookup showed that they are not in this shard, with the
 	// time of the lookup.
@@ -232,8 +234,10 @@
 	isPending bool
 	// isRemote means that another shard runs the task, isMoving that a move to another
 	// shard is under way.
-	isRemote   bool
-	isMoving   bool
+	isRemote bool
+	isMoving bool
+	// arrivedAt is the steady time at which the task came to this shard by a move, or zero.
+	arrivedAt  time.Duration
 	checkpoint heatherhub.CheckpointRef
 	failedRuns []heatherhub.RunID
 	attempts   []*attempt
--- a/process/owner/commit.go
+++ b/process/owner/commit.go
@@ -201,6 +201,7 @@
 func (t *term) publishOnceResolved() {
 	if !t.isResolved && !t.engine.HasUnresolved() && t.hasAskedAllWorkers() {
 		t.isResolved = true
+		t.engine.MarkWorkersAsked()
 		t.log.Info("takeover resolved", zap.Duration("took", t.now().Steady-t.startedAt))
 		signal(t.wakePublish)
 	}
@@ -331,8 +332,8 @@
 	value, err := record.Encode(record.Load{
 		Capacity: l.Capacity, Reserved: l.Reserved, FillerDemand: l.FillerDemand, Backlog: l.Backlog,
 		Waiting: waiting, BegunGuests: t.engine.BegunGuests(), MovedJobs: t.engine.MovedJobs(now), JobsRead: t.jobsRead, JobsReadAge: now.Steady - t.jobsAnsweredAt, OwnerRevision: t.ownerRevision,
-		Racks: t.engine.Racks(), LargestFree: t.engine.LargestFree(now, record.MaxLargestFree),
-		LargestSpare: t.engine.LargestSpare(now, record.MaxLargestFree), FillerRoom: t.engine.FillerRoom(now), At: now.Wall,
+		Racks: t.engine.Racks(), LargestFree: record.Rooms(t.engine.LargestFree(now, record.MaxLargestFree)),
+		LargestSpare: record.Rooms(t.engine.LargestSpare(now, record.MaxLargestFree)), FillerRoom: t.engine.FillerRoom(now), At: now.Wall,
 	})
 	return value, t.engine.RemoveExpired(now, t.host.cfg.EndedRetention, maxExpiredPerCommit), err
 }
--- a/process/owner/move.go
+++ b/process/owner/move.go
@@ -22,45 +22,80 @@
 	// moveInterval is the time between two rounds of moves. The load records of other
 	// shards are about as old.
 	moveInterval = 700 * time.Millisecond
+	// urgentInterval is the time between two looks for work that moves without a wait.
+	urgentInterval = 100 * time.Millisecond
 	// maxMovesPerRound bounds the store writes of one round.
-	maxMovesPerRound = 8
+	maxMovesPerRound = 24
 	// minPressureGain is how much lower the pressure (record.Load.Pressure) of another
 	// shard has to be before a whole job moves there: about 0.3 s of queued work, or 30%
 	// of the processors.
 	minPressureGain = 0.3
 )
 
-// moveLoop moves waiting work to shards with free capacity.
+// moveLoop moves waiting work to shards with free capacity. A round that has moved as much as a
+// round may is followed by the next one at once.
 func (t *term) moveLoop() {
+	nextRound, nextUrgent := t.now().Steady+moveInterval, time.Duration(0)
 	for t.ctx.Err() == nil {
-		ledger.Sleep(t.ctx, moveInterval)
-		if len(t.host.View().Layout.Shards) < 2 || t.isHandingOver.Load() || !t.mayAct(t.now().Steady) {
+		ledger.Sleep(t.ctx, urgentInterval)
+		now := t.now().Steady
+		isFull := now >= nextRound
+		if !isFull && now < nextUrgent {
 			continue
 		}
-		t.mu.Lock()
-		moves, crashed := t.engine.MovableWork(t.now()), t.engine.CrashedGuests()
-		t.mu.Unlock()
-		if len(crashed) > 0 && acquire(t.ctx, t.moveSem) {
-			for _, m := range crashed {
-				t.writeMove(m, m.Home, 0)
-			}
-			release(t.moveSem)
-		}
-		if len(moves) == 0 {
+		if len(t.host.View().Layout.Shards) < 2 {
+			nextRound = now + moveInterval
 			continue
 		}
-		loads, err := ReadLoads(t.ctx, t.host.cfg.Store.RangeStale, t.log)
-		if err != nil {
-			t.log.Info("loads not read", zap.Error(err))
-			continue
+		found, written := t.moveRound(isFull)
+		for written == maxMovesPerRound {
+			_, written = t.moveRound(isFull)
+		}
+		if now = t.now().Steady; isFull {
+			nextRound = now + moveInterval
 		}
-		if acquire(t.ctx, t.moveSem) {
-			t.moveAll(moves, loads)
-			release(t.moveSem)
+		if found > 0 && written == 0 {
+			// No shard has room. The loads are not read again for some time.
+			nextUrgent = now + moveInterval
 		}
 	}
 }
 
+// moveRound moves up to maxMovesPerRound pieces of waiting work, or of urgent work only. It returns
+// how many it found and how many it moved.
+func (t *term) moveRound(isFull bool) (found, written int) {
+	if t.isHandingOver.Load() || !t.mayAct(t.now().Steady) {
+		return 0, 0
+	}
+	var moves, crashed []dispatch.Move
+	t.mu.Lock()
+	if isFull {
+		moves, crashed = t.engine.MovableWork(t.now()), t.engine.CrashedGuests()
+	} else {
+		moves = t.engine.UrgentWork(t.now())
+	}
+	t.mu.Unlock()
+	if len(crashed) > 0 && acquire(t.ctx, t.moveSem) {
+		for _, m := range crashed {
+			t.writeMove(m, m.Home, 0)
+		}
+		release(t.moveSem)
+	}
+	if len(moves) == 0 {
+		return 0, 0
+	}
+	loads, err := ReadLoads(t.ctx, t.host.cfg.Store.RangeStale, t.log)
+	if err != nil {
+		t.log.Info("loads not read", zap.Error(err))
+		return len(moves), 0
+	}
+	if acquire(t.ctx, t.moveSem) {
+		written = t.moveAll(moves, loads)
+		release(t.moveSem)
+	}
+	return len(moves), written
+}
+
 // RangeReader is ledger.Store.Range, or RangeStale if the loads may be some seconds old.
 type RangeReader func(ctx context.Context, prefix string) (ledger.Snapshot, error)
 
@@ -89,8 +124,9 @@
 }
 
 // moveAll moves work to shards with free capacity. Tasks that do not fit in one shard go
-// to the next.
-func (t *term) moveAll(moves []dispatch.Move, loads map[heatherhub.ShardID]record.Load) {
+// to the next. It returns the number of moves that were written. Moves that fail count towards
+// the limit of a round, but ask for no further one.
+func (t *term) moveAll(moves []dispatch.Move, loads map[heatherhub.ShardID]record.Load) int {
 	m := movePlanner{own: t.shard, owners: t.host.View().Owners, loads: loads}
 	t.recentMoves = slices.DeleteFunc(t.recentMoves, func(r recentMove) bool {
 		return t.now().Steady-r.at > recentMoveTTL || loads[r.to].JobsRead >= r.revision
@@ -98,15 +134,16 @@
 	for _, r := range t.recentMoves {
 		m.reserve(r.to, r.move)
 	}
-	written := 0
+	tried, written := 0, 0
 	for _, move := range moves {
-		for written < maxMovesPerRound && !t.isHandingOver.Load() {
+		for tried < maxMovesPerRound && !t.isHandingOver.Load() {
 			to, part, ok := m.chooseTarget(move)
 			if !ok {
 				break
 			}
-			written++
+			tried++
 			if revision := t.writeMove(part, to, loads[to].OwnerRevision); revision > 0 {
+				written++
 				t.recentMoves = append(t.recentMoves, recentMove{to: to, move: part, revision: revision, at: t.now().Steady})
 			}
 			if len(part.Tasks) == len(move.Tasks) {
@@ -115,6 +152,7 @@
 			move.Tasks = move.Tasks[len(part.Tasks):]
 		}
 	}
+	return written
 }
 
 // recentMove is work that was moved recently. The load record of its new shard does not
@@ -172,13 +210,14 @@
 }
 
 // hasCapacityFor reports whether a shard with load l can start at least one task of a move.
-// A whole job moves only to a shard whose pressure is lower by minPressureGain.
+// A whole job moves only to a shard whose pressure is lower by minPressureGain, unless it cannot
+// start where it is.
 func (m *movePlanner) hasCapacityFor(move dispatch.Move, l record.Load) bool {
 	if !canStart(move, l) || (move.HasBegun && l.OwnerRevision == 0) {
 		return false
 	}
 	own := m.loads[m.own]
-	return move.Tasks != nil || l.Pressure() < own.Pressure()-minPressureGain
+	return move.Tasks != nil || move.IsStranded || l.Pressure() < own.Pressure()-minPressureGain
 }
 
 // canStart reports whether the owner of a shard with load l would start a task of a move, by
@@ -186,13 +225,13 @@
 // does not interfere, unless it would start there as a starved one.
 func canStart(move dispatch.Move, l record.Load) bool {
 	if !move.IsFiller || l.ReservedShare() <= dispatch.StarvationLoadLimit {
-		return slices.ContainsFunc(l.LargestFree[move.Pool], move.Reserved.Fits)
+		return record.Fits(l.LargestFree[move.Pool], move.Reserved)
 	}
 	room, isKnown := l.FillerRoom[move.Pool][move.Image]
 	if !isKnown {
 		room = l.FillerRoom[move.Pool][""]
 	}
-	return move.Need.CPU <= room && slices.ContainsFunc(l.LargestSpare[move.Pool], move.Need.Fits)
+	return move.Need.CPU <= room && record.Fits(l.LargestSpare[move.Pool], move.Need)
 }
 
 // reserveFree reserves the free capacity of single workers in l for the tasks of a move and
@@ -205,16 +244,15 @@
 	if *free == nil {
 		return 0
 	}
-	workers := slices.Clone((*free)[move.Pool])
+	rooms := slices.Clone((*free)[move.Pool])
 	*free = maps.Clone(*free)
-	(*free)[move.Pool] = workers
+	defer func() { (*free)[move.Pool] = rooms }()
 	count := max(len(move.Tasks), 1)
 	for k := range count {
-		at := slices.IndexFunc(workers, need.Fits)
-		if at < 0 {
+		var ok bool
+		if rooms, ok = record.Reserve(rooms, need); !ok {
 			return k
 		}
-		workers[at] = workers[at].Sub(need)
 		l.Reserved += move.Reserved.CPU
 	}
 	return count
--- a/process/owner/move_test.go
+++ b/process/owner/move_test.go
@@ -420,11 +420,16 @@
 					}
 				}
 				site.store.mu.Unlock()
+				begin := time.Now()
 				isOver := func(id heatherhub.JobID) bool { return site.jobState(id).IsFinal() }
 				for i := range jobs {
 					id := heatherhub.JobID(fmt.Sprintf("chain%d", i))
 					site.await(string(id), 40*time.Second, func() bool { return isOver(id) })
 				}
+				// The first steps take 1 s, the second ones 1 s, and no move waits for MoveAfter.
+				if took, limit := time.Since(begin), 2500*time.Millisecond; name == "none" && took > limit {
+					t.Errorf("got all jobs done after %s, want at most %s", took, limit)
+				}
 				time.Sleep(3 * time.Second)
 				for i := range jobs {
 					id := heatherhub.JobID(fmt.Sprintf("chain%d", i))
--- a/process/record/load.go
+++ b/process/record/load.go
@@ -30,12 +30,12 @@
 	OwnerRevision ledger.Revision `msgpack:"or,omitempty" json:"ownerRevision,omitempty"`
 	// Racks are the racks of the shard's workers.
 	Racks []heatherhub.Rack `msgpack:"k,omitempty" json:"racks,omitempty"`
-	// LargestFree has, by pool, the free resources of the workers with the most free
-	// processors, the largest first.
-	LargestFree map[heatherhub.PoolID][]heatherhub.Resources `msgpack:"o,omitempty" json:"holes,omitempty"`
+	// LargestFree has, by pool, the free resources of up to MaxLargestFree workers with the most
+	// free processors, the largest first.
+	LargestFree map[heatherhub.PoolID][]Room `msgpack:"o,omitempty" json:"holes,omitempty"`
 	// LargestSpare is LargestFree for fillers, which may also use processors that serving
 	// tasks reserve and leave idle.
-	LargestSpare map[heatherhub.PoolID][]heatherhub.Resources `msgpack:"i,omitempty" json:"spare,omitempty"`
+	LargestSpare map[heatherhub.PoolID][]Room `msgpack:"i,omitempty" json:"spare,omitempty"`
 	// FillerRoom has, by pool and filler image, the most processors that a task may need for
 	// a worker to take it. The image "" stands for those that are not listed.
 	FillerRoom map[heatherhub.PoolID]map[string]heatherhub.MilliCPU `msgpack:"n,omitempty" json:"fillerRoom,omitempty"`
@@ -45,11 +45,6 @@
 	Revision ledger.Revision `msgpack:"-" json:"revision"`
 }
 
-// MaxLargestFree is the maximum number of workers per pool in Load.LargestFree. A load is
-// valid for the second until the next one is published, and more workers than this are
-// filled within it, so a longer list would not stay true.
-const MaxLargestFree = 8
-
 // ReservedShare returns the fraction of the processors that tasks reserve.
 func (l *Load) ReservedShare() float64 {
 	return float64(l.Reserved) / float64(max(l.Capacity, 1))
--- a/workflow.go
+++ b/workflow.go
@@ -127,6 +127,15 @@
 	// ProgressRevision is the revision that the workflow's progress had then. The owner of Shard
 	// starts nothing before it has read the progress of that revision or a later one.
 	ProgressRevision uint64 `msgpack:"pr,omitempty" json:"progressRevision,omitempty"`
+	// Relocations are the moves to other shards of the last seconds before the last one.
+	Relocations []Relocation `msgpack:"rl,omitempty" json:"relocations,omitempty"`
+}
+
+// Relocation is a move of a workflow, or of some of its tasks, to another shard.
+type Relocation struct {
+	At time.Time `msgpack:"at" json:"at"`
+	// Tasks has the numbers of the tasks; nil means the whole workflow.
+	Tasks []int `msgpack:"t,omitempty" json:"tasks,omitempty"`
 }
 
 // ShardOf returns the shard that runs a task. The task's number is counted over all
