Test moves of begun jobs under random faults

Cause: in TestRandomFaultsOfDividedSites about 3 jobs an episode move with progress, few of them while a fault is in force, and none returns often.

--- a/process/owner/move_test.go
+++ b/process/owner/move_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -260,6 +261,65 @@
 	}
 }
 
+// TestRandomFaultsWhileBegunJobsMove guards against tasks that run twice, or jobs that stay for good, when
+// jobs with progress leave shards, and return, under random faults: now and then the workers of a
+// shard have no room for another task.
+func TestRandomFaultsWhileBegunJobsMove(t *testing.T) {
+	begun := 0
+	for i := range (*episodes + 2) / 3 {
+		seed := *episodeSeed + uint64(i)
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := newEpisodeOn(startShardedSite(t, seed, 3), seed)
+				chains := make(chan []heatherhub.JobID, 1)
+				e.after(0, func() { chains <- e.shrinkShards(rand.New(rand.NewPCG(seed, 8))) })
+				for end := time.Now().Add(faultPhase); time.Now().Before(end); {
+					e.injectFault()
+					time.Sleep(between(e.rng, 2*time.Second, 6*time.Second))
+				}
+				e.endFaults()
+				ids := <-chains
+				e.await("all jobs", recoveryLimit, func() bool { return e.isCompleted(ids...) })
+				e.shutdown()
+				e.checkViolations()
+				begun += e.movesWithProgress()
+			})
+		})
+	}
+	t.Logf("%d moves were with progress", begun)
+	if begun == 0 {
+		t.Error("got no move with progress, want at least one")
+	}
+}
+
+// shrinkShards submits jobs of three steps to random shards and leaves the workers there without room
+// for some time, for as long as faults are injected. It returns the jobs.
+func (e *episode) shrinkShards(rng *rand.Rand) []heatherhub.JobID {
+	var ids []heatherhub.JobID
+	resize := func(d heatherhub.FailureDomain, cpu heatherhub.MilliCPU) {
+		for _, m := range e.livingWorkers() {
+			if m.entry.Domain == d {
+				e.resize(m, cpu)
+			}
+		}
+	}
+	for end := time.Now().Add(faultPhase); time.Now().Before(end); {
+		d := heatherhub.FailureDomain(fmt.Sprintf("d%d", max(rng.IntN(5)-2, 0)))
+		for range 3 {
+			id := heatherhub.JobID(fmt.Sprintf("chain%d", len(ids)))
+			ids = append(ids, id)
+			run := between(rng, 200*time.Millisecond, 1500*time.Millisecond)
+			e.submitTo(shardOf(d), id, newStep(2, run), newStep(1, run, 0), newStep(2, run, 1))
+		}
+		time.Sleep(between(rng, 100*time.Millisecond, time.Second))
+		resize(d, 1000)
+		time.Sleep(between(rng, 1500*time.Millisecond, 5*time.Second))
+		resize(d, 10_000)
+		time.Sleep(between(rng, 0, 2*time.Second))
+	}
+	return ids
+}
+
 // TestDividedSeedsThatFailed runs episodes after which a shard once stayed without an owner:
 // a claim took effect after its host had given it up.
 func TestDividedSeedsThatFailed(t *testing.T) {
