--- a/process/dispatch/move_test.go
+++ b/process/dispatch/move_test.go
@@ -266,3 +266,156 @@
 		})
 	}
 }
+
+// startChain runs the first step of a job of two steps and leaves the second without a worker. Ends are
+// not committed.
+func startChain(t *testing.T) (*simulation, agent.Ended) {
+	b := newSimulation(t, dispatch.Policy{}, 1)
+	second := tasks(1, 6000, time.Second)
+	second.After = []int{0}
+	b.add("chain", tasks(1, 6000, time.Second), second)
+	orders := b.e.Decide(b.now)
+	if len(orders) != 1 {
+		t.Fatalf("got orders %v, want one start", orders)
+	}
+	o := orders[0]
+	b.e.OrderResult(b.now, o, dispatch.Confirmed)
+	w := b.worker(0)
+	w.Draining = true
+	b.e.UpdateWorker(w)
+	return b, agent.Ended{Sequence: 1, Task: o.Task, Run: o.Run, Kind: agent.EndDone}
+}
+
+// chainMoves returns the moves of the waiting second step.
+func chainMoves(b *simulation) []dispatch.Move {
+	return b.e.MovableWork(dispatch.Moment{Steady: b.now.Steady + 2*time.Second, Wall: b.now.Wall})
+}
+
+// TestBegunJobMovesWithItsProgress guards against a job that moves while an end of it is not durable,
+// or without the revision of the progress that its new owner has to read, and against a former
+// owner that writes its progress after the move.
+func TestBegunJobMovesWithItsProgress(t *testing.T) {
+	b, end := startChain(t)
+	worker := b.workers[0]
+	if got := chainMoves(b); len(got) != 0 {
+		t.Errorf("got moves %+v while a task runs, want none", got)
+	}
+	b.e.Report(b.now, b.now.Steady, worker, &agent.Report{Clock: 1, Ended: []agent.Ended{end}})
+	changes := b.e.TakeChanges(10)
+	if got := chainMoves(b); len(got) != 0 {
+		t.Errorf("got moves %+v before the end is durable, want none", got)
+	}
+	b.e.Committed(b.now, changes, 17)
+	moves := chainMoves(b)
+	if len(moves) != 1 || !moves[0].HasBegun || moves[0].Tasks != nil {
+		t.Fatalf("got moves %+v, want one of the begun job", moves)
+	}
+	flow, _, ok := b.e.PrepareMove(moves[0], otherShard)
+	if !ok || !flow.HasBegun || flow.ProgressRevision != 17 || flow.Shard != otherShard {
+		t.Fatalf("got record %+v (%v), want one of the other shard with progress 17", flow, ok)
+	}
+	b.e.Cancel(b.now, "chain")
+	if got := b.e.TakeChanges(10); len(got) != 0 {
+		t.Errorf("got changes %+v while the job is being moved, want none", got)
+	}
+	b.e.AddJob(b.now, dispatch.JobRecord{Workflow: flow, RecordRevision: 20})
+	b.e.SettleMove(b.now, "chain")
+	if got := b.e.TakeChanges(10); b.e.HasJob("chain") || len(got) != 0 {
+		t.Errorf("got the job in this shard (%v) and changes %+v after it moved, want neither", b.e.HasJob("chain"), got)
+	}
+
+	back := *flow
+	back.Shard, back.ProgressRevision = heatherhub.ShardID{}, 30
+	if !b.e.NeedsProgress(&back, 31) || b.e.NeedsProgress(&back, 19) {
+		t.Error("got no need for the progress of a job that came back, or one for an outdated record")
+	}
+}
+
+// TestFailedMoveLeavesTheJobAsItWas guards against a job that stays blocked, or loses an end that was
+// reported meanwhile, after its move has failed.
+func TestFailedMoveLeavesTheJobAsItWas(t *testing.T) {
+	b, end := startChain(t)
+	worker := b.workers[0]
+	b.e.Report(b.now, b.now.Steady, worker, &agent.Report{Clock: 1, Ended: []agent.Ended{end}})
+	b.e.Committed(b.now, b.e.TakeChanges(10), 17)
+	moves := chainMoves(b)
+	if len(moves) != 1 {
+		t.Fatalf("got moves %+v, want one", moves)
+	}
+	if _, _, ok := b.e.PrepareMove(moves[0], otherShard); !ok {
+		t.Fatal("got no move")
+	}
+	late := agent.Ended{Sequence: 2, Task: heatherhub.StepTask{Job: "chain", Step: 1}, Run: end.Run + 1, Kind: agent.EndDone}
+	b.e.Report(b.now, b.now.Steady, worker, &agent.Report{Clock: 1, Ended: []agent.Ended{late}})
+	if got := b.e.Acknowledged(worker); got != 1 {
+		t.Errorf("got ends acknowledged up to %d while the job is being moved, want 1", got)
+	}
+	b.e.SettleMove(b.now, "chain")
+	changes := b.e.TakeChanges(10)
+	if len(changes) != 1 || changes[0].Progress.State != heatherhub.WorkflowCompleted {
+		t.Fatalf("got changes %+v, want the completed job", changes)
+	}
+	b.e.Committed(b.now, changes, 18)
+	if got := b.e.Acknowledged(worker); got != 2 {
+		t.Errorf("got ends acknowledged up to %d, want 2", got)
+	}
+}
+
+// TestArrivedWorkMovesOnButDoesNotTravel guards against work that waits for MoveAfter once more in a
+// shard whose room was taken when it arrived, and against work that goes round the shards.
+func TestArrivedWorkMovesOnButDoesNotTravel(t *testing.T) {
+	for _, c := range []struct {
+		moves              int
+		age                time.Duration
+		isUrgent, isMoving bool
+	}{{0, 0, false, true}, {1, 0, true, true}, {3, 0, true, true}, {4, 0, false, false}, {4, 11 * time.Second, false, true}} {
+		b := newFullWorker(t)
+		spec := tasks(1, 2500, time.Second)
+		flow := &heatherhub.Workflow{ID: "arrived", Queue: queue, Steps: []heatherhub.Step{spec}, Accepted: b.now.Wall}
+		for range c.moves {
+			flow.Relocations = append(flow.Relocations, heatherhub.Relocation{At: b.now.Wall.Add(-c.age)})
+		}
+		b.workflows[flow.ID] = flow
+		b.e.AddJob(b.now, dispatch.JobRecord{Workflow: flow, RecordRevision: 3})
+		find := func(moves []dispatch.Move) bool {
+			return slices.ContainsFunc(moves, func(m dispatch.Move) bool { return m.Job == flow.ID })
+		}
+		if find(b.e.UrgentWork(b.now)) {
+			t.Errorf("%+v: got a move before any decision", c)
+		}
+		b.advance(200 * time.Millisecond)
+		if got := find(b.e.UrgentWork(b.now)); got != c.isUrgent {
+			t.Errorf("%+v: got urgent: %v", c, got)
+		}
+		b.advance(2 * time.Second)
+		if got := find(b.e.MovableWork(b.now)); got != c.isMoving {
+			t.Errorf("%+v: got movable: %v", c, got)
+		}
+	}
+}
+
+// TestWorkLeavesAShardWithoutUsableWorkersAtOnce guards against work that waits for MoveAfter where no
+// worker can start it, and against moves right after a takeover, before the workers were asked.
+func TestWorkLeavesAShardWithoutUsableWorkersAtOnce(t *testing.T) {
+	b := newSimulation(t, dispatch.Policy{}, 2)
+	w := b.worker(0)
+	w.Draining = true
+	b.e.UpdateWorker(w)
+	b.e.WorkerUnresponsive(b.now, b.workers[1])
+	b.add("waiting", tasks(1, 2500, time.Second))
+	if got := b.e.UrgentWork(dispatch.Moment{Steady: b.now.Steady + 400*time.Millisecond}); len(got) != 0 {
+		t.Errorf("got moves %+v before the workers were asked, want none", got)
+	}
+	b.e.MarkWorkersAsked()
+	if got := b.e.UrgentWork(b.now); len(got) != 0 {
+		t.Errorf("got moves %+v after a single call without an answer, want none", got)
+	}
+	b.now.Steady += 400 * time.Millisecond
+	if got := b.e.UrgentWork(b.now); len(got) != 1 || !got[0].IsStranded {
+		t.Errorf("got moves %+v without a usable worker, want one", got)
+	}
+	b.e.Report(b.now, b.now.Steady, b.workers[1], &agent.Report{Clock: 1})
+	if got := b.e.UrgentWork(b.now); len(got) != 0 {
+		t.Errorf("got moves %+v with a usable worker, want none", got)
+	}
+}
--- a/process/owner/metrics.go
+++ b/process/owner/metrics.go
@@ -25,6 +25,8 @@
 	workerRestarts prometheus.Counter
 	// evacuatedTasks counts the tasks that run in evacuated domains, by shard, domain and kind.
 	evacuatedTasks *prometheus.GaugeVec
+	// moves counts the moves of work to other shards, by kind.
+	moves *prometheus.CounterVec
 }
 
 // waitBuckets are the histogram buckets of waiting times, in seconds. Most starts take
@@ -57,6 +59,9 @@
 		workersGone: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "heatherhub_workers_gone_total", Help: "Workers on which no task runs any more, by evidence.",
 		}, []string{"evidence"}),
+		moves: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "heatherhub_moves_total", Help: "Moves of waiting work to other shards by kind: tasks, job, or begun job.",
+		}, []string{"kind"}),
 		workerRestarts: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "heatherhub_worker_restarts_total", Help: "Workers that started again under their ID.",
 		}),
@@ -65,7 +70,7 @@
 		}, []string{"shard", "domain", "kind"}),
 	}
 	if r != nil {
-		r.MustRegister(m.events, m.takeovers, m.shardsLost, m.commits, m.commitTime, m.stepWait, m.jobTime, m.workers, m.workersGone, m.workerRestarts, m.evacuatedTasks)
+		r.MustRegister(m.events, m.takeovers, m.shardsLost, m.commits, m.commitTime, m.stepWait, m.jobTime, m.workers, m.workersGone, m.workerRestarts, m.evacuatedTasks, m.moves)
 	}
 	return m
 }
--- a/process/owner/move.go
+++ b/process/owner/move.go
@@ -22,43 +22,78 @@
 	// moveInterval is the time between two rounds of moves. The load records of other
 	// shards are about as old.
 	moveInterval = 700 * time.Millisecond
+	// urgentInterval is the time between two looks for work that moves without a wait.
+	urgentInterval = 100 * time.Millisecond
 	// maxMovesPerRound bounds the store writes of one round.
-	maxMovesPerRound = 8
+	maxMovesPerRound = 24
 	// minPressureGain is how much lower the pressure (record.Load.Pressure) of another
 	// shard has to be before a whole job moves there: about 0.3 s of queued work, or 30%
 	// of the processors.
 	minPressureGain = 0.3
 )
 
-// moveLoop moves waiting work to shards with free capacity.
+// moveLoop moves waiting work to shards with free capacity. A round that has moved as much as a
+// round may is followed by the next one at once.
 func (t *term) moveLoop() {
+	nextRound, nextUrgent := t.now().Steady+moveInterval, time.Duration(0)
 	for t.ctx.Err() == nil {
-		ledger.Sleep(t.ctx, moveInterval)
-		if len(t.host.View().Layout.Shards) < 2 || t.isHandingOver.Load() || !t.mayAct(t.now().Steady) {
+		ledger.Sleep(t.ctx, urgentInterval)
+		now := t.now().Steady
+		isFull := now >= nextRound
+		if !isFull && now < nextUrgent {
 			continue
 		}
-		t.mu.Lock()
-		moves, crashed := t.engine.MovableWork(t.now()), t.engine.CrashedGuests()
-		t.mu.Unlock()
-		if len(crashed) > 0 && acquire(t.ctx, t.moveSem) {
-			for _, m := range crashed {
-				t.writeMove(m, m.Home)
-			}
-			release(t.moveSem)
-		}
-		if len(moves) == 0 {
+		if len(t.host.View().Layout.Shards) < 2 {
+			nextRound = now + moveInterval
 			continue
 		}
-		loads, err := ReadLoads(t.ctx, t.host.cfg.Store.RangeStale, t.log)
-		if err != nil {
-			t.log.Info("loads not read", zap.Error(err))
-			continue
+		found, written := t.moveRound(isFull)
+		for written == maxMovesPerRound {
+			_, written = t.moveRound(isFull)
+		}
+		if now = t.now().Steady; isFull {
+			nextRound = now + moveInterval
+		}
+		if found > 0 && written == 0 {
+			// No shard has room. The loads are not read again for some time.
+			nextUrgent = now + moveInterval
 		}
-		if acquire(t.ctx, t.moveSem) {
-			t.moveAll(moves, loads)
-			release(t.moveSem)
+	}
+}
+
+// moveRound moves up to maxMovesPerRound pieces of waiting work, or of urgent work only. It returns
+// how many it found and how many it moved.
+func (t *term) moveRound(isFull bool) (found, written int) {
+	if t.isHandingOver.Load() || !t.mayAct(t.now().Steady) {
+		return 0, 0
+	}
+	var moves, crashed []dispatch.Move
+	t.mu.Lock()
+	if isFull {
+		moves, crashed = t.engine.MovableWork(t.now()), t.engine.CrashedGuests()
+	} else {
+		moves = t.engine.UrgentWork(t.now())
+	}
+	t.mu.Unlock()
+	if len(crashed) > 0 && acquire(t.ctx, t.moveSem) {
+		for _, m := range crashed {
+			t.writeMove(m, m.Home, 0)
 		}
+		release(t.moveSem)
 	}
+	if len(moves) == 0 {
+		return 0, 0
+	}
+	loads, err := ReadLoads(t.ctx, t.host.cfg.Store.RangeStale, t.log)
+	if err != nil {
+		t.log.Info("loads not read", zap.Error(err))
+		return len(moves), 0
+	}
+	if acquire(t.ctx, t.moveSem) {
+		written = t.moveAll(moves, loads)
+		release(t.moveSem)
+	}
+	return len(moves), written
 }
 
 // RangeReader is ledger.Store.Range, or RangeStale if the loads may be some seconds old.
@@ -89,8 +124,9 @@
 }
 
 // moveAll moves work to shards with free capacity. Tasks that do not fit in one shard go
-// to the next.
-func (t *term) moveAll(moves []dispatch.Move, loads map[heatherhub.ShardID]record.Load) {
+// to the next. It returns the number of moves that were written. Moves that fail count towards
+// the limit of a round, but ask for no further one.
+func (t *term) moveAll(moves []dispatch.Move, loads map[heatherhub.ShardID]record.Load) int {
 	t.dropEvacuated(loads)
 	m := movePlanner{own: t.shard, owners: t.host.View().Owners, loads: loads}
 	t.recentMoves = slices.DeleteFunc(t.recentMoves, func(r recentMove) bool {
@@ -99,15 +135,16 @@
 	for _, r := range t.recentMoves {
 		m.reserve(r.to, r.move)
 	}
-	written := 0
+	tried, written := 0, 0
 	for _, move := range moves {
-		for written < maxMovesPerRound && !t.isHandingOver.Load() {
+		for tried < maxMovesPerRound && !t.isHandingOver.Load() {
 			to, part, ok := m.chooseTarget(move)
 			if !ok {
 				break
 			}
-			written++
-			if revision := t.writeMove(part, to); revision > 0 {
+			tried++
+			if revision := t.writeMove(part, to, loads[to].OwnerRevision); revision > 0 {
+				written++
 				t.recentMoves = append(t.recentMoves, recentMove{to: to, move: part, revision: revision, at: t.now().Steady})
 			}
 			if len(part.Tasks) == len(move.Tasks) {
@@ -116,6 +153,7 @@
 			move.Tasks = move.Tasks[len(part.Tasks):]
 		}
 	}
+	return written
 }
 
 // recentMove is work that was moved recently. The load record of its new shard does not
@@ -173,13 +211,14 @@
 }
 
 // hasCapacityFor reports whether a shard with load l can start at least one task of a move.
-// A whole job moves only to a shard whose pressure is lower by minPressureGain.
+// A whole job moves only to a shard whose pressure is lower by minPressureGain, unless it cannot
+// start where it is.
 func (m *movePlanner) hasCapacityFor(move dispatch.Move, l record.Load) bool {
-	if !canStart(move, l) {
+	if !canStart(move, l) || (move.HasBegun && l.OwnerRevision == 0) {
 		return false
 	}
 	own := m.loads[m.own]
-	return move.Tasks != nil || l.Pressure() < own.Pressure()-minPressureGain
+	return move.Tasks != nil || move.IsStranded || l.Pressure() < own.Pressure()-minPressureGain
 }
 
 // canStart reports whether the owner of a shard with load l would start a task of a move, by
@@ -187,13 +226,13 @@
 // does not interfere, unless it would start there as a starved one.
 func canStart(move dispatch.Move, l record.Load) bool {
 	if !move.IsFiller || l.ReservedShare() <= dispatch.StarvationLoadLimit {
-		return slices.ContainsFunc(l.LargestFree[move.Pool], move.Reserved.Fits)
+		return record.Fits(l.LargestFree[move.Pool], move.Reserved)
 	}
 	room, isKnown := l.FillerRoom[move.Pool][move.Image]
 	if !isKnown {
 		room = l.FillerRoom[move.Pool][""]
 	}
-	return move.Need.CPU <= room && slices.ContainsFunc(l.LargestSpare[move.Pool], move.Need.Fits)
+	return move.Need.CPU <= room && record.Fits(l.LargestSpare[move.Pool], move.Need)
 }
 
 // reserveFree reserves the free capacity of single workers in l for the tasks of a move and
@@ -206,16 +245,15 @@
 	if *free == nil {
 		return 0
 	}
-	workers := slices.Clone((*free)[move.Pool])
+	rooms := slices.Clone((*free)[move.Pool])
 	*free = maps.Clone(*free)
-	(*free)[move.Pool] = workers
+	defer func() { (*free)[move.Pool] = rooms }()
 	count := max(len(move.Tasks), 1)
 	for k := range count {
-		at := slices.IndexFunc(workers, need.Fits)
-		if at < 0 {
+		var ok bool
+		if rooms, ok = record.Reserve(rooms, need); !ok {
 			return k
 		}
-		workers[at] = workers[at].Sub(need)
 		l.Reserved += move.Reserved.CPU
 	}
 	return count
@@ -223,32 +261,44 @@
 
 // writeMove writes a job record that assigns waiting work to another shard, and returns its
 // revision, or zero if the work was not moved. The engine learns the result from the record
-// that stands afterwards, like that of any other job.
-func (t *term) writeMove(m dispatch.Move, to heatherhub.ShardID) ledger.Revision {
+// that stands afterwards, like that of any other job. owner is the revision of the claim of the
+// shard's owner: a job with progress moves only to one that has said that it reads the progress.
+func (t *term) writeMove(m dispatch.Move, to heatherhub.ShardID, owner ledger.Revision) ledger.Revision {
 	t.mu.Lock()
 	flow, recorded, ok := t.engine.PrepareMove(m, to)
 	t.mu.Unlock()
 	if !ok {
 		return 0
 	}
-	it, err := t.replaceJobRecord(flow, recorded)
+	var more []ledger.Precondition
+	if flow.HasBegun {
+		more = append(more,
+			ledger.Precondition{Key: record.ProgressKey(m.Job), Revision: ledger.Revision(flow.ProgressRevision)},
+			ledger.Precondition{Key: record.OwnerKey(to), Revision: owner})
+	}
+	it, err := t.replaceJobRecord(flow, recorded, more)
 	if it.Revision > 0 {
 		t.mu.Lock()
 		t.addJob(it, ledger.Item{}, dispatch.OriginNew)
+		t.engine.SettleMove(t.now(), m.Job)
+		t.wakeLoops()
 		t.mu.Unlock()
 	}
+	kind := m.Kind()
 	if err != nil {
-		t.log.Info("work not moved", zap.String("job", string(m.Job)), zap.Error(err))
+		t.log.Info("work not moved", zap.String("job", string(m.Job)), zap.String("kind", kind), zap.Error(err))
 		return 0
 	}
-	t.log.Info("work moved", zap.String("job", string(m.Job)), zap.Int("count", len(m.Tasks)), zap.Stringer("to", to), zap.Duration("waited", m.Waited))
+	t.host.metrics.moves.WithLabelValues(kind).Inc()
+	t.log.Info("work moved", zap.String("job", string(m.Job)), zap.String("kind", kind), zap.Int("count", len(m.Tasks)), zap.Stringer("to", to),
+		zap.Duration("waited", m.Waited), zap.Uint64("progress", flow.ProgressRevision))
 	return it.Revision
 }
 
-// replaceJobRecord replaces the record of a job at revision recorded and returns the new
-// record. It retries until the result is known. With an error it returns the record that
+// replaceJobRecord replaces the record of a job at revision recorded, if the preconditions in
+// more hold as well, and returns the new record. It retries until the result is known. With an error it returns the record that
 // the store has instead, if it is known.
-func (t *term) replaceJobRecord(flow *heatherhub.Workflow, recorded ledger.Revision) (ledger.Item, error) {
+func (t *term) replaceJobRecord(flow *heatherhub.Workflow, recorded ledger.Revision, more []ledger.Precondition) (ledger.Item, error) {
 	value, err := record.Encode(flow)
 	if err != nil {
 		return ledger.Item{}, err
@@ -257,7 +307,7 @@
 	txn := ledger.Txn{
 		// Fails if the job was cancelled: the target shard has ignored a cancel that came
 		// before it knew the job.
-		Preconditions: []ledger.Precondition{t.ownerCondition(), {Key: key, Revision: recorded}, {Key: record.CancelKey(flow.ID)}},
+		Preconditions: append([]ledger.Precondition{t.ownerCondition(), {Key: key, Revision: recorded}, {Key: record.CancelKey(flow.ID)}}, more...),
 		Puts:          []ledger.Put{{Key: key, Value: value}},
 	}
 	for {
@@ -282,5 +332,5 @@
 		t.end("another owner has the shard")
 		return ledger.Item{}, heatherhub.ErrNotOwner.New("another owner has the shard")
 	}
-	return c.Find(key), heatherhub.ErrConflict.New("the job was cancelled, or its record has changed")
+	return c.Find(key), heatherhub.ErrConflict.New("the job was cancelled, its record or progress has changed, or the other shard has another owner")
 }
