--- a/request/intake/intake_test.go
+++ b/request/intake/intake_test.go
@@ -373,7 +373,7 @@
 		"all evacuated":                      {gone, other, "x", false, heatherhub.CodeUnavailable},
 		"all evacuated, accepted before":     {gone, other, "x", true, ""},
 		"a worker left in the other shard":   {gone, record.Load{Capacity: 1000, PoolsInService: pools}, "x", false, ""},
-		"a worker free in an old load":       {gone, record.Load{Capacity: 1000, LargestFree: map[heatherhub.PoolID][]heatherhub.Resources{"p": nil}}, "x", false, ""},
+		"a worker free in an old load":       {gone, record.Load{Capacity: 1000, LargestFree: map[heatherhub.PoolID][]record.Room{"p": nil}}, "x", false, ""},
 		"returned to service, old load":      {gone, other, "", false, ""},
 		"pool that no load has":              {other, other, "x", false, ""},
 		"evacuated, and all of the same one": {gone, gone, "x", false, heatherhub.CodeUnavailable},
