Learn run times by queue and keep objectives on declared ones

Cause: declared run times are off by a factor of up to 1.9, and estimates of when a job ends rest on them.

Change: the ratio of measured to declared run time is learned by queue, with exponential decay and spread, and used from 20 samples on by expectedDuration. Throttled, resumed and adopted runs, runs on slow workers, and runs away from the rack of their data teach nothing; steps that ask for one rack neither, as what they lose by it is not known here. The ratios are kept beside the interference estimates and adopted by other owners.

Ruled out: a ratio for each image. Filler images differ in how they interfere, not in how they are declared, and a queue has its samples sooner.

--- a/process/dispatch/dispatch_test.go
+++ b/process/dispatch/dispatch_test.go
@@ -37,6 +37,8 @@
 	outcome func(dispatch.Order) dispatch.Outcome
 	// fillerSpeed is the rate at which fillers progress on a worker; if nil, it is 1.
 	fillerSpeed func(heatherhub.WorkerID) float64
+	// runTime is the ratio of the true to the declared run time; zero counts as 1.
+	runTime float64
 }
 
 type run struct {
@@ -101,6 +103,9 @@
 	switch o.Kind {
 	case dispatch.StartTask:
 		estimate := b.workflows[o.Task.Job].Steps[o.Task.Step].Estimate
+		if b.runTime > 0 {
+			estimate = time.Duration(b.runTime * float64(estimate))
+		}
 		b.runs[o.Worker] = append(b.runs[o.Worker], &run{order: o, remaining: estimate, speedLimit: 100})
 		b.started = append(b.started, o.Task)
 		b.placed[o.Task] = o.Worker
--- a/process/dispatch/estimate.go
+++ b/process/dispatch/estimate.go
@@ -1,10 +1,21 @@
 package dispatch
 
-import "time"
+import (
+	"time"
 
-// expectedDuration returns the estimated run time of one task of a step.
+	"heatherhub.example/heatherhub"
+)
+
+// expectedDuration returns the expected run time of one task of a step: the declared one,
+// corrected by what was measured for its queue.
 func (e *Engine) expectedDuration(s *stepRun) time.Duration {
-	return s.spec.Estimate
+	return time.Duration(float64(s.spec.Estimate) * e.expectedRatio(s.occ.job.workflow.Queue))
+}
+
+// declaredChain returns the declared run time of the longest chain of an occurrence's steps.
+// Objectives follow from declared run times, whatever was measured.
+func (o *occurrence) declaredChain() time.Duration {
+	return heatherhub.LongestChain(o.job.workflow.Steps, func(s *heatherhub.Step) time.Duration { return s.Estimate })
 }
 
 // computeCriticalPaths sets, for each step, the expected time from its start to the end
--- a/process/dispatch/interference_snapshot.go
+++ b/process/dispatch/interference_snapshot.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"maps"
 	"slices"
+
+	"heatherhub.example/heatherhub"
 )
 
 // A new owner takes over the interference model of the previous one. Without it,
@@ -19,6 +21,8 @@
 	// Fillers has the mean coefficient, by filler image, over all serving images.
 	Fillers map[string]Coefficient `msgpack:"f,omitempty" json:"fillers"`
 	Pairs   []PairCoefficient      `msgpack:"p,omitempty" json:"pairs"`
+	// RunTimes has the learned run times by queue.
+	RunTimes map[heatherhub.QueueID]RunTime `msgpack:"r,omitempty" json:"runTimes,omitempty"`
 }
 
 // Coefficient is a learned value and the number of samples behind it.
@@ -42,7 +46,7 @@
 // samples.
 func (e *Engine) InterferenceSnapshot() InterferenceSnapshot {
 	m := e.model
-	snapshot := InterferenceSnapshot{Base: trustedCoefficients(m.baselines), Fillers: trustedCoefficients(m.fillerMeans)}
+	snapshot := InterferenceSnapshot{Base: trustedCoefficients(m.baselines), Fillers: trustedCoefficients(m.fillerMeans), RunTimes: e.RunTimes()}
 	for key, c := range m.pairs {
 		if c.samples >= minSamples {
 			snapshot.Pairs = append(snapshot.Pairs, PairCoefficient{Serving: key.serving, Filler: key.filler, Coefficient: Coefficient{c.value, c.samples}})
@@ -70,6 +74,7 @@
 func (e *Engine) RestoreInterference(snapshot InterferenceSnapshot) {
 	restoreCoefficients(e.model.baselines, snapshot.Base)
 	restoreCoefficients(e.model.fillerMeans, snapshot.Fillers)
+	e.adoptRunTimes(snapshot.RunTimes)
 	for _, p := range snapshot.Pairs {
 		e.model.pairs[pairKey{p.Serving, p.Filler}] = restoredCoefficient(p.Coefficient)
 	}
@@ -81,6 +86,7 @@
 func (e *Engine) AdoptInterference(snapshot InterferenceSnapshot) {
 	adoptCoefficients(e.model.baselines, snapshot.Base)
 	adoptCoefficients(e.model.fillerMeans, snapshot.Fillers)
+	e.adoptRunTimes(snapshot.RunTimes)
 	pairs := make(map[pairKey]Coefficient, len(snapshot.Pairs))
 	for _, p := range snapshot.Pairs {
 		pairs[pairKey{p.Serving, p.Filler}] = p.Coefficient
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -166,12 +166,8 @@
 	if o.job.workflow.Schedule != nil {
 		from = o.job.arrived + o.job.workflow.Due(o.index).Sub(o.job.workflow.Accepted)
 	}
-	var chain time.Duration
-	for _, s := range o.steps {
-		chain = max(chain, s.criticalPath)
-	}
-	span := time.Duration(float64(chain)*max(o.job.policy.Stretch, 1)) + o.job.policy.Target
-	o.objective, o.valueUntil = from+span, from+3*span
+	span := o.job.policy.Span(o.declaredChain())
+	o.objective, o.valueUntil = from+span, from+heatherhub.ValueSpans*span
 }
 
 func (e *Engine) restoreFailures(j *job) {
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -197,6 +197,7 @@
 	if a.state == sent {
 		e.pendingStarts++
 	}
+	a.isMeasurable = a.state == sent && a.checkpoint == ""
 	t.step.removePending(t)
 	a.node.addAttempt(a)
 }
@@ -237,6 +238,9 @@
 	t := e.findTask(end.Task)
 	if a != nil {
 		t = a.task
+		if end.Kind == agent.EndDone {
+			e.learnRunTime(now, a)
+		}
 		if end.Checkpoint != "" {
 			a.checkpoint = end.Checkpoint
 		}
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -90,7 +90,9 @@
 	// isRoomStale holds back all starts.
 	isRoomStale bool
 	model       *interference
-	finished    []*job
+	// runTimes has the learned run times by queue.
+	runTimes map[heatherhub.QueueID]*runTimeRatio
+	finished []*job
 	// progressCheckedAt is the time of the last check for stalled runs.
 	progressCheckedAt time.Duration
 	// meanSpeed is the average speed over all workers.
@@ -118,6 +120,7 @@
 		unknownJobs: make(map[heatherhub.JobID]*unknownJob),
 		absent:      make(map[heatherhub.JobID]time.Duration),
 		movedAway:   make(map[heatherhub.JobID]moveRecord),
+		runTimes:    make(map[heatherhub.QueueID]*runTimeRatio),
 		model:       newInterference(), inheritUntil: cfg.InheritUntil,
 		nextRun: heatherhub.RunID(cfg.Token) * runsPerToken,
 	}
@@ -307,6 +310,8 @@
 	measure    float64
 	hasMeasure bool
 	speedLimit heatherhub.Percent
+	// isMeasurable means that the whole run of the task is seen at full speed.
+	isMeasurable bool
 	// isSpeedLimitUnknown means that the worker may not have applied speedLimit: the last
 	// order was not confirmed, or a previous owner may have set another one.
 	isSpeedLimitUnknown bool
--- a/process/dispatch/throttle.go
+++ b/process/dispatch/throttle.go
@@ -131,7 +131,7 @@
 		if next == a.speedLimit && !isRepeat {
 			continue
 		}
-		a.speedLimit, a.isSpeedLimitUnknown = next, false
+		a.speedLimit, a.isSpeedLimitUnknown, a.isMeasurable = next, false, false
 		n.throttle.changedAt = now.Steady
 		e.orders = append(e.orders, Order{Worker: n.worker.ID, Kind: ThrottleTask, Task: a.task.id(), Run: a.run, Percent: next})
 	}
--- a/workflow.go
+++ b/workflow.go
@@ -101,6 +101,32 @@
 	Target  time.Duration `msgpack:"t,omitempty" json:"target"`
 }
 
+// Span returns the time from acceptance to the objective of a job whose longest chain of
+// steps takes chain.
+func (p *QueuePolicy) Span(chain time.Duration) time.Duration {
+	return time.Duration(float64(chain)*max(p.Stretch, 1)) + p.Target
+}
+
+// ValueSpans is the number of spans after which the completion of a job has no value.
+const ValueSpans = 3
+
+// LongestChain returns the time of the longest chain of steps that depend on each other.
+func LongestChain(steps []Step, timeOf func(*Step) time.Duration) time.Duration {
+	var buffer [MaxSteps]time.Duration
+	ends := buffer[:min(len(steps), MaxSteps)]
+	var chain time.Duration
+	for i := range ends {
+		for _, a := range steps[i].After {
+			if a >= 0 && a < i {
+				ends[i] = max(ends[i], ends[a])
+			}
+		}
+		ends[i] += timeOf(&steps[i])
+		chain = max(chain, ends[i])
+	}
+	return chain
+}
+
 // Workflow is an accepted job that consists of dependent steps.
 type Workflow struct {
 	ID    JobID   `msgpack:"id" json:"id"`
