Publish when new jobs are expected to start, with the measured error

Cause: published loads do not say when a new job would start, so hosts accept what cannot be done in time and choose shards by pressure alone.

Change: process/dispatch/forecast.go expects when room for a need becomes free (expectedFree, ExpectedRoom for fillers too) from a summary of the expected ends of runs, made at most once a second and after a worker has joined or left. Forecast gives, by pool and priority, the wait of a new job until its next start by its work, that of late jobs, and the mean difference between expected and seen first starts. It is the optional field fc of a load; hosts of earlier versions skip it.

--- a/process/dispatch/dispatch_test.go
+++ b/process/dispatch/dispatch_test.go
@@ -43,6 +43,7 @@
 
 type run struct {
 	order      dispatch.Order
+	total      time.Duration
 	remaining  time.Duration
 	speedLimit heatherhub.Percent
 }
@@ -106,7 +107,7 @@
 		if b.runTime > 0 {
 			estimate = time.Duration(b.runTime * float64(estimate))
 		}
-		b.runs[o.Worker] = append(b.runs[o.Worker], &run{order: o, remaining: estimate, speedLimit: 100})
+		b.runs[o.Worker] = append(b.runs[o.Worker], &run{order: o, total: estimate, remaining: estimate, speedLimit: 100})
 		b.started = append(b.started, o.Task)
 		b.placed[o.Task] = o.Worker
 	case dispatch.ThrottleTask:
@@ -177,7 +178,7 @@
 		}
 		kept = append(kept, run)
 		row := agent.Running{Task: run.order.Task, Run: run.order.Run, HasMeasurement: true, Measurement: float64(step.Need.CPU) * float64(run.speedLimit) / 100}
-		row.Progress = heatherhub.Percent(100 - 100*run.remaining/max(step.Estimate, 1))
+		row.Progress = heatherhub.Percent(100 - 100*run.remaining/max(run.total, 1))
 		if step.LongRunning {
 			row.Progress = 100
 		}
--- /dev/null
+++ b/process/dispatch/forecast.go
@@ -0,0 +1,449 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"heatherhub.example/heatherhub"
+)
+
+// Forecasts are for the load in which more jobs arrive than can be done in time. They tell
+// when room for a task becomes free, and how long a new job would wait for its first start.
+// Both come from summaries that are made at most once per forecastInterval and after a
+// worker has joined or left. A query then costs a pass over the workers, whatever waits.
+
+// forecastInterval is the time for which a summary is used. Loads are published as often.
+const forecastInterval = time.Second
+
+// roomForecast is a summary of the room that the runs of each worker give back.
+type roomForecast struct {
+	madeAt  time.Duration
+	isStale bool
+	workers []workerForecast
+	// ends has the expected ends of all workers, one worker after the other.
+	ends []expectedEnd
+}
+
+// workerForecast has the expected ends of the runs of a worker in ends[from:to], by time.
+type workerForecast struct {
+	node     *node
+	from, to int
+}
+
+// expectedEnd is the expected end of a run, and what is free and spare on its worker then.
+type expectedEnd struct {
+	at    time.Duration
+	free  heatherhub.Resources
+	spare heatherhub.MilliCPU
+}
+
+// currentRoom returns the summary of the workers, made anew if it is too old.
+func (e *Engine) currentRoom(now time.Duration) *roomForecast {
+	f := &e.room
+	if !f.isStale && f.madeAt > 0 && now-f.madeAt < forecastInterval {
+		return f
+	}
+	f.madeAt, f.isStale = now, false
+	clear(f.workers)
+	f.workers, f.ends = f.workers[:0], f.ends[:0]
+	for _, n := range e.sortedNodes {
+		from := len(f.ends)
+		for _, a := range n.attempts {
+			if left, ok := e.remainingTime(now, a); ok {
+				f.ends = append(f.ends, expectedEnd{at: now + left, free: a.task.step.need, spare: a.task.step.spec.Need.CPU})
+			}
+		}
+		own := f.ends[from:]
+		slices.SortFunc(own, func(a, b expectedEnd) int { return cmp.Compare(a.at, b.at) })
+		free, spare := n.free(), n.spareCPU()
+		for i := range own {
+			free, spare = free.Add(own[i].free), spare+own[i].spare
+			own[i].free, own[i].spare = free, spare
+		}
+		f.workers = append(f.workers, workerForecast{node: n, from: from, to: len(f.ends)})
+	}
+	return f
+}
+
+// expectedFree returns the expected steady time at which a worker of a pool has room for a
+// need. It reports false if no end of a run that is expected gives such room.
+func (e *Engine) expectedFree(now Moment, need heatherhub.Resources, pool heatherhub.PoolID) (time.Duration, bool) {
+	return e.ExpectedRoom(now, need, pool, false)
+}
+
+// ExpectedRoom is expectedFree for tasks that reserve processors and for fillers, which need
+// spare ones.
+func (e *Engine) ExpectedRoom(now Moment, need heatherhub.Resources, pool heatherhub.PoolID, isFiller bool) (time.Duration, bool) {
+	f := e.currentRoom(now.Steady)
+	var best time.Duration
+	isFound := false
+	for i := range f.workers {
+		w := &f.workers[i]
+		n := w.node
+		if n.worker.Pool != pool || n.worker.Draining || n.isUnresponsive {
+			continue
+		}
+		if fits(need, n.free(), n.spareCPU(), isFiller) && n.acceptsTasks(now.Steady) {
+			return now.Steady, true
+		}
+		earliest := max(now.Steady, n.backoffUntil, n.health.quarantineUntil)
+		for k := w.from; k < w.to; k++ {
+			end := &f.ends[k]
+			at := max(end.at, earliest)
+			if isFound && at >= best {
+				break
+			}
+			if fits(need, end.free, end.spare, isFiller) {
+				best, isFound = at, true
+				break
+			}
+		}
+	}
+	return best, isFound
+}
+
+// fits reports whether a task fits in what is free, or, as a filler, in what is spare.
+func fits(need, free heatherhub.Resources, spare heatherhub.MilliCPU, isFiller bool) bool {
+	if isFiller {
+		free.CPU = spare
+	}
+	return need.Fits(free)
+}
+
+// Forecast tells how long new jobs are expected to wait. It is published with the load.
+type Forecast struct {
+	Pools map[heatherhub.PoolID]PoolForecast `msgpack:"p" json:"pools"`
+	// RunTimes has the learned ratios of measured to declared run time of the queues with the
+	// most samples. Others run as declared.
+	RunTimes map[heatherhub.QueueID]float64 `msgpack:"r,omitempty" json:"runTimes,omitempty"`
+}
+
+// PoolForecast is the forecast for one pool.
+type PoolForecast struct {
+	// Room is the processors that tasks that end may reserve, and Spare those that fillers
+	// may use.
+	Room  heatherhub.MilliCPU `msgpack:"c" json:"roomMilli"`
+	Spare heatherhub.MilliCPU `msgpack:"s" json:"spareMilli"`
+	Lanes []LaneForecast      `msgpack:"l,omitempty" json:"lanes,omitempty"`
+}
+
+// LaneForecast is the forecast for the jobs of a pool that have the same priority, by
+// priority. Fillers have lanes of their own, as they use other processors.
+type LaneForecast struct {
+	Priority int  `msgpack:"p" json:"priority"`
+	IsFiller bool `msgpack:"f,omitempty" json:"filler,omitempty"`
+	// Waits has the wait until the next start by the work of a job, the least first.
+	Waits []WorkWait `msgpack:"w" json:"waits"`
+	// Late is the wait of a job that does not start in time, so that it goes after those that
+	// still can.
+	Late time.Duration `msgpack:"l,omitempty" json:"late,omitempty"`
+	// Error is the mean difference between the expected and the seen first start of a job,
+	// over Samples jobs.
+	Error   time.Duration `msgpack:"e,omitempty" json:"error,omitempty"`
+	Samples int           `msgpack:"n,omitempty" json:"samples,omitempty"`
+}
+
+// WorkWait is the wait of a job that needs at least Work, in millicores times seconds.
+type WorkWait struct {
+	Work float64       `msgpack:"w" json:"work"`
+	Wait time.Duration `msgpack:"t" json:"wait"`
+}
+
+// RoomFor returns the processors that fillers or other tasks that end may use.
+func (p *PoolForecast) RoomFor(isFiller bool) heatherhub.MilliCPU {
+	if isFiller {
+		return p.Spare
+	}
+	return p.Room
+}
+
+// Lane returns the forecast that applies to a priority: its own, or else that of the next
+// priority that goes before it, whose work also goes before the job. It returns nil if
+// nothing goes before the job.
+func (p *PoolForecast) Lane(priority int, isFiller bool) *LaneForecast {
+	var found *LaneForecast
+	for i := range p.Lanes {
+		l := &p.Lanes[i]
+		if l.IsFiller == isFiller && l.Priority <= priority && (found == nil || l.Priority >= found.Priority) {
+			found = l
+		}
+	}
+	return found
+}
+
+// WaitOf returns the expected wait of a job until its next start, if its priority has the
+// lane or comes after it. A nil lane has no wait.
+func (l *LaneForecast) WaitOf(priority int, work float64) time.Duration {
+	if l == nil {
+		return 0
+	}
+	var wait time.Duration
+	for _, w := range l.Waits {
+		if w.Work > work && priority == l.Priority {
+			break
+		}
+		wait = w.Wait
+	}
+	return wait
+}
+
+// Bounds of a published forecast, which takes about 20 bytes for each wait and run time.
+const (
+	maxLanes        = 12
+	maxWaits        = 6
+	maxLoadRunTimes = 32
+)
+
+// laneKey identifies the jobs of a lane.
+type laneKey struct {
+	pool     heatherhub.PoolID
+	isFiller bool
+	priority int
+}
+
+func compareLanes(a, b laneKey) int {
+	return cmp.Or(cmp.Compare(a.pool, b.pool), compareBool(a.isFiller, b.isFiller), cmp.Compare(a.priority, b.priority))
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
+
+// lane is what is known of the jobs with one laneKey.
+type lane struct {
+	key laneKey
+	// need sums the needs of count waiting and running tasks.
+	need  heatherhub.Resources
+	count int
+	// waiting has the waiting work of the jobs that can end in time, late that of the others
+	// that have value, in millicores times seconds.
+	waiting []waitingWork
+	late    float64
+	total   float64
+	// meanError and samples are the measured error of the forecast, as of seenAt.
+	meanError time.Duration
+	samples   int
+	seenAt    time.Duration
+}
+
+// waitingWork is the waiting work of a job, ordered by what it needs in total.
+type waitingWork struct {
+	remaining, waiting float64
+}
+
+// laneMemory is how long the measured error of a lane without jobs is kept.
+const laneMemory = 10 * time.Minute
+
+// laneOf returns the lane with a key. It is created if it does not exist.
+func (e *Engine) laneOf(now time.Duration, key laneKey) *lane {
+	l := e.lanes[key]
+	if l == nil {
+		l = &lane{key: key}
+		e.lanes[key] = l
+	}
+	l.seenAt = now
+	return l
+}
+
+func laneKeyOf(j *job, s *heatherhub.Step) laneKey {
+	return laneKey{pool: j.policy.Pool, isFiller: s.Filler, priority: j.policy.Priority}
+}
+
+// Forecast makes the forecast that is published with the load, and with which new jobs are
+// compared from now on.
+func (e *Engine) Forecast(now Moment) *Forecast {
+	e.gatherLanes(now)
+	e.room.isStale = true
+	f := &Forecast{Pools: make(map[heatherhub.PoolID]PoolForecast)}
+	for _, n := range e.sortedNodes {
+		if n.worker.Draining || n.isUnresponsive {
+			continue
+		}
+		p := f.Pools[n.worker.Pool]
+		room := n.worker.Capacity.CPU - n.used.CPU
+		for _, a := range n.attempts {
+			if !a.task.step.spec.LongRunning {
+				room += a.task.step.need.CPU
+			}
+		}
+		p.Room += max(room, 0)
+		p.Spare += max(n.spareCPU()+n.fillerCPU, 0)
+		f.Pools[n.worker.Pool] = p
+	}
+	keys := make([]laneKey, 0, len(e.lanes))
+	for key, l := range e.lanes {
+		if l.count > 0 {
+			keys = append(keys, key)
+		}
+	}
+	slices.SortFunc(keys, compareLanes)
+	var ahead, allInTime, lateAhead float64
+	for i, key := range keys {
+		if i == 0 || keys[i-1].pool != key.pool || keys[i-1].isFiller != key.isFiller {
+			ahead, lateAhead, allInTime = 0, 0, 0
+			for _, k := range keys {
+				if k.pool == key.pool && k.isFiller == key.isFiller {
+					allInTime += e.lanes[k].total
+				}
+			}
+		}
+		l := e.lanes[key]
+		lateAhead += l.late
+		p, ok := f.Pools[key.pool]
+		if ok && len(p.Lanes) < maxLanes {
+			p.Lanes = append(p.Lanes, e.forecastLane(now, l, float64(p.RoomFor(key.isFiller)), ahead, allInTime+lateAhead))
+			f.Pools[key.pool] = p
+		}
+		ahead += l.total
+	}
+	f.RunTimes = e.publishedRunTimes()
+	e.forecast, e.forecastAt = f, now.Steady
+	return f
+}
+
+// forecastLane returns the forecast of a lane, before which go ahead and, for late jobs,
+// lateAhead. While there is room for a task, a job waits for nothing.
+func (e *Engine) forecastLane(now Moment, l *lane, room, ahead, lateAhead float64) LaneForecast {
+	out := LaneForecast{Priority: l.key.priority, IsFiller: l.key.isFiller, Error: l.meanError, Samples: l.samples}
+	n := l.count
+	mean := heatherhub.Resources{
+		CPU: l.need.CPU / heatherhub.MilliCPU(n), Memory: l.need.Memory / heatherhub.Megabytes(n),
+		Accelerators: l.need.Accelerators / heatherhub.Accelerators(n),
+	}
+	free, ok := e.ExpectedRoom(now, mean, l.key.pool, l.key.isFiller)
+	if ok && free <= now.Steady {
+		return out
+	}
+	waitFor := func(work float64) time.Duration {
+		return max(free-now.Steady, 0, time.Duration(work/max(room, 1)*float64(time.Second)))
+	}
+	out.Waits = append(out.Waits, WorkWait{Wait: waitFor(ahead)})
+	slices.SortFunc(l.waiting, func(a, b waitingWork) int { return cmp.Compare(a.remaining, b.remaining) })
+	sum, next := 0.0, l.total/(maxWaits-1)
+	for i, w := range l.waiting {
+		if sum += w.waiting; sum >= next || i == len(l.waiting)-1 {
+			out.Waits = append(out.Waits, WorkWait{Work: w.remaining, Wait: waitFor(ahead + sum)})
+			next = sum + l.total/(maxWaits-1)
+		}
+	}
+	out.Late = waitFor(lateAhead)
+	return out
+}
+
+// gatherLanes adds up the work that waits or runs in each lane. Steps that wait for other
+// steps of their job count too, as they go before new jobs when they can start.
+func (e *Engine) gatherLanes(now Moment) {
+	for key, l := range e.lanes {
+		if now.Steady-l.seenAt > laneMemory {
+			delete(e.lanes, key)
+			continue
+		}
+		l.need, l.count, l.waiting, l.late, l.total = heatherhub.Resources{}, 0, l.waiting[:0], 0, 0
+	}
+	for _, j := range e.jobs {
+		if j.isOver() || j.workflow.IsLongRunning() {
+			continue
+		}
+		for _, o := range j.occurrences {
+			e.gatherOccurrence(now, o)
+		}
+	}
+	for _, n := range e.sortedNodes {
+		for _, a := range n.attempts {
+			if s := a.task.step; !s.spec.LongRunning {
+				l := e.laneOf(now.Steady, laneKeyOf(s.occ.job, s.spec))
+				l.need, l.count = l.need.Add(s.spec.Need), l.count+1
+			}
+		}
+	}
+}
+
+// gatherOccurrence adds the waiting work of an occurrence to its lane.
+func (e *Engine) gatherOccurrence(now Moment, o *occurrence) {
+	if o.job.workflow.Schedule != nil && now.Wall.Before(o.job.workflow.Due(o.index)) {
+		return
+	}
+	var first *stepRun
+	work := 0.0
+	for _, s := range o.steps {
+		if len(s.pending) == 0 {
+			continue
+		}
+		if first == nil {
+			first = s
+		}
+		work += float64(len(s.pending)) * e.expectedDuration(s).Seconds() * float64(s.spec.Need.CPU)
+	}
+	if first == nil {
+		return
+	}
+	l := e.laneOf(now.Steady, laneKeyOf(o.job, first.spec))
+	l.need, l.count = l.need.Add(first.spec.Need), l.count+1
+	switch urgencyOf(now.Steady, first) {
+	case inTime:
+		l.waiting = append(l.waiting, waitingWork{remainingWork(o), work})
+		l.total += work
+	case late:
+		l.late += work
+	case noValue:
+	}
+}
+
+// publishedRunTimes returns the learned ratios of the queues with the most samples.
+func (e *Engine) publishedRunTimes() map[heatherhub.QueueID]float64 {
+	all := e.RunTimes()
+	ids := make([]heatherhub.QueueID, 0, len(all))
+	for id := range all {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b heatherhub.QueueID) int {
+		return cmp.Or(cmp.Compare(all[b].Samples, all[a].Samples), cmp.Compare(a, b))
+	})
+	out := make(map[heatherhub.QueueID]float64, min(len(ids), maxLoadRunTimes))
+	for _, id := range ids[:min(len(ids), maxLoadRunTimes)] {
+		out[id] = e.expectedRatio(id)
+	}
+	return out
+}
+
+// errorWeight is the least weight of a sample in the measured error, so that the last 20 or
+// so jobs count: load changes within seconds.
+const errorWeight = 0.05
+
+// maxForecastAge is the age up to which a forecast is used; see also intake's admission.
+const maxForecastAge = 2 * time.Second
+
+// predictStart notes when a new job is expected to start by the last forecast.
+func (e *Engine) predictStart(now Moment, j *job) {
+	w := j.workflow
+	if e.forecast == nil || now.Steady-e.forecastAt > maxForecastAge || w.Schedule != nil || w.IsLongRunning() || j.isInherited {
+		return
+	}
+	p, ok := e.forecast.Pools[j.policy.Pool]
+	if !ok {
+		return
+	}
+	wait := p.Lane(j.policy.Priority, w.Steps[0].Filler).WaitOf(j.policy.Priority, w.Work())
+	j.expectedStart = now.Steady + wait
+}
+
+// observeStart compares the first start of a job with what was expected.
+func (e *Engine) observeStart(a *attempt) {
+	j := a.task.step.occ.job
+	if j.expectedStart == 0 {
+		return
+	}
+	l := e.laneOf(a.startedAt, laneKeyOf(j, a.task.step.spec))
+	l.samples++
+	difference := (a.startedAt - j.expectedStart).Abs()
+	l.meanError += time.Duration(float64(difference-l.meanError) * max(errorWeight, 1/float64(l.samples)))
+	j.expectedStart = 0
+}
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -119,6 +119,7 @@
 	if workflow.Schedule != nil {
 		e.scheduled = append(e.scheduled, j)
 	}
+	e.predictStart(now, j)
 	e.adoptUnknown(now, workflow.ID)
 	for _, o := range j.occurrences {
 		e.enqueueReady(now, o)
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -92,7 +92,12 @@
 	model       *interference
 	// runTimes has the learned run times by queue.
 	runTimes map[heatherhub.QueueID]*runTimeRatio
-	finished []*job
+	// room and lanes are the state of forecasts, forecast is the last one, made at forecastAt.
+	room       roomForecast
+	lanes      map[laneKey]*lane
+	forecast   *Forecast
+	forecastAt time.Duration
+	finished   []*job
 	// progressCheckedAt is the time of the last check for stalled runs.
 	progressCheckedAt time.Duration
 	// meanSpeed is the average speed over all workers.
@@ -121,6 +126,7 @@
 		absent:      make(map[heatherhub.JobID]time.Duration),
 		movedAway:   make(map[heatherhub.JobID]moveRecord),
 		runTimes:    make(map[heatherhub.QueueID]*runTimeRatio),
+		lanes:       make(map[laneKey]*lane),
 		model:       newInterference(), inheritUntil: cfg.InheritUntil,
 		nextRun: heatherhub.RunID(cfg.Token) * runsPerToken,
 	}
@@ -143,6 +149,9 @@
 	mayHaveBegun bool
 	// openAttempts counts the attempts that are not known to be over.
 	openAttempts int
+	// expectedStart is the steady time at which the forecast expected the first start, or zero
+	// if it was not expected or has been seen.
+	expectedStart time.Duration
 	// undoneTasks counts the tasks that are not done.
 	undoneTasks      int
 	progress         Progress
@@ -486,6 +495,7 @@
 }
 
 func (e *Engine) addNode(n *node) {
+	e.room.isStale = true
 	e.nodes[n.worker.ID] = n
 	at, _ := slices.BinarySearchFunc(e.sortedNodes, n, compareNodes)
 	e.sortedNodes = slices.Insert(e.sortedNodes, at, n)
@@ -493,6 +503,7 @@
 
 func (e *Engine) dropNode(n *node) {
 	n.heldUntil = 0
+	e.room.isStale = true
 	delete(e.nodes, n.worker.ID)
 	if at, ok := slices.BinarySearchFunc(e.sortedNodes, n, compareNodes); ok {
 		e.sortedNodes = slices.Delete(e.sortedNodes, at, at+1)
--- a/process/owner/commit.go
+++ b/process/owner/commit.go
@@ -332,7 +332,7 @@
 		Capacity: l.Capacity, Reserved: l.Reserved, FillerDemand: l.FillerDemand, Backlog: l.Backlog,
 		Waiting: waiting, BegunGuests: t.engine.BegunGuests(), MovedJobs: t.engine.MovedJobs(now), JobsRead: t.jobsRead, JobsReadAge: now.Steady - t.jobsAnsweredAt,
 		Racks: t.engine.Racks(), LargestFree: t.engine.LargestFree(now, record.MaxLargestFree),
-		LargestSpare: t.engine.LargestSpare(now, record.MaxLargestFree), FillerRoom: t.engine.FillerRoom(now), At: now.Wall,
+		LargestSpare: t.engine.LargestSpare(now, record.MaxLargestFree), FillerRoom: t.engine.FillerRoom(now), Forecast: t.engine.Forecast(now), At: now.Wall,
 	})
 	return value, t.engine.RemoveExpired(now, t.host.cfg.EndedRetention, maxExpiredPerCommit), err
 }
--- a/process/record/load.go
+++ b/process/record/load.go
@@ -36,6 +36,9 @@
 	// FillerRoom has, by pool and filler image, the most processors that a task may need for
 	// a worker to take it. The image "" stands for those that are not listed.
 	FillerRoom map[heatherhub.PoolID]map[string]heatherhub.MilliCPU `msgpack:"n,omitempty" json:"fillerRoom,omitempty"`
+	// Forecast is how long new jobs are expected to wait, as of At. Owners of earlier versions
+	// publish none.
+	Forecast *dispatch.Forecast `msgpack:"fc,omitempty" json:"forecast,omitempty"`
 	// At is the time at which the load was taken, on the owner's wall clock.
 	At time.Time `msgpack:"at" json:"at"`
 	// Revision is the revision of the record that a load was read from.
--- a/workflow.go
+++ b/workflow.go
@@ -185,6 +185,16 @@
 	return w.Schedule.Times
 }
 
+// Work returns the declared work of one occurrence, in millicores times seconds.
+func (w *Workflow) Work() float64 {
+	work := 0.0
+	for i := range w.Steps {
+		s := &w.Steps[i]
+		work += float64(s.Tasks) * s.Estimate.Seconds() * float64(s.Need.CPU)
+	}
+	return work
+}
+
 // IsLongRunning reports whether any step runs until the workflow is cancelled.
 func (w *Workflow) IsLongRunning() bool {
 	for i := range w.Steps {
