Refuse at once what would end after its value is over

Cause: hosts accept all jobs, so beyond capacity jobs that end without value take room from those that could have any.

Change: request/intake/admission.go decides from the published forecasts. A job is refused with 503 if it would end after its value is over in every shard, with the measured error in its favour. Its objective counts waves of a quarter of the room. An old or missing load of any shard, a missing error, long-running and scheduled jobs, gangs, labels and queues without an objective refuse nothing. Callers that were refused go before new ones, in the order of their refusals; the memory holds 4,096 jobs at most and each until 3 s after its Retry-After. The store is asked for the job's key before a refusal, and a job that this host writes or has written without an answer is not refused. The choice of the shard uses the expected wait if all loads have it.

Ruled out: a record of each refusal in the store, which would cost a write for what is not served. What remains open: a write of another host that is still on its way to the store while the caller already asks here.

--- a/command/serve/serve.go
+++ b/command/serve/serve.go
@@ -33,6 +33,7 @@
 	"heatherhub.example/heatherhub/platform"
 	"heatherhub.example/heatherhub/process/logs"
 	"heatherhub.example/heatherhub/process/owner"
+	"heatherhub.example/heatherhub/process/record"
 	"heatherhub.example/heatherhub/process/steady"
 	"heatherhub.example/heatherhub/request/intake"
 	"heatherhub.example/heatherhub/request/operator"
@@ -136,7 +137,14 @@
 		Tables: &h.tables, Clock: h.clock, Log: log, Registry: h.registry, Limits: limits,
 	})
 	queueCounter := intake.NewQueueCounter(intake.QueueCounterConfig{Store: h.store, View: h.owner.View, Clock: h.clock, Log: log, Registry: registry})
-	h.shards = intake.NewShardSelector(intake.ShardSelectorConfig{Store: h.store, View: h.owner.View, Random: rand.Float64, OnLoads: queueCounter.Observe, Log: log})
+	admission := intake.NewAdmission(intake.AdmissionConfig{
+		Shards: func() []record.ShardSize { return h.owner.View().Layout.Shards }, Clock: h.clock, Log: log, Registry: registry,
+	})
+	onLoads := func(loads map[heatherhub.ShardID]record.Load) {
+		queueCounter.Observe(loads)
+		admission.Observe(loads)
+	}
+	h.shards = intake.NewShardSelector(intake.ShardSelectorConfig{Store: h.store, View: h.owner.View, Random: rand.Float64, OnLoads: onLoads, Log: log})
 	h.peerServer = peer.NewServer(peer.ServerConfig{Self: s.Host, Log: log})
 	h.peerServer.Handle(peer.MethodWorkflowState, intake.StateHandler(h.owner.JobState))
 	h.peerServer.Handle(peer.MethodOverview, overview.Handler(h.owner.Overview))
@@ -144,7 +152,7 @@
 	h.owner.OnView(func(v *owner.View) { h.stateClient.SetOwners(v, s.Host) })
 	h.jobAPI = intake.New(intake.Config{
 		Store: h.store, TableKey: platform.TableKey, Shards: h.shards, Queues: queueCounter, LocalState: h.owner.JobState, PeerState: h.stateClient.State,
-		Clock: h.clock, Log: log,
+		Clock: h.clock, Log: log, Admission: admission,
 	})
 	return h
 }
--- /dev/null
+++ b/request/intake/admission.go
@@ -0,0 +1,336 @@
+package intake
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/process/dispatch"
+	"heatherhub.example/heatherhub/process/record"
+)
+
+// Admission is for the load in which more jobs arrive than can be done while they have
+// value. Such a job would take room from others and end for nothing, so it is refused at
+// once, and its caller learns when to come back. A job is refused only if every shard has a
+// recent forecast, and ends after its value is over in each of them, although the measured
+// error is counted in its favour.
+
+const (
+	// minErrorSamples is the number of first starts below which a forecast has no measured
+	// error and refuses nothing.
+	minErrorSamples = 20
+	// minForecastError is the least error that is counted in favour of a job: starts are
+	// decided and confirmed in about this time.
+	minForecastError = 200 * time.Millisecond
+	// waveShare is the part of the room from which on the tasks of a step count as running
+	// in waves for the objective: the rest of the room runs other jobs.
+	waveShare = 0.25
+	// minAdmissionRetry and maxAdmissionRetry bound the Retry-After of a refused job. A caller
+	// that is sent away for longer rarely returns.
+	minAdmissionRetry, maxAdmissionRetry = time.Second, 30 * time.Second
+	// returnGrace is how long after its Retry-After a caller is expected. Then it counts as
+	// gone, and nothing is kept free for it.
+	returnGrace = 3 * time.Second
+	// maxRefused bounds the jobs that are remembered, at about 150 bytes each.
+	maxRefused = 4096
+)
+
+// Assessment is the expected end of a job, counted from its acceptance, in the shard where
+// the job ends first, with the measured error in its favour.
+type Assessment struct {
+	// IsKnown means that every shard has a recent forecast that applies to the job.
+	IsKnown bool
+	Shard   heatherhub.ShardID
+	// Wait is the expected wait until the first start, End the expected end, and ValueUntil
+	// the end after which the job has no value.
+	Wait, End, ValueUntil time.Duration
+	// Room is the processors of all shards that may run the job.
+	Room heatherhub.MilliCPU
+}
+
+// isLate reports whether the job ends after its value is over in every shard.
+func (a *Assessment) isLate() bool {
+	return a.IsKnown && a.End > a.ValueUntil
+}
+
+// assess returns the assessment of a job that would wait for ahead longer than forecasts say.
+// A shard without workers for the job does not count.
+func assess(flow *heatherhub.Workflow, shards []record.ShardSize, loads map[heatherhub.ShardID]observedLoad, now dispatch.Moment, ahead float64) Assessment {
+	var out Assessment
+	hasObjective := flow.Policy.Stretch > 0 || flow.Policy.Target > 0
+	if !hasObjective || flow.Schedule != nil || flow.IsLongRunning() || hasUnforeseenLimit(flow) {
+		return out
+	}
+	work, isFiller := flow.Work(), flow.Steps[0].Filler
+	for _, size := range shards {
+		l, ok := loads[size.Shard]
+		if !ok || l.Forecast == nil || l.age(now) > maxPartAge {
+			return Assessment{}
+		}
+		p := l.Forecast.Pools[flow.Policy.Pool]
+		out.Room += p.RoomFor(isFiller)
+	}
+	for _, size := range shards {
+		l := loads[size.Shard]
+		p, ok := l.Forecast.Pools[flow.Policy.Pool]
+		if !ok || p.RoomFor(isFiller) <= 0 {
+			continue
+		}
+		a := assessShard(flow, &p, l.Forecast.RunTimes[flow.Queue], work, ahead/float64(out.Room))
+		if !out.IsKnown || a.End-a.ValueUntil < out.End-out.ValueUntil {
+			a.IsKnown, a.Shard, a.Room = true, size.Shard, out.Room
+			out = a
+		}
+	}
+	return out
+}
+
+// hasUnforeseenLimit reports whether forecasts leave out what decides when a job can start.
+func hasUnforeseenLimit(flow *heatherhub.Workflow) bool {
+	return slices.ContainsFunc(flow.Steps, func(s heatherhub.Step) bool {
+		return s.RequiredLabel != "" || s.Gang || s.Estimate <= 0
+	})
+}
+
+// assessShard returns the assessment of a job in one shard. aheadSeconds is how long the room
+// of all shards is needed for callers that go first; it counts only where jobs wait.
+func assessShard(flow *heatherhub.Workflow, p *dispatch.PoolForecast, ratio, work, aheadSeconds float64) Assessment {
+	isFiller := flow.Steps[0].Filler
+	room := float64(p.RoomFor(isFiller))
+	if ratio <= 0 {
+		ratio = 1
+	}
+	chain := heatherhub.LongestChain(flow.Steps, func(s *heatherhub.Step) time.Duration {
+		return time.Duration(float64(s.Estimate) * ratio * max(1, width(s)/room))
+	})
+	span := flow.Policy.Span(heatherhub.LongestChain(flow.Steps, func(s *heatherhub.Step) time.Duration {
+		return time.Duration(float64(s.Estimate) * max(1, width(s)/(waveShare*room)))
+	}))
+	l := p.Lane(flow.Policy.Priority, isFiller)
+	valueUntil := heatherhub.ValueSpans * span
+	wait := time.Duration(0)
+	if l != nil && l.Samples >= minErrorSamples {
+		wait = l.WaitOf(flow.Policy.Priority, work)
+		favour := max(l.Error, minForecastError)
+		if wait > 0 {
+			wait += time.Duration(aheadSeconds * float64(time.Second))
+		}
+		if wait-favour+chain > span {
+			wait = max(wait, l.Late)
+		}
+		wait = max(wait-favour, 0)
+	}
+	if wait == 0 {
+		// The room is free or soon is, so the job is not refused however long its chain takes.
+		chain = min(chain, valueUntil)
+	}
+	return Assessment{Wait: wait, End: wait + chain, ValueUntil: valueUntil}
+}
+
+// width returns the processors that all tasks of a step need at the same time.
+func width(s *heatherhub.Step) float64 {
+	return float64(s.Tasks) * float64(s.Need.CPU)
+}
+
+// refusalKey groups the refused jobs that wait for the same processors.
+type refusalKey struct {
+	pool     heatherhub.PoolID
+	isFiller bool
+	priority int
+}
+
+// refusalQueue has the work of the refused jobs of one group, in millicores times seconds.
+// Work that was refused before a job and has not returned goes before it.
+type refusalQueue struct {
+	refused, settled float64
+}
+
+// refusal is a job that was refused and has not returned.
+type refusal struct {
+	key  refusalKey
+	work float64
+	// position is the refused work of the queue before this job.
+	position float64
+	// returnsAt is the steady time that its caller was told.
+	returnsAt time.Duration
+	count     int
+}
+
+// refusals remembers the jobs that a host has refused, so that their callers go before new
+// ones when they return. It is bounded in time by returnGrace and in number by maxRefused.
+type refusals struct {
+	jobs   map[heatherhub.JobID]refusal
+	queues map[refusalKey]*refusalQueue
+}
+
+// ahead returns the refused work that goes before a job.
+func (r *refusals) ahead(id heatherhub.JobID, key refusalKey) float64 {
+	q := r.queues[key]
+	if q == nil {
+		return 0
+	}
+	position := q.refused
+	if old, ok := r.jobs[id]; ok {
+		position = old.position
+	}
+	return max(position-q.settled, 0)
+}
+
+// add notes a refused job. Its caller keeps its position if it was refused before.
+func (r *refusals) add(id heatherhub.JobID, next refusal) int {
+	old, isKnown := r.jobs[id]
+	if isKnown && old.key == next.key {
+		old.returnsAt, old.count = next.returnsAt, old.count+1
+		r.jobs[id] = old
+		return old.count
+	}
+	if isKnown {
+		r.settle(id)
+	}
+	if len(r.jobs) >= maxRefused {
+		return 1
+	}
+	q := r.queues[next.key]
+	if q == nil {
+		q = &refusalQueue{}
+		r.queues[next.key] = q
+	}
+	next.position, next.count = q.refused, 1
+	q.refused += next.work
+	r.jobs[id] = next
+	return 1
+}
+
+// settle forgets a job that was accepted or whose caller has not returned.
+func (r *refusals) settle(id heatherhub.JobID) {
+	old, ok := r.jobs[id]
+	if !ok {
+		return
+	}
+	delete(r.jobs, id)
+	if q := r.queues[old.key]; q != nil {
+		if q.settled += old.work; q.settled >= q.refused {
+			delete(r.queues, old.key)
+		}
+	}
+}
+
+// expire forgets the callers that have not returned in time.
+func (r *refusals) expire(now time.Duration) {
+	for id, old := range r.jobs {
+		if now-old.returnsAt > returnGrace {
+			r.settle(id)
+		}
+	}
+	if len(r.jobs) == 0 {
+		clear(r.queues)
+	}
+}
+
+// AdmissionConfig holds the dependencies of an Admission.
+type AdmissionConfig struct {
+	// Shards returns the shards of the site.
+	Shards func() []record.ShardSize
+	Clock  Clock
+	Log    *zap.Logger
+	// Registry registers the metrics, if set.
+	Registry prometheus.Registerer
+}
+
+// Admission refuses jobs that would end after their value is over in any shard. It is safe
+// for concurrent use.
+type Admission struct {
+	cfg       AdmissionConfig
+	decisions *prometheus.CounterVec
+	retries   prometheus.Histogram
+
+	mu       sync.Mutex
+	loads    map[heatherhub.ShardID]observedLoad
+	refusals refusals
+}
+
+// NewAdmission returns an Admission that has read no loads and refuses nothing.
+func NewAdmission(cfg AdmissionConfig) *Admission {
+	a := &Admission{
+		cfg: cfg, loads: make(map[heatherhub.ShardID]observedLoad),
+		refusals: refusals{jobs: make(map[heatherhub.JobID]refusal), queues: make(map[refusalKey]*refusalQueue)},
+		decisions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "heatherhub_admissions_total", Help: "Submitted jobs by what the estimate of their end says.",
+		}, []string{"outcome"}),
+		retries: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "heatherhub_admission_retry_seconds", Help: "Retry-After of jobs refused by estimate.", Buckets: []float64{1, 2, 5, 10, 20, 30},
+		}),
+	}
+	if cfg.Registry != nil {
+		cfg.Registry.MustRegister(a.decisions, a.retries)
+	}
+	return a
+}
+
+// Observe notes loads that were read.
+func (a *Admission) Observe(loads map[heatherhub.ShardID]record.Load) {
+	now := a.cfg.Clock.Now().Steady
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.refusals.expire(now)
+	for id, l := range loads {
+		if old, ok := a.loads[id]; !ok || l.Revision > old.Revision {
+			a.loads[id] = observedLoad{Load: l, seenAt: now}
+		}
+	}
+	maps.DeleteFunc(a.loads, func(id heatherhub.ShardID, _ observedLoad) bool {
+		_, ok := loads[id]
+		return !ok
+	})
+}
+
+// Decide returns nil if a job may be submitted, and otherwise why it may not. The caller calls
+// Refused once it is certain that the job was not accepted before, and Accepted for jobs
+// that are accepted.
+func (a *Admission) Decide(flow *heatherhub.Workflow) *Refusal {
+	now := a.cfg.Clock.Now()
+	shards := a.cfg.Shards()
+	key := refusalKey{pool: flow.Policy.Pool, isFiller: flow.Steps[0].Filler, priority: flow.Policy.Priority}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	ahead := a.refusals.ahead(flow.ID, key)
+	r := assess(flow, shards, a.loads, now, ahead)
+	if !r.isLate() {
+		return nil
+	}
+	wait := r.End - r.ValueUntil
+	return &Refusal{Assessment: r, key: key, RetryAfter: min(max(wait, minAdmissionRetry), maxAdmissionRetry)}
+}
+
+// Refusal says why a job is not submitted.
+type Refusal struct {
+	Assessment
+	RetryAfter time.Duration
+	key        refusalKey
+}
+
+// Refused remembers that a job was refused, and returns the error for its caller.
+func (a *Admission) Refused(flow *heatherhub.Workflow, r *Refusal) error {
+	a.mu.Lock()
+	count := a.refusals.add(flow.ID, refusal{key: r.key, work: flow.Work(), returnsAt: a.cfg.Clock.Now().Steady + r.RetryAfter})
+	a.mu.Unlock()
+	a.decisions.WithLabelValues("refused").Inc()
+	a.retries.Observe(r.RetryAfter.Seconds())
+	a.cfg.Log.Info("job refused", zap.String("job", string(flow.ID)), zap.String("queue", string(flow.Queue)), zap.String("why", "ends too late"),
+		zap.Stringer("shard", r.Shard), zap.Duration("wait", r.Wait), zap.Duration("end", r.End), zap.Duration("valueUntil", r.ValueUntil),
+		zap.Duration("retryAfter", r.RetryAfter), zap.Int("count", count))
+	return heatherhub.WithRetryAfter(heatherhub.ErrUnavailable.New("the job would end too late and was not accepted: try again later"), r.RetryAfter)
+}
+
+// Accepted forgets the refusals of a job that was accepted.
+func (a *Admission) Accepted(id heatherhub.JobID) {
+	a.decisions.WithLabelValues("accepted").Inc()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.refusals.settle(id)
+}
--- a/request/intake/intake_test.go
+++ b/request/intake/intake_test.go
@@ -74,6 +74,10 @@
 
 // newJobAPI returns an API over s, with one shard and the configuration at revision 5.
 func newJobAPI(s *scriptedStore, clock *testClock) *intake.JobAPI {
+	return newAdmittingAPI(s, clock, nil)
+}
+
+func newAdmittingAPI(s *scriptedStore, clock *testClock, admission *intake.Admission) *intake.JobAPI {
 	s.items = map[string]ledger.Item{tableKey: {Key: tableKey, Revision: 5}}
 	view := &owner.View{
 		Layout: record.Layout{Shards: []record.ShardSize{{Shard: heatherhub.ShardID{Domain: record.SiteDomain}, CPU: 1000}}},
@@ -82,7 +86,7 @@
 	shards := intake.NewShardSelector(intake.ShardSelectorConfig{Store: s, View: func() *owner.View { return view }, Random: func() float64 { return 0 }, Log: zap.NewNop()})
 	unknown := func(heatherhub.JobID) (heatherhub.WorkflowState, bool) { return "", false }
 	return intake.New(intake.Config{
-		Store: s, TableKey: tableKey, Shards: shards, LocalState: unknown, Clock: clock, Log: zap.NewNop(),
+		Store: s, TableKey: tableKey, Shards: shards, LocalState: unknown, Clock: clock, Log: zap.NewNop(), Admission: admission,
 		PeerState: func(context.Context, heatherhub.JobID) (heatherhub.WorkflowState, bool) { return "", false },
 	})
 }
--- a/request/intake/jobs.go
+++ b/request/intake/jobs.go
@@ -50,6 +50,8 @@
 	PeerState func(context.Context, heatherhub.JobID) (heatherhub.WorkflowState, bool)
 	Clock     Clock
 	Log       *zap.Logger
+	// Admission, if set, refuses jobs that would end too late.
+	Admission *Admission
 }
 
 // JobAPI submits, cancels and queries jobs. It is safe for concurrent use.
@@ -59,6 +61,7 @@
 	// no reply, found the store unavailable or was let through as a probe; zero if a call
 	// has succeeded or MarkStoreAvailable was called since.
 	lastFailureAt atomic.Int64
+	inFlight      inFlight
 }
 
 // Timeouts and intervals for an unresponsive store.
@@ -129,10 +132,49 @@
 // flow.Accepted. The write succeeds only if table is still the current
 // configuration. See the package comment for the errors.
 func (a *JobAPI) Submit(ctx context.Context, flow *heatherhub.Workflow, table *queues.Table) error {
+	a.inFlight.begin(flow.ID)
+	err := a.submit(ctx, flow, table)
+	a.inFlight.end(a.cfg.Clock.Now().Steady, flow.ID, err)
+	if err == nil && a.cfg.Admission != nil {
+		a.cfg.Admission.Accepted(flow.ID)
+	}
+	return err
+}
+
+// refuseLate returns an error for a job that would end too late, unless it was or may still be
+// accepted through another submission. The store is asked about each refused job, as the job
+// may have been accepted by another host. If it does not answer, the write of the job settles
+// the matter.
+func (a *JobAPI) refuseLate(ctx context.Context, flow *heatherhub.Workflow) error {
+	if a.cfg.Admission == nil || !a.inFlight.isOnly(a.cfg.Clock.Now().Steady, flow.ID) {
+		return nil
+	}
+	r := a.cfg.Admission.Decide(flow)
+	if r == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	it, err := a.cfg.Store.Get(ctx, record.JobKey(flow.ID))
+	a.recordStoreResult(err)
+	if err != nil {
+		a.cfg.Log.Info("job not looked up", zap.String("job", string(flow.ID)), zap.Error(err))
+		return nil
+	}
+	if it.Revision > 0 || !a.inFlight.isOnly(a.cfg.Clock.Now().Steady, flow.ID) {
+		return nil
+	}
+	return a.cfg.Admission.Refused(flow, r)
+}
+
+func (a *JobAPI) submit(ctx context.Context, flow *heatherhub.Workflow, table *queues.Table) error {
 	if err := a.checkStore(); err != nil {
 		a.cfg.Log.Info("job refused", zap.String("job", string(flow.ID)), zap.String("why", "store silent"))
 		return err
 	}
+	if err := a.refuseLate(ctx, flow); err != nil {
+		return err
+	}
 	shard, err := a.cfg.Shards.Choose(flow)
 	if err != nil {
 		return err
--- a/request/intake/shards.go
+++ b/request/intake/shards.go
@@ -99,7 +99,8 @@
 }
 
 // Choose returns the shard with the lowest cost for a new job: the one that has the rack
-// of its data, unless that shard is much busier, otherwise the least loaded one. Jobs
+// of its data, unless that shard is much busier, otherwise the least loaded one or, if all
+// loads have forecasts, the one where the job is expected to start first. Jobs
 // with long-running tasks go to the shard with the lowest share of reserved processors.
 // Shards without an owner are chosen only if no shard has one. Choose returns
 // heatherhub.ErrUnavailable while no shard is known.
@@ -112,8 +113,12 @@
 	defer s.mu.Unlock()
 	var best heatherhub.ShardID
 	bestCost, isFound := 0.0, false
+	costOf := s.cost
+	if s.hasForecasts(v.Layout.Shards) && flow.Schedule == nil && !flow.IsLongRunning() {
+		costOf = s.expectedWait
+	}
 	for _, size := range v.Layout.Shards {
-		cost := s.cost(size, flow) + jitter*s.random()
+		cost := costOf(size, flow) + jitter*s.random()
 		if _, ok := v.Owners[size.Shard]; !ok {
 			cost += noOwnerCost
 		}
@@ -133,6 +138,9 @@
 	// jitter is the largest random addition to a cost. It keeps hosts that have read
 	// the same loads from all choosing the same shard until the next read.
 	jitter = 0.06
+	// noRoomCost is added for a shard without workers for the job. It is higher than any
+	// expected wait and lower than noOwnerCost.
+	noRoomCost = 1e5
 	// remoteDataCost is added if the shard does not have the rack of the job's data.
 	// Tasks take up to three times as long away from their data.
 	remoteDataCost = 1.5
@@ -158,6 +166,33 @@
 	return cost
 }
 
+// hasForecasts reports whether the loads of all shards have forecasts. The caller holds mu.
+func (s *ShardSelector) hasForecasts(shards []record.ShardSize) bool {
+	return !slices.ContainsFunc(shards, func(size record.ShardSize) bool { return s.loads[size.Shard].Forecast == nil })
+}
+
+// expectedWait is the cost of running a job in a shard whose load has a forecast. The expected
+// wait until the first start takes the place of the backlog, so that an urgent job does not
+// avoid a shard for work that it goes before. The caller holds mu.
+func (s *ShardSelector) expectedWait(size record.ShardSize, flow *heatherhub.Workflow) float64 {
+	l := s.loads[size.Shard]
+	isFiller := flow.Steps[0].Filler
+	p := l.Forecast.Pools[flow.Policy.Pool]
+	l.Backlog = 0
+	l.Reserved += s.unreported[size.Shard].reserved
+	cost := l.Pressure()
+	if room := p.RoomFor(isFiller); room > 0 {
+		cost += p.Lane(flow.Policy.Priority, isFiller).WaitOf(flow.Policy.Priority, flow.Work()).Seconds()
+		cost += 1000 * s.unreported[size.Shard].cpuTime.Seconds() / float64(room)
+	} else {
+		cost += noRoomCost
+	}
+	if rack := dataRack(flow); rack != "" && len(l.Racks) > 0 && !slices.Contains(l.Racks, rack) {
+		cost += remoteDataCost
+	}
+	return cost
+}
+
 // addUnreported adds the load of a job to what this host has submitted to a shard. Batch
 // steps that wait for other steps do not count, as they start later. The caller holds mu.
 func (s *ShardSelector) addUnreported(shard heatherhub.ShardID, flow *heatherhub.Workflow) {
