--- a/process/dispatch/forecast.go
+++ b/process/dispatch/forecast.go
@@ -138,6 +138,8 @@
 	// Late is the wait of a job that does not start in time, so that it goes after those that
 	// still can.
 	Late time.Duration `msgpack:"l,omitempty" json:"late,omitempty"`
+	// Arriving is the work of the jobs that arrive in a second, in millicores times seconds.
+	Arriving float64 `msgpack:"a,omitempty" json:"arriving,omitempty"`
 	// Error is the mean difference between the expected and the seen first start of a job,
 	// over Samples jobs.
 	Error   time.Duration `msgpack:"e,omitempty" json:"error,omitempty"`
@@ -228,6 +230,9 @@
 	waiting []waitingWork
 	late    float64
 	total   float64
+	// arrived is the work of the jobs added since the last forecast, and arriving that of a
+	// second, averaged over arrivalTime.
+	arrived, arriving float64
 	// meanError and samples are the measured error of the forecast, as of seenAt.
 	meanError time.Duration
 	samples   int
@@ -239,6 +244,14 @@
 	remaining, waiting float64
 }
 
+const (
+	// arrivalTime is the time over which the arriving work is averaged. Bursts last for
+	// seconds, and a shorter time mistakes single jobs for one.
+	arrivalTime = 3 * time.Second
+	// maxLateWait bounds the expected wait of late jobs while new ones need all room.
+	maxLateWait = time.Minute
+)
+
 // laneMemory is how long the measured error of a lane without jobs is kept.
 const laneMemory = 10 * time.Minute
 
@@ -285,13 +298,14 @@
 		}
 	}
 	slices.SortFunc(keys, compareLanes)
-	var ahead, allInTime, lateAhead float64
+	var ahead, allInTime, lateAhead, arriving float64
 	for i, key := range keys {
 		if i == 0 || keys[i-1].pool != key.pool || keys[i-1].isFiller != key.isFiller {
-			ahead, lateAhead, allInTime = 0, 0, 0
+			ahead, lateAhead, allInTime, arriving = 0, 0, 0, 0
 			for _, k := range keys {
 				if k.pool == key.pool && k.isFiller == key.isFiller {
 					allInTime += e.lanes[k].total
+					arriving += e.lanes[k].arriving
 				}
 			}
 		}
@@ -299,7 +313,7 @@
 		lateAhead += l.late
 		p, ok := f.Pools[key.pool]
 		if ok && len(p.Lanes) < maxLanes {
-			p.Lanes = append(p.Lanes, e.forecastLane(now, l, float64(p.RoomFor(key.isFiller)), ahead, allInTime+lateAhead))
+			p.Lanes = append(p.Lanes, e.forecastLane(now, l, float64(p.RoomFor(key.isFiller)), ahead, allInTime+lateAhead, arriving))
 			f.Pools[key.pool] = p
 		}
 		ahead += l.total
@@ -310,9 +324,9 @@
 }
 
 // forecastLane returns the forecast of a lane, before which go ahead and, for late jobs,
-// lateAhead. While there is room for a task, a job waits for nothing.
-func (e *Engine) forecastLane(now Moment, l *lane, room, ahead, lateAhead float64) LaneForecast {
-	out := LaneForecast{Priority: l.key.priority, IsFiller: l.key.isFiller, Error: l.meanError, Samples: l.samples}
+// lateAhead and the work that arrives. While there is room for a task, a job waits for nothing.
+func (e *Engine) forecastLane(now Moment, l *lane, room, ahead, lateAhead, arriving float64) LaneForecast {
+	out := LaneForecast{Priority: l.key.priority, IsFiller: l.key.isFiller, Arriving: l.arriving, Error: l.meanError, Samples: l.samples}
 	n := l.count
 	mean := heatherhub.Resources{
 		CPU: l.need.CPU / heatherhub.MilliCPU(n), Memory: l.need.Memory / heatherhub.Megabytes(n),
@@ -334,7 +348,11 @@
 			next = sum + l.total/(maxWaits-1)
 		}
 	}
-	out.Late = waitFor(lateAhead)
+	// New jobs can end in time, so late ones have only the room that these leave.
+	out.Late = maxLateWait
+	if arriving < room {
+		out.Late = min(waitFor(lateAhead*room/(room-arriving)), maxLateWait)
+	}
 	return out
 }
 
@@ -346,6 +364,10 @@
 			delete(e.lanes, key)
 			continue
 		}
+		if since := now.Steady - e.forecastAt; since > 0 {
+			l.arriving += (l.arrived/since.Seconds() - l.arriving) * min(1, float64(since)/float64(arrivalTime))
+			l.arrived = 0
+		}
 		l.need, l.count, l.waiting, l.late, l.total = heatherhub.Resources{}, 0, l.waiting[:0], 0, 0
 	}
 	for _, j := range e.jobs {
@@ -421,10 +443,18 @@
 // maxForecastAge is the age up to which a forecast is used; see also intake's admission.
 const maxForecastAge = 2 * time.Second
 
-// predictStart notes when a new job is expected to start by the last forecast.
+// predictStart notes when a new job is expected to start by the last forecast and, as hosts
+// do, the work that has arrived since. Jobs that are
+// expected to be late are left out: many of them never start.
 func (e *Engine) predictStart(now Moment, j *job) {
 	w := j.workflow
-	if e.forecast == nil || now.Steady-e.forecastAt > maxForecastAge || w.Schedule != nil || w.IsLongRunning() || j.isInherited {
+	if w.Schedule != nil || w.IsLongRunning() || j.isInherited {
+		return
+	}
+	l := e.laneOf(now.Steady, laneKeyOf(j, &w.Steps[0]))
+	arrived := l.arrived
+	l.arrived += w.Work() * e.expectedRatio(w.Queue)
+	if e.forecast == nil || now.Steady-e.forecastAt > maxForecastAge {
 		return
 	}
 	p, ok := e.forecast.Pools[j.policy.Pool]
@@ -432,7 +462,13 @@
 		return
 	}
 	wait := p.Lane(j.policy.Priority, w.Steps[0].Filler).WaitOf(j.policy.Priority, w.Work())
-	j.expectedStart = now.Steady + wait
+	if room := p.RoomFor(l.key.isFiller); wait > 0 && room > 0 {
+		since := time.Duration(arrived / float64(room) * float64(time.Second))
+		wait += max(since-(now.Steady-e.forecastAt), 0)
+	}
+	if o := j.occurrences[0]; now.Steady+wait+o.declaredChain() <= o.objective {
+		j.expectedStart = now.Steady + wait
+	}
 }
 
 // observeStart compares the first start of a job with what was expected.
@@ -443,7 +479,8 @@
 	}
 	l := e.laneOf(a.startedAt, laneKeyOf(j, a.task.step.spec))
 	l.samples++
-	difference := (a.startedAt - j.expectedStart).Abs()
+	// A job that has turned late starts at any later time, which says no more of the error.
+	difference := min((a.startedAt - j.expectedStart).Abs(), a.task.step.occ.objective-j.arrived)
 	l.meanError += time.Duration(float64(difference-l.meanError) * max(errorWeight, 1/float64(l.samples)))
 	j.expectedStart = 0
 }
--- a/request/intake/admission.go
+++ b/request/intake/admission.go
@@ -49,6 +49,8 @@
 	// Wait is the expected wait until the first start, End the expected end, and ValueUntil
 	// the end after which the job has no value.
 	Wait, End, ValueUntil time.Duration
+	// Excess is how much sooner the job would have to start to end in time.
+	Excess time.Duration
 	// Room is the processors of all shards that may run the job.
 	Room heatherhub.MilliCPU
 }
@@ -58,15 +60,17 @@
 	return a.IsKnown && a.End > a.ValueUntil
 }
 
-// assess returns the assessment of a job that would wait for ahead longer than forecasts say.
-// A shard without workers for the job does not count.
-func assess(flow *heatherhub.Workflow, shards []record.ShardSize, loads map[heatherhub.ShardID]observedLoad, now dispatch.Moment, ahead float64) Assessment {
+// assess returns the assessment of a job, before which ahead goes in addition to what forecasts
+// count. A shard without workers for the job does not count.
+func assess(flow *heatherhub.Workflow, shards []record.ShardSize, loads map[heatherhub.ShardID]observedLoad, now dispatch.Moment, accepted *acceptedWork, ahead float64) Assessment {
 	var out Assessment
 	hasObjective := flow.Policy.Stretch > 0 || flow.Policy.Target > 0
 	if !hasObjective || flow.Schedule != nil || flow.IsLongRunning() || hasUnforeseenLimit(flow) {
 		return out
 	}
 	work, isFiller := flow.Work(), flow.Steps[0].Filler
+	var arriving float64
+	var age time.Duration
 	for _, size := range shards {
 		l, ok := loads[size.Shard]
 		if !ok || l.Forecast == nil || l.age(now) > maxPartAge {
@@ -74,7 +78,13 @@
 		}
 		p := l.Forecast.Pools[flow.Policy.Pool]
 		out.Room += p.RoomFor(isFiller)
+		if lane := p.Lane(flow.Policy.Priority, isFiller); lane != nil && lane.Priority == flow.Policy.Priority {
+			arriving += lane.Arriving
+		}
+		age = max(age, l.age(now))
 	}
+	// The forecasts lack what all hosts have accepted since, less what was done in that time.
+	ahead += max(accepted.since(now.Steady, age)*accepted.scale(now.Steady, arriving)-age.Seconds()*float64(out.Room), 0)
 	for _, size := range shards {
 		l := loads[size.Shard]
 		p, ok := l.Forecast.Pools[flow.Policy.Pool]
@@ -113,14 +123,14 @@
 	}))
 	l := p.Lane(flow.Policy.Priority, isFiller)
 	valueUntil := heatherhub.ValueSpans * span
-	wait := time.Duration(0)
+	var wait, excess time.Duration
 	if l != nil && l.Samples >= minErrorSamples {
 		wait = l.WaitOf(flow.Policy.Priority, work)
 		favour := max(l.Error, minForecastError)
 		if wait > 0 {
 			wait += time.Duration(aheadSeconds * float64(time.Second))
 		}
-		if wait-favour+chain > span {
+		if excess = wait - favour + chain - span; excess > 0 {
 			wait = max(wait, l.Late)
 		}
 		wait = max(wait-favour, 0)
@@ -129,7 +139,7 @@
 		// The room is free or soon is, so the job is not refused however long its chain takes.
 		chain = min(chain, valueUntil)
 	}
-	return Assessment{Wait: wait, End: wait + chain, ValueUntil: valueUntil}
+	return Assessment{Wait: wait, End: wait + chain, ValueUntil: valueUntil, Excess: excess}
 }
 
 // width returns the processors that all tasks of a step need at the same time.
@@ -144,6 +154,62 @@
 	priority int
 }
 
+func keyOf(flow *heatherhub.Workflow) refusalKey {
+	return refusalKey{pool: flow.Policy.Pool, isFiller: flow.Steps[0].Filler, priority: flow.Policy.Priority}
+}
+
+const (
+	// acceptedSlot is the resolution of acceptedWork, and acceptedSlots covers the 3 s over
+	// which forecasts average arriving work.
+	acceptedSlot  = 250 * time.Millisecond
+	acceptedSlots = 12
+	// maxScale bounds how many times the work that this host has accepted all hosts may have.
+	maxScale = 64
+)
+
+// acceptedWork is the work that this host has accepted lately, in millicores times seconds.
+type acceptedWork struct {
+	slots [acceptedSlots]float64
+	last  int64
+}
+
+// advance clears the slots that have become too old.
+func (w *acceptedWork) advance(now time.Duration) {
+	slot := int64(now / acceptedSlot)
+	for k := max(w.last+1, slot-acceptedSlots+1); k <= slot; k++ {
+		w.slots[k%acceptedSlots] = 0
+	}
+	w.last = max(w.last, slot)
+}
+
+func (w *acceptedWork) add(now time.Duration, work float64) {
+	w.advance(now)
+	w.slots[w.last%acceptedSlots] += work
+}
+
+// since returns the work accepted within age, as far as it is known.
+func (w *acceptedWork) since(now, age time.Duration) float64 {
+	if w == nil {
+		return 0
+	}
+	w.advance(now)
+	sum := 0.0
+	for k := range min(int64(age/acceptedSlot)+1, acceptedSlots) {
+		sum += w.slots[(w.last-k+acceptedSlots)%acceptedSlots]
+	}
+	return sum
+}
+
+// scale returns how many times the work that this host accepts all hosts do, if arriving is
+// what arrives in a second.
+func (w *acceptedWork) scale(now time.Duration, arriving float64) float64 {
+	own := w.since(now, acceptedSlots*acceptedSlot) / (acceptedSlots * acceptedSlot).Seconds()
+	if own <= 0 {
+		return 1
+	}
+	return min(max(arriving/own, 1), maxScale)
+}
+
 // refusalQueue has the work of the refused jobs of one group, in millicores times seconds.
 // Work that was refused before a job and has not returned goes before it.
 type refusalQueue struct {
@@ -251,13 +317,14 @@
 
 	mu       sync.Mutex
 	loads    map[heatherhub.ShardID]observedLoad
+	accepted map[refusalKey]*acceptedWork
 	refusals refusals
 }
 
 // NewAdmission returns an Admission that has read no loads and refuses nothing.
 func NewAdmission(cfg AdmissionConfig) *Admission {
 	a := &Admission{
-		cfg: cfg, loads: make(map[heatherhub.ShardID]observedLoad),
+		cfg: cfg, loads: make(map[heatherhub.ShardID]observedLoad), accepted: make(map[refusalKey]*acceptedWork),
 		refusals: refusals{jobs: make(map[heatherhub.JobID]refusal), queues: make(map[refusalKey]*refusalQueue)},
 		decisions: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "heatherhub_admissions_total", Help: "Submitted jobs by what the estimate of their end says.",
@@ -295,16 +362,14 @@
 func (a *Admission) Decide(flow *heatherhub.Workflow) *Refusal {
 	now := a.cfg.Clock.Now()
 	shards := a.cfg.Shards()
-	key := refusalKey{pool: flow.Policy.Pool, isFiller: flow.Steps[0].Filler, priority: flow.Policy.Priority}
+	key := keyOf(flow)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	ahead := a.refusals.ahead(flow.ID, key)
-	r := assess(flow, shards, a.loads, now, ahead)
+	r := assess(flow, shards, a.loads, now, a.accepted[key], a.refusals.ahead(flow.ID, key))
 	if !r.isLate() {
 		return nil
 	}
-	wait := r.End - r.ValueUntil
-	return &Refusal{Assessment: r, key: key, RetryAfter: min(max(wait, minAdmissionRetry), maxAdmissionRetry)}
+	return &Refusal{Assessment: r, key: key, RetryAfter: min(max(r.Excess, minAdmissionRetry), maxAdmissionRetry)}
 }
 
 // Refusal says why a job is not submitted.
@@ -327,10 +392,21 @@
 	return heatherhub.WithRetryAfter(heatherhub.ErrUnavailable.New("the job would end too late and was not accepted: try again later"), r.RetryAfter)
 }
 
-// Accepted forgets the refusals of a job that was accepted.
-func (a *Admission) Accepted(id heatherhub.JobID) {
+// Accepted notes a job that was accepted, and forgets its refusals.
+func (a *Admission) Accepted(flow *heatherhub.Workflow) {
 	a.decisions.WithLabelValues("accepted").Inc()
+	if flow.Schedule != nil || flow.IsLongRunning() {
+		return
+	}
+	now := a.cfg.Clock.Now().Steady
+	key := keyOf(flow)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.refusals.settle(id)
+	a.refusals.settle(flow.ID)
+	w := a.accepted[key]
+	if w == nil {
+		w = &acceptedWork{}
+		a.accepted[key] = w
+	}
+	w.add(now, flow.Work())
 }
--- a/request/intake/jobs.go
+++ b/request/intake/jobs.go
@@ -136,7 +136,7 @@
 	err := a.submit(ctx, flow, table)
 	a.inFlight.end(a.cfg.Clock.Now().Steady, flow.ID, err)
 	if err == nil && a.cfg.Admission != nil {
-		a.cfg.Admission.Accepted(flow.ID)
+		a.cfg.Admission.Accepted(flow)
 	}
 	return err
 }
