--- a/process/dispatch/forecast_test.go
+++ b/process/dispatch/forecast_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"math"
+	"reflect"
 	"testing"
 	"time"
 
 	"heatherhub.example/heatherhub"
 	"heatherhub.example/heatherhub/connection/agent"
 	"heatherhub.example/heatherhub/process/dispatch"
+	"heatherhub.example/heatherhub/process/record"
 )
 
 // TestExpectedRoomFollowsProgress guards against an expected end that follows the declared
@@ -94,6 +97,34 @@
 	}
 }
 
+// TestForecastIsReadFromItsRecord guards against forecasts that a host cannot decode or check,
+// or that take more of a load than the 3 KB/s that control may use.
+func TestForecastIsReadFromItsRecord(t *testing.T) {
+	b := newSimulation(t, dispatch.Policy{Target: time.Minute}, 4)
+	b.runTime = 1.5
+	for i := range 40 {
+		b.add(heatherhub.JobID(fmt.Sprintf("j%02d", i)), tasks(10+i, 1000, time.Second))
+	}
+	b.decide()
+	b.advance(10 * time.Second)
+	want := b.e.Forecast(b.now)
+	data, err := record.Encode(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got dispatch.Forecast
+	if err := heatherhub.Unmarshal(data, &got); err != nil || got.Check() != nil || !reflect.DeepEqual(&got, want) {
+		t.Errorf("got %+v, error %v, want %+v", got, err, want)
+	}
+	if len(data) > 300 {
+		t.Errorf("got %d bytes for one pool and priority, want at most 300", len(data))
+	}
+	got.Pools[pool].Lanes[0].Waits[0].Work = math.NaN()
+	if got.Check() == nil {
+		t.Error("a wait without a number was accepted")
+	}
+}
+
 // crowded returns an engine with 110 workers and 1,000 waiting jobs, and the time.
 func crowded(b *testing.B) (*dispatch.Engine, dispatch.Moment) {
 	e := dispatch.New(dispatch.Config{Token: 1})
--- a/process/owner/commit.go
+++ b/process/owner/commit.go
@@ -325,14 +325,16 @@
 	t.reportWorkers()
 	l := t.engine.Load()
 	waiting := t.engine.QueuedJobs()
-	t.log.Info("load", zap.Int64("capacity", int64(l.Capacity)), zap.Int64("reserved", int64(l.Reserved)), zap.Int64("filling", int64(l.FillerDemand)), zap.Duration("backlog", l.Backlog),
-		zap.Any("waiting", waiting), zap.Any("unconfirmed", t.engine.UnconfirmedJobs()), zap.Any("stats", t.engine.Stats))
 	now := t.now()
+	forecast := t.engine.Forecast(now)
+	t.host.metrics.reportForecast(t.shard, forecast)
+	t.log.Info("load", zap.Int64("capacity", int64(l.Capacity)), zap.Int64("reserved", int64(l.Reserved)), zap.Int64("filling", int64(l.FillerDemand)), zap.Duration("backlog", l.Backlog),
+		zap.Any("waiting", waiting), zap.Any("unconfirmed", t.engine.UnconfirmedJobs()), zap.Any("stats", t.engine.Stats), zap.Any("forecast", forecast.Pools))
 	value, err := record.Encode(record.Load{
 		Capacity: l.Capacity, Reserved: l.Reserved, FillerDemand: l.FillerDemand, Backlog: l.Backlog,
 		Waiting: waiting, BegunGuests: t.engine.BegunGuests(), MovedJobs: t.engine.MovedJobs(now), JobsRead: t.jobsRead, JobsReadAge: now.Steady - t.jobsAnsweredAt,
 		Racks: t.engine.Racks(), LargestFree: t.engine.LargestFree(now, record.MaxLargestFree),
-		LargestSpare: t.engine.LargestSpare(now, record.MaxLargestFree), FillerRoom: t.engine.FillerRoom(now), Forecast: t.engine.Forecast(now), At: now.Wall,
+		LargestSpare: t.engine.LargestSpare(now, record.MaxLargestFree), FillerRoom: t.engine.FillerRoom(now), Forecast: forecast, At: now.Wall,
 	})
 	return value, t.engine.RemoveExpired(now, t.host.cfg.EndedRetention, maxExpiredPerCommit), err
 }
--- a/process/owner/metrics.go
+++ b/process/owner/metrics.go
@@ -1,10 +1,12 @@
 package owner
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"heatherhub.example/heatherhub"
 	"heatherhub.example/heatherhub/process/dispatch"
 )
 
@@ -18,6 +20,8 @@
 	stepWait   prometheus.Histogram
 	jobTime    prometheus.Histogram
 	workers    *prometheus.GaugeVec
+	// forecastError is the measured error of the forecasts, by shard, pool and priority.
+	forecastError *prometheus.GaugeVec
 	// workersGone counts workers on which no task runs any more, by evidence.
 	workersGone *prometheus.CounterVec
 	// workerRestarts counts workers that were seen in another incarnation.
@@ -51,6 +55,9 @@
 		workers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "heatherhub_workers", Help: "Workers of this host's shards by state.",
 		}, []string{"state"}),
+		forecastError: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "heatherhub_forecast_error_seconds", Help: "Mean difference between the expected and the seen first start of jobs.",
+		}, []string{"shard", "pool", "priority", "filler"}),
 		workersGone: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "heatherhub_workers_gone_total", Help: "Workers on which no task runs any more, by evidence.",
 		}, []string{"evidence"}),
@@ -59,7 +66,7 @@
 		}),
 	}
 	if r != nil {
-		r.MustRegister(m.events, m.takeovers, m.shardsLost, m.commits, m.commitTime, m.stepWait, m.jobTime, m.workers, m.workersGone, m.workerRestarts)
+		r.MustRegister(m.events, m.takeovers, m.shardsLost, m.commits, m.commitTime, m.stepWait, m.jobTime, m.workers, m.workersGone, m.workerRestarts, m.forecastError)
 	}
 	return m
 }
@@ -104,3 +111,18 @@
 	g.WithLabelValues("silent").Set(float64(silent))
 	g.WithLabelValues("draining").Set(float64(draining))
 }
+
+// reportForecast sets the gauges of the measured errors of a shard's forecasts. A nil forecast
+// removes them.
+func (m *metrics) reportForecast(shard heatherhub.ShardID, f *dispatch.Forecast) {
+	m.forecastError.DeletePartialMatch(prometheus.Labels{"shard": shard.String()})
+	if f == nil {
+		return
+	}
+	for pool, p := range f.Pools {
+		for i := range p.Lanes {
+			l := &p.Lanes[i]
+			m.forecastError.WithLabelValues(shard.String(), string(pool), strconv.Itoa(l.Priority), strconv.FormatBool(l.IsFiller)).Set(l.Error.Seconds())
+		}
+	}
+}
--- a/process/owner/move.go
+++ b/process/owner/move.go
@@ -65,7 +65,7 @@
 type RangeReader func(ctx context.Context, prefix string) (ledger.Snapshot, error)
 
 // ReadLoads reads the load records that the owners publish, by shard. Records that cannot
-// be decoded are logged and left out.
+// be decoded are logged and left out, and so are invalid forecasts of a load.
 func ReadLoads(ctx context.Context, read RangeReader, log *zap.Logger) (map[heatherhub.ShardID]record.Load, error) {
 	snap, err := read(ctx, record.LoadPrefix)
 	if err != nil {
@@ -82,6 +82,12 @@
 			log.Warn("load unreadable", zap.String("key", it.Key), zap.Error(err))
 			continue
 		}
+		if l.Forecast != nil {
+			if err := l.Forecast.Check(); err != nil {
+				log.Warn("forecast ignored", zap.String("key", it.Key), zap.Error(err))
+				l.Forecast = nil
+			}
+		}
 		l.Revision = it.Revision
 		loads[id] = l
 	}
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -168,6 +168,7 @@
 	t.group.Go(t.moveLoop)
 	<-t.ctx.Done()
 	t.group.Wait()
+	t.host.metrics.reportForecast(t.shard, nil)
 	t.log.Info("term over", zap.Duration("lasted", t.now().Steady-t.startedAt), zap.Any("stats", t.engine.Stats))
 }
 
--- a/process/record/record.go
+++ b/process/record/record.go
@@ -55,8 +55,8 @@
 // LoadKey returns the key of a shard's load.
 func LoadKey(s heatherhub.ShardID) string { return LoadPrefix + s.String() }
 
-// InterferenceKey returns the key of the interference model that a shard's owners have
-// learned.
+// InterferenceKey returns the key of the interference model and the run times that a shard's
+// owners have learned.
 func InterferenceKey(s heatherhub.ShardID) string { return InterferencePrefix + s.String() }
 
 // HostKey returns the key of a host's capacity.
