Bound the run times of a load, and forget refused callers by number

Cause: each host reads the loads of all shards once a second, and 32 run times take about 1 KB. The queue of refused callers was dropped when its sums of work were equal, which rounding may miss.

Change: 16 run times in single precision; a queue of refused callers counts its jobs.

--- a/process/dispatch/forecast.go
+++ b/process/dispatch/forecast.go
@@ -19,7 +19,7 @@
 	Pools map[heatherhub.PoolID]PoolForecast `msgpack:"p" json:"pools"`
 	// RunTimes has the learned ratios of measured to declared run time of the queues with the
 	// most samples. Others run as declared.
-	RunTimes map[heatherhub.QueueID]float64 `msgpack:"r,omitempty" json:"runTimes,omitempty"`
+	RunTimes map[heatherhub.QueueID]float32 `msgpack:"r,omitempty" json:"runTimes,omitempty"`
 }
 
 // PoolForecast is the forecast for one pool.
@@ -71,7 +71,7 @@
 		}
 	}
 	for id, ratio := range f.RunTimes {
-		if !isAmount(ratio) {
+		if !isAmount(float64(ratio)) {
 			return heatherhub.ErrInvalid.New("the forecast has no valid run time of queue %q", id)
 		}
 	}
@@ -121,11 +121,12 @@
 	return wait
 }
 
-// Bounds of a published forecast, which takes about 20 bytes for each wait and run time.
+// Bounds of a published forecast, which takes about 20 bytes for each wait and run time. Each
+// host reads the loads of all shards once a second, and may use 3 KB/s for control.
 const (
 	maxLanes        = 12
 	maxWaits        = 6
-	maxLoadRunTimes = 32
+	maxLoadRunTimes = 16
 )
 
 // laneKey identifies the jobs of a lane.
@@ -208,7 +209,7 @@
 	e.room.isStale = true
 	f := &Forecast{Pools: make(map[heatherhub.PoolID]PoolForecast)}
 	for _, n := range e.sortedNodes {
-		if n.worker.Draining || n.isUnresponsive {
+		if !n.mayTakeStarts() {
 			continue
 		}
 		p := f.Pools[n.worker.Pool]
@@ -351,7 +352,7 @@
 }
 
 // publishedRunTimes returns the learned ratios of the queues with the most samples.
-func (e *Engine) publishedRunTimes() map[heatherhub.QueueID]float64 {
+func (e *Engine) publishedRunTimes() map[heatherhub.QueueID]float32 {
 	all := e.RunTimes()
 	ids := make([]heatherhub.QueueID, 0, len(all))
 	for id := range all {
@@ -360,9 +361,9 @@
 	slices.SortFunc(ids, func(a, b heatherhub.QueueID) int {
 		return cmp.Or(cmp.Compare(all[b].Samples, all[a].Samples), cmp.Compare(a, b))
 	})
-	out := make(map[heatherhub.QueueID]float64, min(len(ids), maxLoadRunTimes))
+	out := make(map[heatherhub.QueueID]float32, min(len(ids), maxLoadRunTimes))
 	for _, id := range ids[:min(len(ids), maxLoadRunTimes)] {
-		out[id] = e.expectedRatio(id)
+		out[id] = float32(e.expectedRatio(id))
 	}
 	return out
 }
--- a/process/dispatch/room.go
+++ b/process/dispatch/room.go
@@ -80,7 +80,7 @@
 	for i := range f.workers {
 		w := &f.workers[i]
 		n := w.node
-		if n.worker.Pool != pool || n.worker.Draining || n.isUnresponsive {
+		if n.worker.Pool != pool || !n.mayTakeStarts() {
 			continue
 		}
 		if fits(need, n.free(), n.spareCPU(), isFiller) && n.acceptsTasks(now.Steady) {
@@ -109,3 +109,9 @@
 	}
 	return need.Fits(free)
 }
+
+// mayTakeStarts reports whether the worker counts in forecasts. One that gets no task for a
+// moment, after a refusal or in quarantine, does.
+func (n *node) mayTakeStarts() bool {
+	return !n.worker.Draining && !n.isUnresponsive
+}
--- a/process/dispatch/runtimes.go
+++ b/process/dispatch/runtimes.go
@@ -119,7 +119,7 @@
 		return 0, false
 	}
 	if a.stop != noStop {
-		return stopTime, true
+		return expectedStopTime, true
 	}
 	left := float64(e.expectedDuration(s)) * (1 - float64(a.progress)/100) * float64(fullSpeed) / float64(a.speedLimit)
 	if a.isMeasurable && a.progress >= minOwnProgress {
@@ -130,5 +130,6 @@
 	return max(time.Duration(left)-(now-a.progressAt), 0), true
 }
 
-// stopTime is the time that a stopped run is expected to keep its room for.
-const stopTime = 900 * time.Millisecond
+// expectedStopTime is how long a run that is stopped keeps its room, at most: workers take up
+// to 0.9 s.
+const expectedStopTime = 900 * time.Millisecond
--- a/request/intake/admission.go
+++ b/request/intake/admission.go
@@ -91,7 +91,7 @@
 		if !ok || p.RoomFor(isFiller) <= 0 {
 			continue
 		}
-		a := assessShard(flow, &p, l.Forecast.RunTimes[flow.Queue], work, ahead/float64(out.Room))
+		a := assessShard(flow, &p, float64(l.Forecast.RunTimes[flow.Queue]), work, ahead/float64(out.Room))
 		if !out.IsKnown || a.End-a.ValueUntil < out.End-out.ValueUntil {
 			a.IsKnown, a.Shard, a.Room = true, size.Shard, out.Room
 			out = a
@@ -214,6 +214,8 @@
 // Work that was refused before a job and has not returned goes before it.
 type refusalQueue struct {
 	refused, settled float64
+	// jobs is the number of refused jobs that are remembered.
+	jobs int
 }
 
 // refusal is a job that was refused and has not returned.
@@ -268,6 +270,7 @@
 	}
 	next.position, next.count = q.refused, 1
 	q.refused += next.work
+	q.jobs++
 	r.jobs[id] = next
 	return 1
 }
@@ -280,7 +283,8 @@
 	}
 	delete(r.jobs, id)
 	if q := r.queues[old.key]; q != nil {
-		if q.settled += old.work; q.settled >= q.refused {
+		q.settled += old.work
+		if q.jobs--; q.jobs == 0 {
 			delete(r.queues, old.key)
 		}
 	}
@@ -293,9 +297,6 @@
 			r.settle(id)
 		}
 	}
-	if len(r.jobs) == 0 {
-		clear(r.queues)
-	}
 }
 
 // AdmissionConfig holds the dependencies of an Admission.
