--- a/command/serve/serve.go
+++ b/command/serve/serve.go
@@ -45,6 +45,7 @@
 type Options struct {
 	SettingsFile string `arg:"--settings,env:HEATHERHUB_CONFIG" placeholder:"FILE" help:"the platform's settings file"`
 	LogLevel     string `arg:"--log-level,env:HEATHERHUB_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
+	AcceptLate   bool   `arg:"--accept-late,env:HEATHERHUB_ACCEPT_LATE" help:"accept also jobs that are expected to end after their value is over"`
 }
 
 // operatorPort is the port for operators and metrics. deploy/system.toml names the same
@@ -94,7 +95,7 @@
 	}
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.MemoryMB) * 1e6))
-	h := newHost(s, log)
+	h := newHost(s, log, o.AcceptLate)
 	h.settingsPath = o.SettingsFile
 	log.Info("host starts", zap.Int("pid", os.Getpid()), zap.Float64("cores", s.Cores), zap.Int64("memoryMb", s.MemoryMB))
 	err = h.run(ctx)
@@ -123,8 +124,9 @@
 	isDraining     atomic.Bool
 }
 
-// newHost creates the parts of a host and connects them. It starts nothing.
-func newHost(s platform.Settings, log *zap.Logger) *host {
+// newHost creates the parts of a host and connects them. It starts nothing. If acceptsLate is
+// set, no job is refused by the estimate of its end.
+func newHost(s platform.Settings, log *zap.Logger, acceptsLate bool) *host {
 	registry := prometheus.NewRegistry()
 	h := &host{settings: s, log: log, registry: registry, reloadSignals: make(chan os.Signal, 1), store: platform.NewStore(s.StoreAddress, registry), clock: steady.New()}
 	h.lastStoreReply.Store(int64(-configStaleAfter))
@@ -150,10 +152,14 @@
 	h.peerServer.Handle(peer.MethodOverview, overview.Handler(h.owner.Overview))
 	h.stateClient = &intake.StateClient{Client: peer.NewClient(peer.ClientConfig{Self: s.Host, Log: log}), View: h.owner.View}
 	h.owner.OnView(func(v *owner.View) { h.stateClient.SetOwners(v, s.Host) })
-	h.jobAPI = intake.New(intake.Config{
+	cfg := intake.Config{
 		Store: h.store, TableKey: platform.TableKey, Shards: h.shards, Queues: queueCounter, LocalState: h.owner.JobState, PeerState: h.stateClient.State,
-		Clock: h.clock, Log: log, Admission: admission,
-	})
+		Clock: h.clock, Log: log,
+	}
+	if !acceptsLate {
+		cfg.Admission = admission
+	}
+	h.jobAPI = intake.New(cfg)
 	return h
 }
 
--- a/process/dispatch/forecast_test.go
+++ b/process/dispatch/forecast_test.go
@@ -73,6 +73,28 @@
 	}
 }
 
+// TestForecastKeepsPrioritiesApart guards against urgent jobs that seem to wait for work that
+// they go before, and against other jobs that seem not to wait for urgent ones.
+func TestForecastKeepsPrioritiesApart(t *testing.T) {
+	b := newSimulation(t, dispatch.Policy{}, 2)
+	for i := range 60 {
+		b.e.AddJob(b.now, dispatch.JobRecord{RecordRevision: 1, Workflow: &heatherhub.Workflow{
+			ID: heatherhub.JobID(fmt.Sprintf("j%02d", i)), Queue: "other", Accepted: b.now.Wall, Steps: []heatherhub.Step{tasks(10, 1000, time.Second)},
+			Policy: dispatch.Policy{Pool: pool, Stretch: 60, Priority: 2 * (i / 30)},
+		}})
+	}
+	for _, o := range b.e.Decide(b.now) {
+		b.e.OrderResult(b.now, o, dispatch.Confirmed)
+	}
+	p := b.e.Forecast(b.now).Pools[pool]
+	// 28 urgent jobs of half a second on 20 processors wait, and 30 others behind them.
+	for priority, want := range map[int]time.Duration{0: 14 * time.Second, 1: 14 * time.Second, 2: 29 * time.Second} {
+		if got := p.Lane(priority, false).WaitOf(priority, 10_000); (got - want).Abs() > time.Second {
+			t.Errorf("priority %d: got a wait of %v, want about %v", priority, got, want)
+		}
+	}
+}
+
 // TestForecastErrorIsMeasured guards against a forecast without a measure of its error, which
 // could not be used in favour of a job.
 func TestForecastErrorIsMeasured(t *testing.T) {
