--- a/process/dispatch/dispatch_test.go
+++ b/process/dispatch/dispatch_test.go
@@ -37,10 +37,13 @@
 	outcome func(dispatch.Order) dispatch.Outcome
 	// fillerSpeed is the rate at which fillers progress on a worker; if nil, it is 1.
 	fillerSpeed func(heatherhub.WorkerID) float64
+	// runTime is the ratio of the true to the declared run time; zero counts as 1.
+	runTime float64
 }
 
 type run struct {
 	order      dispatch.Order
+	total      time.Duration
 	remaining  time.Duration
 	speedLimit heatherhub.Percent
 }
@@ -105,7 +108,10 @@
 	switch o.Kind {
 	case dispatch.StartTask:
 		estimate := b.workflows[o.Task.Job].Steps[o.Task.Step].Estimate
-		b.runs[o.Worker] = append(b.runs[o.Worker], &run{order: o, remaining: estimate, speedLimit: 100})
+		if b.runTime > 0 {
+			estimate = time.Duration(b.runTime * float64(estimate))
+		}
+		b.runs[o.Worker] = append(b.runs[o.Worker], &run{order: o, total: estimate, remaining: estimate, speedLimit: 100})
 		b.started = append(b.started, o.Task)
 		b.placed[o.Task] = o.Worker
 	case dispatch.ThrottleTask:
@@ -176,7 +182,7 @@
 		}
 		kept = append(kept, run)
 		row := agent.Running{Task: run.order.Task, Run: run.order.Run, HasMeasurement: true, Measurement: float64(step.Need.CPU) * float64(run.speedLimit) / 100}
-		row.Progress = heatherhub.Percent(100 - 100*run.remaining/max(step.Estimate, 1))
+		row.Progress = heatherhub.Percent(100 - 100*run.remaining/max(run.total, 1))
 		if step.LongRunning {
 			row.Progress = 100
 		}
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -204,6 +204,8 @@
 	if a.state == sent {
 		e.pendingStarts++
 	}
+	a.isMeasurable = a.state == sent && a.checkpoint == ""
+	e.observeStart(a)
 	t.step.removePending(t)
 	a.node.addAttempt(a)
 }
@@ -245,6 +247,9 @@
 	t := e.findTask(end.Task)
 	if a != nil {
 		t = a.task
+		if end.Kind == agent.EndDone {
+			e.learnRunTime(now, a)
+		}
 		if end.Checkpoint != "" {
 			a.checkpoint = end.Checkpoint
 		}
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -98,7 +98,14 @@
 	// evacuated has the failure domains whose workers get no starts.
 	evacuated evacuation.Set
 	model     *interference
-	finished  []*job
+	// runTimes has the learned run times by queue.
+	runTimes map[heatherhub.QueueID]*runTimeRatio
+	// room and lanes are the state of forecasts, forecast is the last one, made at forecastAt.
+	room       roomForecast
+	lanes      map[laneKey]*lane
+	forecast   *Forecast
+	forecastAt time.Duration
+	finished   []*job
 	// progressCheckedAt is the time of the last check for stalled runs.
 	progressCheckedAt time.Duration
 	// meanSpeed is the average speed over all workers.
@@ -126,6 +133,8 @@
 		unknownJobs: make(map[heatherhub.JobID]*unknownJob),
 		absent:      make(map[heatherhub.JobID]time.Duration),
 		movedAway:   make(map[heatherhub.JobID]moveRecord),
+		runTimes:    make(map[heatherhub.QueueID]*runTimeRatio),
+		lanes:       make(map[laneKey]*lane),
 		model:       newInterference(), inheritUntil: cfg.InheritUntil,
 		nextRun: heatherhub.RunID(cfg.Token) * runsPerToken,
 	}
@@ -151,6 +160,9 @@
 	mayBeReported bool
 	// openAttempts counts the attempts that are not known to be over.
 	openAttempts int
+	// expectedStart is the steady time at which the forecast expected the first start, or zero
+	// if it was not expected or has been seen.
+	expectedStart time.Duration
 	// undoneTasks counts the tasks that are not done.
 	undoneTasks      int
 	progress         Progress
@@ -323,6 +335,8 @@
 	measure    float64
 	hasMeasure bool
 	speedLimit heatherhub.Percent
+	// isMeasurable means that the whole run of the task is seen at full speed.
+	isMeasurable bool
 	// isSpeedLimitUnknown means that the worker may not have applied speedLimit: the last
 	// order was not confirmed, or a previous owner may have set another one.
 	isSpeedLimitUnknown bool
@@ -502,6 +516,7 @@
 
 func (e *Engine) addNode(n *node) {
 	n.isEvacuated = e.evacuated.Has(n.worker.Domain)
+	e.room.isStale = true
 	e.nodes[n.worker.ID] = n
 	at, _ := slices.BinarySearchFunc(e.sortedNodes, n, compareNodes)
 	e.sortedNodes = slices.Insert(e.sortedNodes, at, n)
@@ -509,6 +524,7 @@
 
 func (e *Engine) dropNode(n *node) {
 	n.heldUntil = 0
+	e.room.isStale = true
 	delete(e.nodes, n.worker.ID)
 	if at, ok := slices.BinarySearchFunc(e.sortedNodes, n, compareNodes); ok {
 		e.sortedNodes = slices.Delete(e.sortedNodes, at, at+1)
--- a/process/owner/metrics.go
+++ b/process/owner/metrics.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -19,6 +20,8 @@
 	stepWait   prometheus.Histogram
 	jobTime    prometheus.Histogram
 	workers    *prometheus.GaugeVec
+	// forecastError is the measured error of the forecasts, by shard, pool and priority.
+	forecastError *prometheus.GaugeVec
 	// workersGone counts workers on which no task runs any more, by evidence.
 	workersGone *prometheus.CounterVec
 	// workerRestarts counts workers that were seen in another incarnation.
@@ -56,6 +59,9 @@
 		workers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "heatherhub_workers", Help: "Workers of this host's shards by state.",
 		}, []string{"state"}),
+		forecastError: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "heatherhub_forecast_error_seconds", Help: "Mean difference between the expected and the seen first start of jobs.",
+		}, []string{"shard", "pool", "priority", "filler"}),
 		workersGone: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "heatherhub_workers_gone_total", Help: "Workers on which no task runs any more, by evidence.",
 		}, []string{"evidence"}),
@@ -70,7 +76,7 @@
 		}, []string{"shard", "domain", "kind"}),
 	}
 	if r != nil {
-		r.MustRegister(m.events, m.takeovers, m.shardsLost, m.commits, m.commitTime, m.stepWait, m.jobTime, m.workers, m.workersGone, m.workerRestarts, m.evacuatedTasks, m.moves)
+		r.MustRegister(m.events, m.takeovers, m.shardsLost, m.commits, m.commitTime, m.stepWait, m.jobTime, m.workers, m.workersGone, m.workerRestarts, m.evacuatedTasks, m.moves, m.forecastError)
 	}
 	return m
 }
@@ -141,3 +147,18 @@
 func (m *metrics) forgetEvacuated(s heatherhub.ShardID, d heatherhub.FailureDomain) {
 	m.evacuatedTasks.DeletePartialMatch(prometheus.Labels{"shard": s.String(), "domain": string(d)})
 }
+
+// reportForecast sets the gauges of the measured errors of a shard's forecasts. A nil forecast
+// removes them.
+func (m *metrics) reportForecast(shard heatherhub.ShardID, f *dispatch.Forecast) {
+	m.forecastError.DeletePartialMatch(prometheus.Labels{"shard": shard.String()})
+	if f == nil {
+		return
+	}
+	for pool, p := range f.Pools {
+		for i := range p.Lanes {
+			l := &p.Lanes[i]
+			m.forecastError.WithLabelValues(shard.String(), string(pool), strconv.Itoa(l.Priority), strconv.FormatBool(l.IsFiller)).Set(l.Error.Seconds())
+		}
+	}
+}
