--- a/process/dispatch/runtimes.go
+++ b/process/dispatch/runtimes.go
@@ -129,4 +129,3 @@
 	}
 	return max(time.Duration(left)-(now-a.progressAt), 0), true
 }
-
