Evacuate a failure domain in the soak

The soak with real processes writes op/evacuate/DOMAIN into the stand-in's store and deletes it after 4.3 to 13.3 s; the stand-in's audit reports a start there later than 5 s after the write. This covers the way of the key from the store through the host's watch, which has no other test.

--- a/experiment/soak/faults_test.go
+++ b/experiment/soak/faults_test.go
@@ -50,12 +50,13 @@
 	workerRestart       faultKind = "worker starts again under its name"
 	workerShrinks       faultKind = "worker shrinks and grows"
 	taskCrashes         faultKind = "task crashes each worker that starts it"
+	domainEvacuated     faultKind = "failure domain evacuated"
 )
 
 // allFaultKinds are all kinds of faults.
 var allFaultKinds = []faultKind{
 	hostKill, hostPause, hostRestart, storeConnection, workerConnection, storeUnavailable, storeHistoryLost, workerCrash,
-	entriesLapse, entriesLapseHeld, entriesLapseExpired, workerCallsReset, workerDrain, workerRestart, workerShrinks, taskCrashes,
+	entriesLapse, entriesLapseHeld, entriesLapseExpired, workerCallsReset, workerDrain, workerRestart, workerShrinks, taskCrashes, domainEvacuated,
 }
 
 // faults injects random faults from outside the hosts. Faults may overlap; each ends after
@@ -167,6 +168,8 @@
 		f.shrinkWorkers(span)
 	case taskCrashes:
 		f.site.orderDeadlyJob()
+	case domainEvacuated:
+		f.evacuate(span)
 	case workerConnection, workerCrash, workerDrain:
 		for range 1 + len(f.site.machines)/16 {
 			f.injectAtWorker(k, span)
@@ -174,6 +177,19 @@
 	}
 }
 
+// evacuate evacuates a failure domain, for longer than the time until nothing may start there.
+func (f *faults) evacuate(span time.Duration) {
+	domain := domainOf(f.rng.IntN(domains))
+	key := "op/evacuate/" + domain
+	f.record(f.site.store.Put(key, "requested"))
+	f.site.audit.Evacuate(heatherhub.FailureDomain(domain))
+	f.after(span+4*time.Second, func() error {
+		f.site.audit.ReturnToService(heatherhub.FailureDomain(domain))
+		f.site.store.Remove(key)
+		return nil
+	})
+}
+
 // injectAtHost starts a fault of a random host.
 func (f *faults) injectAtHost(k faultKind, span time.Duration) {
 	i := f.rng.IntN(len(f.site.hosts))
--- a/experiment/soak/machine_test.go
+++ b/experiment/soak/machine_test.go
@@ -30,7 +30,7 @@
 func (m *machine) startWorker() error {
 	s := m.site
 	w := &standin.Worker{
-		Name: s.newWorkerName(m.index), CPU: workerCPU, TaskDemand: s.taskDemand, Audit: s.audit, AutoAcknowledge: s.opts.autoAcknowledge,
+		Name: s.newWorkerName(m.index), Domain: heatherhub.FailureDomain(domainOf(m.index)), CPU: workerCPU, TaskDemand: s.taskDemand, Audit: s.audit, AutoAcknowledge: s.opts.autoAcknowledge,
 	}
 	w.OnStart = func(t heatherhub.StepTask) { m.crashIfDeadly(w, t) }
 	w.Init()
