Name evacuated domains apart from the host's own, and warn of unknown ones late

Cause: the soak's logs had the field domain twice, for the host and the evacuated domain, and warned of a domain without workers right after a takeover, before the workers had answered.

The field is failureDomain now. An owner warns once a domain has had no worker for 5 s after a resolved takeover; it logs that an evacuation begins once it knows workers there, also after a takeover. The gauges of a shard end with its term. The soak evacuates once the store serves: before, two of four hosts read the request together with its withdrawal, the others never.

--- a/experiment/soak/faults_test.go
+++ b/experiment/soak/faults_test.go
@@ -177,16 +177,18 @@
 	}
 }
 
-// evacuate evacuates a failure domain, for longer than the time until nothing may start there.
+// evacuate evacuates a failure domain once the store serves, for longer than the time until nothing
+// may start there.
 func (f *faults) evacuate(span time.Duration) {
 	domain := domainOf(f.rng.IntN(domains))
 	key := "op/evacuate/" + domain
-	f.record(f.site.store.Put(key, "requested"))
-	f.site.audit.Evacuate(heatherhub.FailureDomain(domain))
-	f.after(span+4*time.Second, func() error {
+	f.group.Go(func() {
+		f.waitForStore(returnDelay)
+		f.record(f.site.store.Put(key, "requested"))
+		f.site.audit.Evacuate(heatherhub.FailureDomain(domain))
+		time.Sleep(span + 4*time.Second)
 		f.site.audit.ReturnToService(heatherhub.FailureDomain(domain))
 		f.site.store.Remove(key)
-		return nil
 	})
 }
 
--- a/process/owner/evacuate.go
+++ b/process/owner/evacuate.go
@@ -16,6 +16,10 @@
 // domains. They end within seconds.
 const evacuationCheckInterval = 250 * time.Millisecond
 
+// unknownDomainDelay is how long a domain has had no worker when it counts as unknown. The entries
+// of living workers may lapse for as long.
+const unknownDomainDelay = 5 * time.Second
+
 // minEvacuationAge is the least value of maxEvacuationAge: a watch of the requests is answered
 // every second, and a lost answer takes 1.6 s to be noticed.
 const minEvacuationAge = 2 * time.Second
@@ -65,7 +69,7 @@
 			t.engine.OrderResult(now, o.Order, dispatch.Withdrawn)
 		}
 	}
-	t.logEvacuations(now, old)
+	t.recordEvacuations(now.Steady, old)
 	signal(t.wakeDecide)
 	if t.isResolved {
 		signal(t.wakePublish)
@@ -94,28 +98,32 @@
 	return !t.engine.IsEvacuated(id) && !t.host.isEvacuationStale(now.Steady)
 }
 
-// logEvacuations logs how the evacuated domains differ from a former set. The caller holds t.mu.
-func (t *term) logEvacuations(now dispatch.Moment, old evacuation.Set) {
-	for _, d := range t.engine.EvacuatedDomains() {
-		if old.Has(d.Domain) {
-			continue
-		}
-		if t.hasNoWorkers(d.Domain) {
-			t.log.Warn("evacuated domain has no workers: check its name", zap.String("domain", string(d.Domain)))
+// evacuationState is what was logged of an evacuated domain.
+type evacuationState struct {
+	// since is the steady time at which the term has read the request.
+	since                          time.Duration
+	hasBegun, isEmptied, isUnknown bool
+}
+
+// recordEvacuations logs the evacuations of a former set that are over, and keeps a state for those
+// in force. The caller holds t.mu.
+func (t *term) recordEvacuations(now time.Duration, old evacuation.Set) {
+	for _, r := range old.Requests() {
+		if t.evacuated.Has(r.Domain) {
 			continue
 		}
-		if d.Workers > 0 {
-			t.log.Info("evacuation begins", zap.String("domain", string(d.Domain)), zap.Int("workers", d.Workers),
-				zap.Int("running", d.Batch), zap.Int("longRunning", d.LongRunning), zap.Bool("usable", t.engine.IsUsable(now)))
+		if s := t.evacuations[r.Domain]; s.hasBegun {
+			t.log.Info("evacuation is over", zap.String("failureDomain", string(r.Domain)), zap.Duration("lasted", now-s.since), zap.Bool("emptied", s.isEmptied))
 		}
+		delete(t.evacuations, r.Domain)
+		t.host.metrics.forgetEvacuated(t.shard, r.Domain)
 	}
-	for _, r := range old.Requests() {
-		if !t.evacuated.Has(r.Domain) {
-			t.log.Info("evacuation is over", zap.String("domain", string(r.Domain)), zap.Bool("emptied", t.emptied[r.Domain]))
-			delete(t.emptied, r.Domain)
-			t.host.metrics.forgetEvacuated(t.shard, r.Domain)
+	for _, r := range t.evacuated.Requests() {
+		if t.evacuations[r.Domain] == nil {
+			t.evacuations[r.Domain] = &evacuationState{since: now}
 		}
 	}
+	t.evacuatedCheckedAt = now - evacuationCheckInterval
 }
 
 // hasNoWorkers reports whether the site has no worker in a domain, as far as this term can tell:
@@ -137,21 +145,31 @@
 	return true
 }
 
-// checkEvacuated logs once for each evacuated domain that its last batch task has ended, and sets
-// the gauges. The caller holds t.mu.
-func (t *term) checkEvacuated(now time.Duration) {
-	if t.evacuated.Len() == 0 || now-t.evacuatedCheckedAt < evacuationCheckInterval {
+// checkEvacuated logs, once for each evacuated domain, that its evacuation begins and that its last
+// batch task has ended, or that the site has no such domain. It sets the gauges. The caller holds
+// t.mu.
+func (t *term) checkEvacuated(now dispatch.Moment) {
+	if t.evacuated.Len() == 0 || now.Steady-t.evacuatedCheckedAt < evacuationCheckInterval {
 		return
 	}
-	t.evacuatedCheckedAt = now
+	t.evacuatedCheckedAt = now.Steady
 	for _, d := range t.engine.EvacuatedDomains() {
+		s, name := t.evacuations[d.Domain], zap.String("failureDomain", string(d.Domain))
 		if d.Workers == 0 {
+			if !s.isUnknown && !s.hasBegun && t.isResolved && now.Steady-s.since > unknownDomainDelay && t.hasNoWorkers(d.Domain) {
+				s.isUnknown = true
+				t.log.Warn("evacuated domain has no workers: check its name", name)
+			}
 			continue
 		}
 		t.host.metrics.setEvacuated(t.shard, d)
-		if d.Batch == 0 && !t.emptied[d.Domain] && t.isResolved {
-			t.emptied[d.Domain] = true
-			t.log.Info("evacuated domain has no batch task", zap.String("domain", string(d.Domain)), zap.Int("longRunning", d.LongRunning))
+		if !s.hasBegun {
+			s.hasBegun = true
+			t.log.Info("evacuation begins", name, zap.Int("workers", d.Workers), zap.Int("running", d.Batch), zap.Int("longRunning", d.LongRunning), zap.Bool("usable", t.engine.IsUsable(now)))
+		}
+		if d.Batch == 0 && !s.isEmptied && t.isResolved {
+			s.isEmptied = true
+			t.log.Info("evacuated domain has no batch task", name, zap.Int("longRunning", d.LongRunning))
 		}
 	}
 }
--- a/process/owner/metrics.go
+++ b/process/owner/metrics.go
@@ -132,7 +132,14 @@
 	m.evacuatedTasks.WithLabelValues(s.String(), string(d.Domain), longRunningTasks).Set(float64(d.LongRunning))
 }
 
-// forgetEvacuated removes the gauges of a shard's tasks in a domain.
-func (m *metrics) forgetEvacuated(s heatherhub.ShardID, d heatherhub.FailureDomain) {
-	m.evacuatedTasks.DeletePartialMatch(prometheus.Labels{"shard": s.String(), "domain": string(d)})
+// forgetEvacuated removes the gauges of a shard's tasks in some domains, or in all if none is given.
+func (m *metrics) forgetEvacuated(s heatherhub.ShardID, domains ...heatherhub.FailureDomain) {
+	labels := prometheus.Labels{"shard": s.String()}
+	if len(domains) == 0 {
+		m.evacuatedTasks.DeletePartialMatch(labels)
+	}
+	for _, d := range domains {
+		labels["domain"] = string(d)
+		m.evacuatedTasks.DeletePartialMatch(labels)
+	}
 }
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -42,7 +42,7 @@
 	wakePublish chan struct{}
 
 	// mu guards the engine, workers, incarnations, known, ended, fleet, policyVersion, hasJobs, isResolved, jobsRead,
-	// jobsAnsweredAt, entriesAnsweredAt, isRoomStale, evacuated, emptied, evacuatedCheckedAt and
+	// jobsAnsweredAt, entriesAnsweredAt, isRoomStale, evacuated, evacuations, evacuatedCheckedAt and
 	// committed.
 	mu      sync.Mutex
 	engine  *dispatch.Engine
@@ -69,10 +69,10 @@
 	// workers, and isRoomStale says that it is too long ago to start tasks.
 	entriesAnsweredAt time.Duration
 	isRoomStale       bool
-	// evacuated is the set that the engine has, emptied has the evacuated domains without a
-	// batch task, and evacuatedCheckedAt is the steady time of the last look at them.
+	// evacuated is the set that the engine has, evacuations has the state of each domain in it,
+	// and evacuatedCheckedAt is the steady time of the last look at them.
 	evacuated          evacuation.Set
-	emptied            map[heatherhub.FailureDomain]bool
+	evacuations        map[heatherhub.FailureDomain]*evacuationState
 	evacuatedCheckedAt time.Duration
 
 	// committed is closed, and replaced, at the next successful commit of progress.
@@ -99,7 +99,7 @@
 	t := &term{
 		host: h, shard: s, token: agent.Token(rev), ownerRevision: rev,
 		log: h.cfg.Log.With(zap.Stringer("shard", s), zap.Uint64("token", uint64(rev))),
-		ctx: ctx, cancel: cancel, startedAt: now, emptied: make(map[heatherhub.FailureDomain]bool), succession: succession{isOver: make(chan struct{})},
+		ctx: ctx, cancel: cancel, startedAt: now, evacuations: make(map[heatherhub.FailureDomain]*evacuationState), succession: succession{isOver: make(chan struct{})},
 		engine:  dispatch.New(dispatch.Config{Token: agent.Token(rev), Shard: s, InheritUntil: formerStopsAt, MaxPendingStarts: h.maxPendingStarts()}),
 		workers: make(map[heatherhub.WorkerID]*workerLoop), fleet: newFleet(),
 		incarnations: make(map[heatherhub.WorkerName][]*workerLoop), known: make(map[heatherhub.WorkerName]heatherhub.WorkerID), ended: make(map[heatherhub.WorkerName]endedIncarnation),
@@ -175,6 +175,7 @@
 	t.group.Go(t.moveLoop)
 	<-t.ctx.Done()
 	t.group.Wait()
+	t.host.metrics.forgetEvacuated(t.shard)
 	t.log.Info("term over", zap.Duration("lasted", t.now().Steady-t.startedAt), zap.Any("stats", t.engine.Stats))
 }
 
@@ -469,7 +470,7 @@
 			w.enqueue(now, o)
 		}
 	}
-	t.checkEvacuated(now.Steady)
+	t.checkEvacuated(now)
 	t.removeRestarted()
 	if t.engine.HasChanges() {
 		signal(t.wakeCommit)
--- a/version/evacuation/reader.go
+++ b/version/evacuation/reader.go
@@ -47,7 +47,7 @@
 	r.Current.Apply(changes)
 	for _, c := range changes {
 		if old.Has(c.Domain) == r.Current.Load().Has(c.Domain) {
-			r.Log.Info("evacuation unchanged", zap.String("domain", string(c.Domain)), zap.Bool("withdrawn", c.IsWithdrawn), zap.Uint64("revision", uint64(c.Revision)))
+			r.Log.Info("evacuation unchanged", zap.String("failureDomain", string(c.Domain)), zap.Bool("withdrawn", c.IsWithdrawn), zap.Uint64("revision", uint64(c.Revision)))
 		}
 	}
 	r.logDifference(old, changes[len(changes)-1].Revision)
@@ -68,12 +68,12 @@
 	set := r.Current.Load()
 	for _, v := range set.Requests() {
 		if !old.Has(v.Domain) {
-			r.Log.Warn("evacuation requested", zap.String("domain", string(v.Domain)), zap.Uint64("revision", uint64(v.Revision)))
+			r.Log.Warn("evacuation requested", zap.String("failureDomain", string(v.Domain)), zap.Uint64("revision", uint64(v.Revision)))
 		}
 	}
 	for _, v := range old.Requests() {
 		if !set.Has(v.Domain) {
-			r.Log.Warn("evacuation over", zap.String("domain", string(v.Domain)), zap.Uint64("revision", uint64(rev)), zap.Time("since", v.Since))
+			r.Log.Warn("evacuation over", zap.String("failureDomain", string(v.Domain)), zap.Uint64("revision", uint64(rev)), zap.Time("since", v.Since))
 		}
 	}
 }
