--- a/process/dispatch/decide.go
+++ b/process/dispatch/decide.go
@@ -81,8 +81,8 @@
 	return out
 }
 
-// SetRoomStale holds back starts while the capacities of the workers are not known for certain: a
-// worker may have shrunk.
+// SetRoomStale holds back starts while it is not known for certain what the workers may take: one
+// may have shrunk, or its failure domain may be evacuated.
 func (e *Engine) SetRoomStale(isStale bool) {
 	e.isRoomStale = isStale
 }
--- a/process/owner/evacuate.go
+++ b/process/owner/evacuate.go
@@ -50,6 +50,17 @@
 	return c != nil && (!c.Load().IsKnown() || now-c.ReadAt() > h.cfg.maxEvacuationAge())
 }
 
+// updateEvacuationStale reports whether starts are held back since the requests are not known well
+// enough, and logs when that changes. The caller holds t.mu.
+func (t *term) updateEvacuationStale(now time.Duration) bool {
+	isStale := t.host.isEvacuationStale(now)
+	if isStale != t.isEvacuationStale {
+		t.isEvacuationStale = isStale
+		t.log.Warn("evacuations not known", zap.Bool("stale", isStale), zap.Duration("age", now-t.host.cfg.Evacuated.ReadAt()))
+	}
+	return isStale
+}
+
 // syncEvacuated passes the evacuated domains to the engine if they have changed, and drops the
 // starts that wait to be sent to their workers. The next load is published at once, unless it
 // would be the first one, which waits for the workers to answer. The caller holds t.mu.
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -42,8 +42,8 @@
 	wakePublish chan struct{}
 
 	// mu guards the engine, workers, incarnations, known, ended, fleet, policyVersion, hasJobs, isResolved, jobsRead,
-	// jobsAnsweredAt, entriesAnsweredAt, isRoomStale, evacuated, evacuations, evacuatedCheckedAt and
-	// committed.
+	// jobsAnsweredAt, entriesAnsweredAt, isRoomStale, evacuated, evacuations, evacuatedCheckedAt,
+	// isEvacuationStale and committed.
 	mu      sync.Mutex
 	engine  *dispatch.Engine
 	workers map[heatherhub.WorkerID]*workerLoop
@@ -70,10 +70,12 @@
 	entriesAnsweredAt time.Duration
 	isRoomStale       bool
 	// evacuated is the set that the engine has, evacuations has the state of each domain in it,
-	// and evacuatedCheckedAt is the steady time of the last look at them.
+	// evacuatedCheckedAt is the steady time of the last look at them, and isEvacuationStale says
+	// that starts are held back since the set may be too old.
 	evacuated          evacuation.Set
 	evacuations        map[heatherhub.FailureDomain]*evacuationState
 	evacuatedCheckedAt time.Duration
+	isEvacuationStale  bool
 
 	// committed is closed, and replaced, at the next successful commit of progress.
 	committed  chan struct{}
@@ -391,7 +393,8 @@
 		t.isRoomStale = isStale
 		t.log.Warn("capacities of workers", zap.Bool("stale", isStale), zap.Duration("age", age))
 	}
-	t.engine.SetRoomStale(isStale || t.host.isEvacuationStale(now))
+	isUnknown := t.updateEvacuationStale(now)
+	t.engine.SetRoomStale(isStale || isUnknown)
 }
 
 // applyJobChanges applies new jobs and cancellations. Deletions of keys are ignored: the
