Test the starts that wait while a domain is evacuated more closely

The former limit of 1.5 s for the end of all tasks let starts pass that are sent after the request. The limit is now what the watch, the order under way and its task take, 450 ms. Without the drop of waiting starts and the check at the send the test fails; either alone suffices here.

--- a/process/owner/evacuate_test.go
+++ b/process/owner/evacuate_test.go
@@ -132,15 +132,19 @@
 // the other domains and, afterwards, in all.
 func TestEvacuatedDomainGetsNoStarts(t *testing.T) {
 	testOnSite(t, 3, func(site *simSite) {
-		stop := site.flood(newStep(6, 300*time.Millisecond))
-		defer stop()
-		site.orderTime.Store(int64(100 * time.Millisecond))
+		const orderTime, runTime = 100 * time.Millisecond, 300 * time.Millisecond
+		step := newStep(30, runTime)
+		step.Need.CPU = 200
+		defer site.flood(step)()
+		site.orderTime.Store(int64(orderTime))
 		time.Sleep(3 * time.Second)
 		if site.runningIn("d1") == 0 {
 			t.Fatal("got no running task in the domain before its evacuation")
 		}
 		site.evacuate("d1")
-		site.await("the end of all tasks in the domain", 1500*time.Millisecond, func() bool { return site.runningIn("d1") == 0 })
+		// The request is read, the order under way arrives and its task ends.
+		limit := 50*time.Millisecond + orderTime + runTime
+		site.await("the end of all tasks in the domain", limit, func() bool { return site.runningIn("d1") == 0 })
 		before := site.totalStarts()
 		for range 80 {
 			time.Sleep(100 * time.Millisecond)
@@ -151,6 +155,8 @@
 		if site.totalStarts() < before+20 {
 			t.Errorf("got %d starts elsewhere during the evacuation, want at least 20", site.totalStarts()-before)
 		}
+		// The orders that wait would keep the next ones waiting, also without an evacuation.
+		site.orderTime.Store(0)
 		site.returnToService("d1")
 		site.await("a start after the return to service", time.Second, func() bool { return site.runningIn("d1") > 0 })
 	})
