--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -42,8 +42,8 @@
 	wakePublish chan struct{}
 
 	// mu guards the engine, workers, incarnations, known, ended, fleet, policyVersion, hasJobs, isResolved, jobsRead,
-	// jobsAnsweredAt, entriesAnsweredAt, isRoomStale, evacuated, emptied, evacuatedCheckedAt and
-	// committed.
+	// jobsAnsweredAt, entriesAnsweredAt, isRoomStale, evacuated, evacuations, evacuatedCheckedAt,
+	// isEvacuationStale and committed.
 	mu      sync.Mutex
 	engine  *dispatch.Engine
 	workers map[heatherhub.WorkerID]*workerLoop
@@ -69,11 +69,13 @@
 	// workers, and isRoomStale says that it is too long ago to start tasks.
 	entriesAnsweredAt time.Duration
 	isRoomStale       bool
-	// evacuated is the set that the engine has, emptied has the evacuated domains without a
-	// batch task, and evacuatedCheckedAt is the steady time of the last look at them.
+	// evacuated is the set that the engine has, evacuations has the state of each domain in it,
+	// evacuatedCheckedAt is the steady time of the last look at them, and isEvacuationStale says
+	// that starts are held back since the set may be too old.
 	evacuated          evacuation.Set
-	emptied            map[heatherhub.FailureDomain]bool
+	evacuations        map[heatherhub.FailureDomain]*evacuationState
 	evacuatedCheckedAt time.Duration
+	isEvacuationStale  bool
 
 	// committed is closed, and replaced, at the next successful commit of progress.
 	committed  chan struct{}
@@ -102,7 +104,7 @@
 	t := &term{
 		host: h, shard: s, token: agent.Token(rev), ownerRevision: rev,
 		log: h.cfg.Log.With(zap.Stringer("shard", s), zap.Uint64("token", uint64(rev))),
-		ctx: ctx, cancel: cancel, startedAt: now, emptied: make(map[heatherhub.FailureDomain]bool), succession: succession{isOver: make(chan struct{})},
+		ctx: ctx, cancel: cancel, startedAt: now, evacuations: make(map[heatherhub.FailureDomain]*evacuationState), succession: succession{isOver: make(chan struct{})},
 		engine:  dispatch.New(dispatch.Config{Token: agent.Token(rev), Shard: s, InheritUntil: formerStopsAt, MaxPendingStarts: h.maxPendingStarts(), Tuning: h.cfg.Tuning}),
 		workers: make(map[heatherhub.WorkerID]*workerLoop), fleet: newFleet(),
 		incarnations: make(map[heatherhub.WorkerName][]*workerLoop), known: make(map[heatherhub.WorkerName]heatherhub.WorkerID), ended: make(map[heatherhub.WorkerName]endedIncarnation),
@@ -179,6 +181,7 @@
 	<-t.ctx.Done()
 	t.group.Wait()
 	t.host.metrics.reportForecast(t.shard, nil)
+	t.host.metrics.forgetEvacuated(t.shard)
 	t.log.Info("term over", zap.Duration("lasted", t.now().Steady-t.startedAt), zap.Any("stats", t.engine.Stats))
 }
 
@@ -406,7 +409,8 @@
 		t.isRoomStale = isStale
 		t.log.Warn("capacities of workers", zap.Bool("stale", isStale), zap.Duration("age", age))
 	}
-	t.engine.SetRoomStale(isStale || t.host.isEvacuationStale(now))
+	isUnknown := t.updateEvacuationStale(now)
+	t.engine.SetRoomStale(isStale || isUnknown)
 }
 
 // applyJobChanges applies new jobs and cancellations. Deletions of keys are ignored: the
@@ -485,7 +489,7 @@
 			w.enqueue(now, o)
 		}
 	}
-	t.checkEvacuated(now.Steady)
+	t.checkEvacuated(now)
 	t.removeRestarted()
 	if t.engine.HasChanges() {
 		signal(t.wakeCommit)
