Test moves whose progress cannot be read at once

Cause: three mutations of the code passed all tests over whole hosts: a cancel ignored while the progress is awaited, a copy from before the move used for a job that came back, and a move before an end is durable.

Change: reads of progress fail for some time in TestBegunJobsMoveUnderFaults, and TestBegunJobMovesWithItsProgress checks the copy.

--- a/process/dispatch/move_test.go
+++ b/process/dispatch/move_test.go
@@ -326,6 +326,10 @@
 
 	back := *flow
 	back.Shard, back.ProgressRevision = heatherhub.ShardID{}, 30
+	kept, _ := startChain(t)
+	if !kept.e.NeedsProgress(&back, 31) || kept.e.NeedsProgress(&back, 1) {
+		t.Error("got a copy from before the move taken for the job that came back, or a need for progress that is known")
+	}
 	if !b.e.NeedsProgress(&back, 31) || b.e.NeedsProgress(&back, 19) {
 		t.Error("got no need for the progress of a job that came back, or one for an outdated record")
 	}
--- a/process/owner/move_test.go
+++ b/process/owner/move_test.go
@@ -376,6 +376,13 @@
 	return n
 }
 
+// setUnread has single reads of the keys with a prefix fail, or of none.
+func (site *simSite) setUnread(prefix string) {
+	site.store.mu.Lock()
+	defer site.store.mu.Unlock()
+	site.store.unreadPrefix = prefix
+}
+
 // movesWithProgress counts the writes of job records that moved a job after a run of it.
 func (site *simSite) movesWithProgress() int {
 	site.store.mu.Lock()
@@ -440,6 +447,20 @@
 		"cancel after the write": func(site *simSite) {
 			site.after(3*time.Millisecond, func() { site.store.set(record.CancelKey(victim), nil) })
 		},
+		"cancel before the progress is read": func(site *simSite) {
+			site.setUnread(record.ProgressPrefix)
+			site.after(200*time.Millisecond, func() { site.store.set(record.CancelKey(victim), nil) })
+			site.after(2*time.Second, func() { site.setUnread("") })
+		},
+		"progress is read late": func(site *simSite) {
+			site.setUnread(record.ProgressPrefix)
+			site.after(2*time.Second, func() { site.setUnread("") })
+		},
+		"owners die before the progress is read": func(site *simSite) {
+			site.setUnread(record.ProgressPrefix)
+			site.after(200*time.Millisecond, func() { kill(site, "d1"); kill(site, "d2") })
+			site.after(4*time.Second, func() { site.setUnread("") })
+		},
 		"former owner dies before": func(site *simSite) { kill(site, "d0") },
 		"former owner dies after":  func(site *simSite) { site.after(3*time.Millisecond, func() { kill(site, "d0") }) },
 		"new owners die before":    func(site *simSite) { kill(site, "d1"); kill(site, "d2") },
@@ -499,6 +520,10 @@
 						}
 					}
 				}
+				isCancelled := name == "cancel before the write" || name == "cancel before the progress is read"
+				if got := site.startCount(heatherhub.StepTask{Job: victim, Step: 1}); isCancelled && got != 0 {
+					t.Errorf("got %d starts of the second step of the cancelled job, want none", got)
+				}
 				if !isMet || site.movesWithProgress() == 0 {
 					t.Errorf("got %d moves with progress (fault injected: %v), want some", site.movesWithProgress(), isMet)
 				}
--- a/process/owner/store_test.go
+++ b/process/owner/store_test.go
@@ -45,6 +45,8 @@
 	delayedKey string
 	// beforePut is called before a commit that puts a key.
 	beforePut func(key string)
+	// unreadPrefix is the prefix of keys of which single reads fail.
+	unreadPrefix string
 	// hiddenKeys are left out of ranges.
 	hiddenKeys []string
 	// staleSnapshots holds the answers that RangeStale may repeat, by prefix.
@@ -212,6 +214,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
+	if s.unreadPrefix != "" && strings.HasPrefix(key, s.unreadPrefix) {
+		return ledger.Item{}, heatherhub.ErrUnavailable.New("the key cannot be read now")
+	}
 	it := s.items[key]
 	it.Key = key
 	return it, nil
