Start the rest of started jobs first where room is short

Cause: under overload a wide job got part of its room, small jobs went before its rest, and it ended late. Its remaining work counted tasks that run, which need no further room.

Change: the remaining work of a job counts its waiting tasks. While the last decision found no room for a task that reserves processors for a while, jobs that have started and can be in time go before others of their priority, by their latest start (ageing by slack, among jobs whose room would be wasted). Fillers and long-running steps keep their order. Candidates are sorted by one key and their buffer is reused.

Ruled out: started jobs first also without a shortage of room. It broke TestStartsBeyondTheBoundWait, where starts and not room are bounded.

--- a/process/dispatch/dispatch_test.go
+++ b/process/dispatch/dispatch_test.go
@@ -477,6 +477,24 @@
 	}
 }
 
+// BenchmarkDecideUnderUrgentBacklog measures Decide with 110 full workers and 1,000 waiting jobs.
+func BenchmarkDecideUnderUrgentBacklog(b *testing.B) {
+	w := newSimulation(&testing.T{}, dispatch.Policy{}, 110)
+	for i := range 110 {
+		w.add(heatherhub.JobID(fmt.Sprintf("r%03d", i)), tasks(10, 1000, time.Minute))
+	}
+	w.decide()
+	for i := range 1000 {
+		w.add(heatherhub.JobID(fmt.Sprintf("u%04d", i)), tasks(5+i*7%40, 1000, time.Duration(200+i*13%1000)*time.Millisecond))
+	}
+	w.decide()
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		w.e.Decide(w.now)
+	}
+}
+
 // TestFullPoolDoesNotHoldUpAnother guards against a shape that found no worker in one pool
 // and kept equal steps of another pool waiting, which had room.
 func TestFullPoolDoesNotHoldUpAnother(t *testing.T) {
--- a/process/dispatch/order.go
+++ b/process/dispatch/order.go
@@ -11,9 +11,10 @@
 // Waiting steps are ordered for periods in which demand exceeds capacity. Steps that
 // can still meet their objective go first, by priority and then by least remaining work
 // of their occurrence: a small job yields more value per second of work than a large
-// one, and a started job is close to done. Ordering by deadline alone would make all
-// jobs slightly late under overload. Steps that are late but still have value follow,
-// and steps without value come last.
+// one. Only tasks that wait count, as those that run need no further room. Where room is
+// short, started jobs go first. Ordering by deadline alone would make all jobs slightly
+// late under overload. Steps that are late but still have value follow, and steps without
+// value come last.
 
 // urgency is the value that starting a step now still has.
 type urgency int
@@ -41,20 +42,29 @@
 }
 
 type candidate struct {
-	step        *stepRun
-	urgency     urgency
+	step    *stepRun
+	urgency urgency
+	// isCommitted means that room is short, a task of the job has started and the job can be in
+	// time. Such jobs go before others, by their latest start: the room of their tasks is wasted
+	// if the rest is late.
+	isCommitted bool
+	// class orders candidates by urgency, kind, priority and rank; see classOf.
+	class int64
+	// index is the place of the step among the waiting ones. It decides between equal candidates.
+	index       int
 	latestStart time.Duration
-	// remainingWork is the processor time that the occurrence still needs, in
-	// millicores times seconds.
+	// remainingWork is the processor time of the occurrence's tasks that wait, in millicores
+	// times seconds.
 	remainingWork float64
 }
 
-// candidates returns the waiting steps in the order in which they are placed. Steps
+// candidates returns the waiting steps in the order in which they are placed, valid until the next
+// call. Steps
 // that a previous owner may have started are left out while a worker is unresolved that may
 // run any task.
 func (e *Engine) candidates(now Moment) []candidate {
 	kept := e.ready[:0]
-	out := make([]candidate, 0, len(e.ready))
+	out := e.candidateBuffer[:0]
 	for _, s := range e.ready {
 		if len(s.pending) == 0 || s.occ.job.isOver() {
 			s.isQueued = false
@@ -64,42 +74,87 @@
 		if s.occ.job.isInherited && e.openUnresolved > 0 {
 			continue
 		}
-		out = append(out, candidate{step: s, urgency: urgencyOf(now.Steady, s), latestStart: s.occ.objective - s.criticalPath, remainingWork: remainingWork(s.occ)})
+		out = append(out, e.newCandidate(now, s))
 	}
 	clear(e.ready[len(kept):])
 	e.ready = kept
-	slices.SortStableFunc(out, func(a, b candidate) int {
-		return cmp.Or(
-			cmp.Compare(a.urgency, b.urgency),
-			compareLongRunning(a.step, b.step),
-			cmp.Compare(a.step.occ.job.policy.Priority, b.step.occ.job.policy.Priority),
-			cmp.Compare(a.remainingWork, b.remainingWork),
-			cmp.Compare(a.latestStart, b.latestStart),
-		)
-	})
+	for i := range out {
+		out[i].class, out[i].index = out[i].classOf(), i
+	}
+	slices.SortFunc(out, compareCandidates)
+	e.candidateBuffer = out
 	return out
 }
 
-// compareLongRunning orders long-running steps after others. A long-running task would
-// permanently take the capacity that urgent short work needs for a moment, and is often
-// too large for the gaps that short tasks leave.
-func compareLongRunning(a, b *stepRun) int {
+func (e *Engine) newCandidate(now Moment, s *stepRun) candidate {
+	c := candidate{
+		step: s, urgency: urgencyOf(now.Steady, s), latestStart: s.occ.objective - s.criticalPath, remainingWork: e.remainingWork(s.occ),
+	}
+	c.isCommitted = e.isShortOfRoom && c.urgency == inTime && s.reservesForAWhile() && s.occ.job.hasStarted()
+	return c
+}
+
+func compareCandidates(a, b candidate) int {
 	switch {
-	case a.spec.LongRunning == b.spec.LongRunning:
-		return 0
-	case a.spec.LongRunning:
-		return 1
+	case a.class != b.class:
+		return cmp.Compare(a.class, b.class)
+	case a.isCommitted && b.isCommitted && a.latestStart != b.latestStart:
+		return cmp.Compare(a.latestStart, b.latestStart)
+	case a.remainingWork != b.remainingWork:
+		return cmp.Compare(a.remainingWork, b.remainingWork)
+	case a.latestStart != b.latestStart:
+		return cmp.Compare(a.latestStart, b.latestStart)
 	default:
-		return -1
+		return cmp.Compare(a.index, b.index)
 	}
 }
 
-// remainingWork returns the processor time that an occurrence still needs, in
-// millicores times seconds.
-func remainingWork(o *occurrence) float64 {
+// Positions of the parts of a candidate's class, from the lowest: two bits of rank, the priority,
+// the kind of the step and the urgency.
+const (
+	priorityShift = 2
+	kindShift     = 60
+	urgencyShift  = 61
+	maxPriority   = 1<<(kindShift-priorityShift-1) - 1
+)
+
+// classOf orders candidates by urgency; steps that end before long-running ones, as these would
+// permanently take the capacity that urgent short work needs for a moment and are often too large
+// for the gaps that short tasks leave; by priority; and by rank.
+func (c *candidate) classOf() int64 {
+	priority := int64(min(max(c.step.occ.job.policy.Priority, -maxPriority), maxPriority)) + maxPriority
+	class := int64(c.urgency)<<urgencyShift | priority<<priorityShift | c.rankOf()
+	if c.step.spec.LongRunning {
+		class |= 1 << kindShift
+	}
+	return class
+}
+
+// reservesForAWhile reports whether the tasks of a step end by themselves and reserve processors.
+// Fillers wait for workers on which they interfere less, and not for room.
+func (s *stepRun) reservesForAWhile() bool {
+	return !s.spec.LongRunning && !s.spec.Filler
+}
+
+// hasStarted reports whether a task of the job was ordered to start or has run.
+func (j *job) hasStarted() bool {
+	return j.openAttempts > 0 || j.state == heatherhub.WorkflowRunning
+}
+
+// rankOf returns the place of a step among those of its urgency and priority: committed ones, others.
+func (c *candidate) rankOf() int64 {
+	if c.isCommitted {
+		return 1
+	}
+	return 2
+}
+
+// remainingWork returns the processor time of an occurrence's tasks that wait, in millicores
+// times seconds.
+func (e *Engine) remainingWork(o *occurrence) float64 {
 	work := 0.0
 	for _, s := range o.steps {
-		work += float64(s.undone) * s.spec.Estimate.Seconds() * float64(s.spec.Need.CPU)
+		work += float64(len(s.pending)) * e.expectedDuration(s).Seconds() * float64(s.spec.Need.CPU)
 	}
 	return work
 }
@@ -111,7 +166,7 @@
 	var unplaced []shape
 	waiting := e.candidates(now)
 	hasSlowWorker := slices.ContainsFunc(e.sortedNodes, func(n *node) bool { return e.isSlow(now.Steady, n) })
-	e.isHoldingStarts = false
+	e.isHoldingStarts, e.isShortOfRoom = false, false
 	for _, c := range waiting {
 		if e.isAtStartLimit() {
 			e.isHoldingStarts = true
@@ -128,6 +183,9 @@
 		} else {
 			isPlaced = e.startTasks(now, s)
 		}
+		if !isPlaced && s.reservesForAWhile() {
+			e.isShortOfRoom = true
+		}
 		if !isPlaced && sh.isUnconstrained {
 			unplaced = append(unplaced, sh)
 		}
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -87,10 +87,15 @@
 	// decision held starts back because of them.
 	pendingStarts   int
 	isHoldingStarts bool
+	// isShortOfRoom says that the last decision found no room for a task that reserves processors
+	// for a while.
+	isShortOfRoom bool
 	// isRoomStale holds back all starts.
 	isRoomStale bool
 	model       *interference
 	finished    []*job
+	// candidateBuffer is reused by candidates.
+	candidateBuffer []candidate
 	// progressCheckedAt is the time of the last check for stalled runs.
 	progressCheckedAt time.Duration
 	// meanSpeed is the average speed over all workers.
