--- a/process/dispatch/forecast.go
+++ b/process/dispatch/forecast.go
@@ -343,7 +343,7 @@
 	l.need, l.count = l.need.Add(first.spec.Need), l.count+1
 	switch urgencyOf(now.Steady, first) {
 	case inTime:
-		l.waiting = append(l.waiting, waitingWork{remainingWork(o), work})
+		l.waiting = append(l.waiting, waitingWork{e.remainingWork(o), work})
 		l.total += work
 	case late:
 		l.late += work
