Bound how much worse the largest jobs of a queue are served

Change: share.go puts each job into a size class by its rank among the last 256 jobs of its queue and counts which classes end in time. While one of the upper classes is served less than 0.6 times as well as the queue, its job with the least remaining work goes before others of its priority until it is done or late. Event "job ahead", counter Stats.Ahead.

--- a/process/dispatch/event.go
+++ b/process/dispatch/event.go
@@ -33,6 +33,9 @@
 	EventFillersHalted Event = "fillers halted"
 	// EventJobGivenUp: a task crashes the workers that start it, and its job fails.
 	EventJobGivenUp Event = "job given up"
+	// EventJobAhead: a job goes before others of its priority, as jobs of its size were
+	// served worse than their queue.
+	EventJobAhead Event = "job ahead"
 	// EventJobEnded: a job reached a final state.
 	EventJobEnded Event = "job ended"
 )
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -114,6 +114,7 @@
 		o := e.newOccurrence(j, k)
 		j.occurrences = append(j.occurrences, o)
 	}
+	e.addToShares(j)
 	e.restoreFailures(j)
 	e.restoreCrashes(now, j)
 	if workflow.Schedule != nil {
@@ -264,6 +265,7 @@
 	}
 	e.finished = append(e.finished, j)
 	e.recordJobEnd(now, j)
+	j.countEnd(now.Steady)
 	if j.openAttempts == 0 {
 		return
 	}
--- a/process/dispatch/move.go
+++ b/process/dispatch/move.go
@@ -164,6 +164,9 @@
 		return
 	}
 	j.isOwnedElsewhere = r.Workflow.Shard != e.cfg.Shard
+	if j.isOwnedElsewhere {
+		j.leaveShares()
+	}
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			s.spec = &j.workflow.Steps[s.index]
@@ -226,6 +229,7 @@
 // removeMovedJob forgets a job that another shard owns now.
 func (e *Engine) removeMovedJob(now Moment, j *job) {
 	e.movedAway[j.workflow.ID] = moveRecord{recordRevision: j.recordRevision, at: now.Steady}
+	j.leaveShares()
 	delete(e.jobs, j.workflow.ID)
 	isOf := func(s *stepRun) bool { return s.occ.job == j }
 	e.ready = slices.DeleteFunc(e.ready, isOf)
--- a/process/dispatch/order.go
+++ b/process/dispatch/order.go
@@ -12,7 +12,8 @@
 // can still meet their objective go first, by priority and then by least remaining work
 // of their occurrence: a small job yields more value per second of work than a large
 // one. Only tasks that wait count, as those that run need no further room. Where room is
-// short, started jobs go first. Ordering by deadline alone would make all jobs slightly
+// short, started jobs go first, and before them those that go ahead by their size
+// (share.go). Ordering by deadline alone would make all jobs slightly
 // late under overload. Steps that are late but still have value follow, and steps without
 // value come last.
 
@@ -78,6 +79,7 @@
 	}
 	clear(e.ready[len(kept):])
 	e.ready = kept
+	e.chooseAhead(now.Steady, out)
 	for i := range out {
 		out[i].class, out[i].index = out[i].classOf(), i
 	}
@@ -141,12 +143,17 @@
 	return j.openAttempts > 0 || j.state == heatherhub.WorkflowRunning
 }
 
-// rankOf returns the place of a step among those of its urgency and priority: committed ones, others.
+// rankOf returns the place of a step among those of its urgency and priority: jobs that go ahead
+// by their size, committed ones, others.
 func (c *candidate) rankOf() int64 {
-	if c.isCommitted {
+	switch {
+	case c.step.occ.job.isAhead:
+		return 0
+	case c.isCommitted:
 		return 1
+	default:
+		return 2
 	}
-	return 2
 }
 
 // remainingWork returns the processor time of an occurrence's tasks that wait, in millicores
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -94,6 +94,9 @@
 	isRoomStale bool
 	model       *interference
 	finished    []*job
+	// shares has the accounts by size of the queues, listedShares is reused by chooseAhead.
+	shares       map[heatherhub.QueueID]*queueShares
+	listedShares []*queueShares
 	// candidateBuffer is reused by candidates.
 	candidateBuffer []candidate
 	// progressCheckedAt is the time of the last check for stalled runs.
@@ -107,6 +110,8 @@
 // Stats counts events of the engine. Its field names are logged.
 type Stats struct {
 	Starts, Refused, Done, Failed, Stopped, Expired, Lost, Crashed, Unanswered int
+	// Ahead counts the jobs that went before others by their size.
+	Ahead int
 }
 
 // New returns an engine without jobs and workers. Zero fields of Tuning are set to
@@ -123,6 +128,7 @@
 		unknownJobs: make(map[heatherhub.JobID]*unknownJob),
 		absent:      make(map[heatherhub.JobID]time.Duration),
 		movedAway:   make(map[heatherhub.JobID]moveRecord),
+		shares:      make(map[heatherhub.QueueID]*queueShares),
 		model:       newInterference(), inheritUntil: cfg.InheritUntil,
 		nextRun: heatherhub.RunID(cfg.Token) * runsPerToken,
 	}
@@ -137,6 +143,11 @@
 	// state is WorkflowQueued until a run of the job is known to have begun. An ordered
 	// start may be refused or lost.
 	state heatherhub.WorkflowState
+	// size is the job's class in its queue, shares the account of the queue, isAhead that it goes before others of its priority,
+	// and isCounted that its outcome no longer counts for the class.
+	size               sizeClass
+	shares             *queueShares
+	isAhead, isCounted bool
 	// isInherited means that a previous owner may have started tasks of the job.
 	isInherited bool
 	occurrences []*occurrence
