Pack reserving tasks by the processors left to reserve

Cause: tasks that reserve processors went where the fewest spare processors were left, as a fraction of the worker's own. Spare processors count fillers, which reserve none, and what serving tasks leave unused, which can't be reserved. In a shard with workers of two sizes, equal fractions are not equal processors. The room that was left was spread over all workers.

Change: serving tasks and other reserving tasks go where the fewest processors are left to reserve, measured by the shard's largest worker.

--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -9,7 +9,8 @@
 // Placement is designed for a load in which serving tasks reserve most of the processors
 // but use less than half, and some fillers interfere with some serving images. Serving
 // tasks are packed by image. Other tasks that reserve processors join them, so that some
-// workers stay free of serving tasks. Fillers go where the most processors are left and
+// workers stay free of serving tasks. Both go where the fewest processors are left to reserve,
+// so that large needs find room; fillers on a worker do not count, as they reserve none. Fillers go where the most processors are left and
 // where they interfere with no serving task.
 
 // chooseWorker returns the best worker for the next task of a step, or nil if none is
@@ -107,7 +108,7 @@
 	case s.spec.LatencyTarget > 0:
 		v = e.scoreServing(n, s)
 	default:
-		v = -n.spareShare()
+		v = -e.freeShare(n)
 		if n.servingTasks > 0 {
 			v += servingWeight
 		}
@@ -121,6 +122,13 @@
 	return v, ok
 }
 
+// freeShare returns the processors that may still be reserved, as a fraction of the largest worker
+// of the shard. Where workers differ in size, the fraction of its own would send a task to the
+// large worker with more processors left over, and no worker would keep room for large needs.
+func (e *Engine) freeShare(n *node) float64 {
+	return float64(n.free().CPU) / float64(max(e.largestCPU, 1))
+}
+
 func (n *node) spareShare() float64 {
 	return n.shareOf(n.spareCPU())
 }
@@ -162,7 +170,7 @@
 // scoreServing packs serving tasks of one image together, so that every filler finds
 // workers on which it does not interfere.
 func (e *Engine) scoreServing(n *node, s *stepRun) float64 {
-	v := -n.spareShare()
+	v := -e.freeShare(n)
 	for _, other := range n.servingImages {
 		if other.image == s.spec.Image {
 			v += sameImageWeight
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -25,6 +25,7 @@
 func (e *Engine) UpdateWorker(w agent.Worker) {
 	if n := e.nodes[w.ID]; n != nil {
 		n.worker = w
+		e.largestCPU = max(e.largestCPU, w.Capacity.CPU)
 	}
 }
 
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -49,6 +49,8 @@
 	nodes    map[heatherhub.WorkerID]*node
 	// sortedNodes has the nodes by worker ID, which makes decisions deterministic.
 	sortedNodes []*node
+	// largestCPU is the largest capacity that a worker has had.
+	largestCPU heatherhub.MilliCPU
 	// unresolved has the workers on which runs of a previous owner may still be active.
 	unresolved map[heatherhub.WorkerID]unresolvedWorker
 	// crashes has the recent crashes of workers, in the order in which they became known.
@@ -498,6 +500,7 @@
 
 func (e *Engine) addNode(n *node) {
 	e.nodes[n.worker.ID] = n
+	e.largestCPU = max(e.largestCPU, n.worker.Capacity.CPU)
 	at, _ := slices.BinarySearchFunc(e.sortedNodes, n, compareNodes)
 	e.sortedNodes = slices.Insert(e.sortedNodes, at, n)
 }
