Stop batch runs that can wait for urgent jobs that would be late

Cause: an urgent job that finds all room taken by batch work waits for the ends of tasks that run for seconds, and is late.

A job of priority 0 that can be in time, but whose step would get its room too late from runs that end by themselves, gets the room of runs with a higher priority number that checkpoint: those with the least unsaved work, only if the whole step then starts in time, no more than it lacks, each task once in 10 s, and none whose job would lose value. Runs of long-running steps, gangs and steps with a limit of unavailable tasks go on. The room is reserved until the stop is confirmed. Fields StopTime, CheckpointInterval and RestoreTime of dispatch.Tuning (0.9 s, 2 s, 0.6 s). Event "run preempted", counters Stats.Preempted and Stats.PreemptedWork.

At the default stop time of 0.9 s an urgent job of 0.64 s with a stretch of 1.5 and a target of 0.25 s can't wait for a stop, so nothing is stopped.

--- a/process/dispatch/decide.go
+++ b/process/dispatch/decide.go
@@ -67,6 +67,7 @@
 	if !e.isRoomStale {
 		e.startMoved(now)
 	}
+	e.startReserved(now)
 	e.stopStalledRuns(now)
 	e.vacateDraining(now)
 	e.orderStops(now)
--- a/process/dispatch/dispatch_test.go
+++ b/process/dispatch/dispatch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -35,6 +36,9 @@
 	// outcome returns the outcome of an order; if nil, every order is confirmed. Orders that
 	// are not confirmed are not carried out.
 	outcome func(dispatch.Order) dispatch.Outcome
+	// stopTime is the time that a stop takes. Tasks that checkpoint save every tenth of their
+	// work, and continue after restoreTime.
+	stopTime, restoreTime time.Duration
 	// fillerSpeed is the rate at which fillers progress on a worker; if nil, it is 1.
 	fillerSpeed func(heatherhub.WorkerID) float64
 }
@@ -43,6 +47,8 @@
 	order      dispatch.Order
 	remaining  time.Duration
 	speedLimit heatherhub.Percent
+	// stopsAt is the time at which a stop takes effect, or zero.
+	stopsAt time.Duration
 }
 
 func newSimulation(t *testing.T, policy dispatch.Policy, workers int) *simulation {
@@ -101,7 +107,11 @@
 	switch o.Kind {
 	case dispatch.StartTask:
 		estimate := b.workflows[o.Task.Job].Steps[o.Task.Step].Estimate
-		b.runs[o.Worker] = append(b.runs[o.Worker], &run{order: o, remaining: estimate, speedLimit: 100})
+		remaining := estimate
+		if saved, err := strconv.Atoi(string(o.Checkpoint)); err == nil {
+			remaining = estimate*time.Duration(100-saved)/100 + b.restoreTime
+		}
+		b.runs[o.Worker] = append(b.runs[o.Worker], &run{order: o, remaining: remaining, speedLimit: 100})
 		b.started = append(b.started, o.Task)
 		b.placed[o.Task] = o.Worker
 	case dispatch.ThrottleTask:
@@ -113,7 +123,7 @@
 	case dispatch.StopTask:
 		for _, r := range b.runs[o.Worker] {
 			if r.order.Run == o.Run {
-				r.remaining = -1
+				r.stopsAt = b.now.Steady + b.stopTime
 			}
 		}
 	}
@@ -151,7 +161,7 @@
 	kept := b.runs[w][:0]
 	for _, run := range b.runs[w] {
 		step := b.spec(run)
-		isStopped := run.remaining < 0
+		isStopped := run.stopsAt > 0 && run.stopsAt <= b.now.Steady
 		if !step.LongRunning && !isStopped {
 			progress := d * time.Duration(run.speedLimit) / 100
 			if step.Filler && b.fillerSpeed != nil {
@@ -159,7 +169,7 @@
 			}
 			run.remaining -= progress
 		}
-		if run.remaining <= 0 {
+		if run.remaining <= 0 || isStopped {
 			b.ended[w]++
 			kind := agent.EndDone
 			if isStopped {
@@ -176,6 +186,9 @@
 		if step.LongRunning {
 			row.Progress = 100
 		}
+		if saved := row.Progress / 10 * 10; step.Checkpoints && saved > 0 {
+			row.Checkpoint = heatherhub.CheckpointRef(strconv.Itoa(int(saved)))
+		}
 		if step.LatencyTarget > 0 {
 			row.Measurement = b.tail(step.Image, fillers)
 		}
--- a/process/dispatch/event.go
+++ b/process/dispatch/event.go
@@ -25,6 +25,8 @@
 	EventRunStalled Event = "run stalled"
 	// EventRunVacated: a run is stopped because its worker leaves before the run would end.
 	EventRunVacated Event = "run vacated"
+	// EventRunPreempted: a run is stopped to make room for a job of priority 0.
+	EventRunPreempted Event = "run preempted"
 	// EventWorkerQuarantined: several jobs in a row failed on a worker, which gets no
 	// tasks for a while.
 	EventWorkerQuarantined Event = "worker quarantined"
@@ -62,6 +64,9 @@
 	// Age is the time from the start of a lost run to the loss of contact with its worker,
 	// and ListedAge its age when a report listed it last, or zero.
 	Age, ListedAge time.Duration
+	// For is the job for which a run is preempted, and Lost the work that the run repeats.
+	For  heatherhub.JobID
+	Lost time.Duration
 	// Evidence is what the crash of a worker says of a lost run; empty if nothing.
 	Evidence string
 	// Workers are those that a task has crashed.
--- a/process/dispatch/order.go
+++ b/process/dispatch/order.go
@@ -197,6 +197,7 @@
 			unplaced = append(unplaced, sh)
 		}
 	}
+	e.preempt(now, waiting)
 	e.startStarved(now, waiting)
 }
 
--- /dev/null
+++ b/process/dispatch/preempt_test.go
@@ -0,0 +1,206 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/connection/agent"
+	"heatherhub.example/heatherhub/process/dispatch"
+)
+
+// newPreemptionFleet returns workers of 10 cores, an urgent queue of priority 0 and a batch queue
+// of priority 2, where stops take stopTime.
+func newPreemptionFleet(t *testing.T, workers int, stopTime time.Duration) *simulation {
+	b := newSimulation(t, dispatch.Policy{}, 0)
+	cfg := dispatch.Config{Token: 1}
+	cfg.StopTime, cfg.CheckpointInterval, cfg.RestoreTime = stopTime, 500*time.Millisecond, 600*time.Millisecond
+	b.e = dispatch.New(cfg)
+	b.stopTime, b.restoreTime = stopTime, cfg.RestoreTime
+	b.e.SetPolicies(map[heatherhub.QueueID]dispatch.Policy{
+		"urgent": {Pool: pool, Stretch: 1.5, Target: 250 * time.Millisecond},
+		"batch":  {Pool: pool, Priority: 2, Stretch: 2, Target: 20 * time.Second},
+		"tight":  {Pool: pool, Priority: 2, Stretch: 1, Target: 500 * time.Millisecond},
+	})
+	for i := range workers {
+		b.workers = append(b.workers, heatherhub.WorkerID(fmt.Sprintf("w%02d", i)))
+		b.e.WorkerUp(b.now, b.worker(i), &agent.Report{Clock: 1})
+	}
+	return b
+}
+
+func (b *simulation) submit(id heatherhub.JobID, q heatherhub.QueueID, steps ...heatherhub.Step) {
+	flow := &heatherhub.Workflow{ID: id, Queue: q, Steps: steps, Accepted: b.now.Wall}
+	b.workflows[id] = flow
+	b.e.AddJob(b.now, dispatch.JobRecord{Workflow: flow, RecordRevision: 1})
+}
+
+// advanceBy advances the clock by d in steps of tick.
+func (b *simulation) advanceBy(d, tick time.Duration) {
+	for range d / tick {
+		b.step(tick)
+	}
+}
+
+func batchTasks(n int, cpu heatherhub.MilliCPU, d time.Duration) heatherhub.Step {
+	s := tasks(n, cpu, d)
+	s.Checkpoints = true
+	return s
+}
+
+// TestPreemption guards against runs that are stopped although that helps no urgent job, costs a
+// job its value or is not allowed, and against urgent jobs that wait behind batch work.
+func TestPreemption(t *testing.T) {
+	const short, long = 200 * time.Millisecond, 900 * time.Millisecond
+	for _, c := range []struct {
+		name     string
+		stopTime time.Duration
+		queue    heatherhub.QueueID
+		batch    heatherhub.Step
+		change   func(*heatherhub.Step)
+		urgent   heatherhub.Step
+		want     int
+	}{
+		{"one run is enough", short, "batch", batchTasks(5, 2000, 10*time.Second), nil, tasks(1, 2000, 640*time.Millisecond), 1},
+		{"one large run has room for two", short, "batch", batchTasks(2, 5000, 10*time.Second), nil, tasks(2, 2000, 640*time.Millisecond), 1},
+		{"two runs for one large task", short, "batch", batchTasks(5, 2000, 10*time.Second), nil, tasks(1, 4000, 640*time.Millisecond), 2},
+		{"the step does not fit as a whole", short, "batch", batchTasks(5, 2000, 10*time.Second), nil, tasks(6, 2000, 640*time.Millisecond), 0},
+		{"the stop takes too long", long, "batch", batchTasks(5, 2000, 10*time.Second), nil, tasks(1, 2000, 640*time.Millisecond), 0},
+		{"the runs end in time by themselves", short, "batch", batchTasks(5, 2000, 1300*time.Millisecond), nil, tasks(1, 2000, 640*time.Millisecond), 0},
+		{"the batch job would be late", short, "tight", batchTasks(5, 2000, 10*time.Second), nil, tasks(1, 2000, 640*time.Millisecond), 0},
+		{"no checkpoints", short, "batch", batchTasks(5, 2000, 10*time.Second), func(s *heatherhub.Step) { s.Checkpoints = false }, tasks(1, 2000, 640*time.Millisecond), 0},
+		{"long-running", short, "batch", batchTasks(5, 2000, 10*time.Second), func(s *heatherhub.Step) { s.LongRunning = true }, tasks(1, 2000, 640*time.Millisecond), 0},
+		{"gang", short, "batch", batchTasks(5, 2000, 10*time.Second), func(s *heatherhub.Step) { s.Gang = true }, tasks(1, 2000, 640*time.Millisecond), 0},
+		{"limit of unavailable tasks", short, "batch", batchTasks(5, 2000, 10*time.Second), func(s *heatherhub.Step) { s.MaxUnavailable = 1 }, tasks(1, 2000, 640*time.Millisecond), 0},
+		{"the same priority", short, "urgent", batchTasks(5, 2000, 10*time.Second), nil, tasks(1, 2000, 640*time.Millisecond), 0},
+		{"fillers where processors are short", short, "batch", batchTasks(5, 2000, 10*time.Second), func(s *heatherhub.Step) { s.Filler, s.Image = true, "filler" }, tasks(1, 12000, 640*time.Millisecond), 0},
+		{"fillers where memory is short", short, "batch", batchTasks(5, 2000, 10*time.Second), func(s *heatherhub.Step) {
+			s.Filler, s.Image, s.Need.Memory = true, "filler", 2000
+		}, tasks(1, 2000, 640*time.Millisecond), 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newPreemptionFleet(t, 1, c.stopTime)
+			if c.change != nil {
+				c.change(&c.batch)
+			}
+			b.submit("batch", c.queue, c.batch)
+			b.decide()
+			b.advanceBy(time.Second, 50*time.Millisecond)
+			b.submit("urgent", "urgent", c.urgent)
+			b.advanceBy(1200*time.Millisecond, 50*time.Millisecond)
+			if got := b.e.Stats.Preempted; got != c.want {
+				t.Errorf("got %d runs stopped, want %d", got, c.want)
+			}
+			if _, ok := b.doneAt["urgent"]; c.want > 0 && !ok {
+				t.Error("got the urgent job not done, want it done in time")
+			}
+		})
+	}
+}
+
+// TestPreemptedRunLosesLittle guards against a stop of the run that would repeat the most work, and
+// against a second stop of the same task within 10 s.
+func TestPreemptedRunLosesLittle(t *testing.T) {
+	b := newPreemptionFleet(t, 1, 200*time.Millisecond)
+	b.submit("a", "batch", batchTasks(1, 5000, 10*time.Second))
+	b.decide()
+	b.advanceBy(400*time.Millisecond, 50*time.Millisecond)
+	b.submit("b", "batch", batchTasks(1, 5000, 10*time.Second))
+	b.decide()
+	b.advanceBy(700*time.Millisecond, 50*time.Millisecond)
+	// a has saved its work 0.1 s ago, b has saved nothing of 0.7 s.
+	b.submit("first", "urgent", tasks(1, 5000, 640*time.Millisecond))
+	b.decide()
+	var stopped []heatherhub.JobID
+	for _, e := range b.e.TakeEvents() {
+		if e.Event == dispatch.EventRunPreempted {
+			stopped = append(stopped, e.Job)
+		}
+	}
+	if len(stopped) != 1 || stopped[0] != "a" {
+		t.Errorf("got runs of %v stopped, want that of a", stopped)
+	}
+	for i := range 5 {
+		b.advanceBy(1500*time.Millisecond, 50*time.Millisecond)
+		b.submit(heatherhub.JobID(fmt.Sprintf("next%d", i)), "urgent", tasks(1, 5000, 640*time.Millisecond))
+		b.decide()
+	}
+	b.advanceBy(time.Second, 50*time.Millisecond)
+	if got, want := b.e.Stats.Preempted, 2; got != want {
+		t.Errorf("got %d stops of two tasks within 10 s, want %d", got, want)
+	}
+}
+
+// TestReservedRoomIsGivenBack guards against room that stays reserved after the urgent job was
+// cancelled while a run stopped for it.
+func TestReservedRoomIsGivenBack(t *testing.T) {
+	b := newPreemptionFleet(t, 1, 200*time.Millisecond)
+	b.submit("batch", "batch", batchTasks(5, 2000, 10*time.Second))
+	b.decide()
+	b.advanceBy(time.Second, 50*time.Millisecond)
+	b.submit("urgent", "urgent", tasks(2, 2000, 640*time.Millisecond))
+	b.decide()
+	b.e.Cancel(b.now, "urgent")
+	b.advanceBy(time.Second, 50*time.Millisecond)
+	if got, want := len(b.runs["w00"]), 5; got != want {
+		t.Errorf("got %d runs a second after the cancel, want the %d of the batch job", got, want)
+	}
+}
+
+// TestPreemptionUnderUrgentBursts replays bursts of urgent jobs on a fleet that is full of batch
+// work with checkpoints. It guards against urgent jobs that are late, batch jobs that do not get
+// their work done, and workers that hold more than they have.
+func TestPreemptionUnderUrgentBursts(t *testing.T) {
+	const workers, tick = 12, 50 * time.Millisecond
+	replay := func(stopTime time.Duration) (inTime float64, batch int, stats dispatch.Stats) {
+		b := newPreemptionFleet(t, workers, stopTime)
+		rnd := rand.New(rand.NewPCG(7, 1))
+		accepted := make(map[heatherhub.JobID]time.Duration)
+		for step := range 600 {
+			if step%10 == 0 && len(b.started)-b.completed() < 100 {
+				b.submit(heatherhub.JobID(fmt.Sprintf("b%03d", step)), "batch", batchTasks(30, 2000, 6*time.Second))
+			}
+			if step%40 == 39 {
+				for i := range 1 + rnd.IntN(4) {
+					id := heatherhub.JobID(fmt.Sprintf("u%03d-%d", step, i))
+					b.submit(id, "urgent", tasks(6, 2000, 640*time.Millisecond))
+					accepted[id] = b.now.Steady
+				}
+			}
+			b.step(tick)
+			for _, w := range b.workers {
+				used := heatherhub.MilliCPU(0)
+				for _, r := range b.runs[w] {
+					used += b.spec(r).Need.CPU
+				}
+				if used > 10_000 {
+					t.Fatalf("step %d: worker %s runs %d of 10000", step, w, used)
+				}
+			}
+		}
+		b.advanceBy(3*time.Second, tick)
+		for id, at := range accepted {
+			if done, ok := b.doneAt[id]; ok && done-at <= 640*time.Millisecond*3/2+250*time.Millisecond {
+				inTime++
+			}
+		}
+		return inTime / float64(len(accepted)), b.completed(), b.e.Stats
+	}
+	without, batchWithout, _ := replay(10 * time.Second)
+	with, batchWith, stats := replay(200 * time.Millisecond)
+	t.Logf("in time without preemption %.2f, with %.2f; tasks done %d, %d; stats %+v", without, with, batchWithout, batchWith, stats)
+	if want := 0.9; with < want {
+		t.Errorf("got %.2f of the urgent jobs in time, want at least %.2f (without preemption %.2f)", with, want, without)
+	}
+}
+
+// completed counts the ends that the workers have reported.
+func (b *simulation) completed() int {
+	n := 0
+	for _, ended := range b.ended {
+		n += int(ended)
+	}
+	return n
+}
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -132,9 +132,7 @@
 	if r.Progress != a.progress || a.progressAt == 0 {
 		a.progress, a.progressAt = r.Progress, now.Steady
 	}
-	if r.Checkpoint != "" {
-		a.checkpoint = r.Checkpoint
-	}
+	a.noteCheckpoint(r.Checkpoint)
 	a.measure, a.hasMeasure = r.Measurement, r.HasMeasurement
 	e.updateSpeed(now, n, a)
 }
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -81,6 +81,10 @@
 	scheduled    []*job
 	changedJobs  []*job
 	orders       []Order
+	// reservations has the room that stopped runs leave to urgent tasks, preemptedAt is the time of
+	// the last search for runs to stop.
+	reservations []reservation
+	preemptedAt  time.Duration
 	// moved has the tasks that the next decision starts where room was reserved for them.
 	moved   []move
 	events  []EventRecord
@@ -114,6 +118,10 @@
 	Starts, Refused, Done, Failed, Stopped, Expired, Lost, Crashed, Unanswered int
 	// Ahead counts the jobs that went before others by their size.
 	Ahead int
+	// Preempted counts the runs that were stopped for urgent jobs, PreemptedWork is the work that
+	// they repeat.
+	Preempted     int
+	PreemptedWork time.Duration
 }
 
 // New returns an engine without jobs and workers. Zero fields of Tuning are set to
@@ -250,6 +258,8 @@
 	crashes []heatherhub.CrashedRun
 	// refusals counts the refusals of its starts in a row.
 	refusals int
+	// preemptedAt is the time at which a run of the task was last stopped for others.
+	preemptedAt time.Duration
 	// notBefore is the earliest time of the next attempt after a failure.
 	notBefore time.Duration
 	// avoidWorker is the worker on which the last attempt failed or stalled. The task
@@ -320,11 +330,15 @@
 	// moveTo is the worker that has room reserved for the task until this attempt is over.
 	moveTo     *node
 	checkpoint heatherhub.CheckpointRef
-	progress   heatherhub.Percent
-	progressAt time.Duration
-	measure    float64
-	hasMeasure bool
-	speedLimit heatherhub.Percent
+	// checkpointProgress is the progress at which the run reported checkpoint, isCheckpointSeen
+	// that it reported it to this owner.
+	checkpointProgress heatherhub.Percent
+	isCheckpointSeen   bool
+	progress           heatherhub.Percent
+	progressAt         time.Duration
+	measure            float64
+	hasMeasure         bool
+	speedLimit         heatherhub.Percent
 	// isSpeedLimitUnknown means that the worker may not have applied speedLimit: the last
 	// order was not confirmed, or a previous owner may have set another one.
 	isSpeedLimitUnknown bool
@@ -370,6 +384,8 @@
 	used   heatherhub.Resources
 	// promised is reserved for tasks that are moved here; see attempt.moveTo.
 	promised heatherhub.Resources
+	// reserved is kept for tasks for which others are stopped here; see Engine.reservations.
+	reserved heatherhub.Resources
 	attempts map[attemptKey]*attempt
 	// unaccounted has the runs of the last report whose jobs are unknown or absent. Their
 	// need is not in used.
@@ -434,7 +450,7 @@
 }
 
 func (n *node) free() heatherhub.Resources {
-	return n.worker.Capacity.Sub(n.used).Sub(n.promised)
+	return n.worker.Capacity.Sub(n.used).Sub(n.promised).Sub(n.reserved)
 }
 
 // servingUtilisation is the fraction of their reserved processors that serving tasks
--- a/process/dispatch/tuning.go
+++ b/process/dispatch/tuning.go
@@ -28,6 +28,12 @@
 	// StallAfter is the minimum time without progress after which a run counts as
 	// stalled.
 	StallAfter time.Duration
+	// StopTime is the time that a stop takes at the worker.
+	StopTime time.Duration
+	// CheckpointInterval is the time between two checkpoints of a task.
+	CheckpointInterval time.Duration
+	// RestoreTime is the time that a task takes to continue from a checkpoint.
+	RestoreTime time.Duration
 }
 
 func (t *Tuning) setDefaults() {
@@ -38,4 +44,7 @@
 	heatherhub.SetDefault(&t.StarvedAfter, 1500*time.Millisecond)
 	heatherhub.SetDefault(&t.MoveAfter, time.Second)
 	heatherhub.SetDefault(&t.StallAfter, 2500*time.Millisecond)
+	heatherhub.SetDefault(&t.StopTime, 900*time.Millisecond)
+	heatherhub.SetDefault(&t.CheckpointInterval, 2*time.Second)
+	heatherhub.SetDefault(&t.RestoreTime, 600*time.Millisecond)
 }
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -480,6 +480,9 @@
 		if n.Age > 0 {
 			fields = append(fields, zap.Duration("age", n.Age), zap.Duration("listedAge", n.ListedAge), zap.String("evidence", n.Evidence))
 		}
+		if n.For != "" {
+			fields = append(fields, zap.String("for", string(n.For)), zap.Duration("lost", n.Lost))
+		}
 		if len(n.Workers) > 0 {
 			fields = append(fields, zap.Any("workers", n.Workers))
 		}
