--- a/process/owner/metrics.go
+++ b/process/owner/metrics.go
@@ -22,6 +22,8 @@
 	workersGone *prometheus.CounterVec
 	// workerRestarts counts workers that were seen in another incarnation.
 	workerRestarts prometheus.Counter
+	// preemptedWork counts the work that runs repeat after they were stopped for urgent jobs.
+	preemptedWork prometheus.Counter
 }
 
 // waitBuckets are the histogram buckets of waiting times, in seconds. Most starts take
@@ -57,9 +59,12 @@
 		workerRestarts: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "heatherhub_worker_restarts_total", Help: "Workers that started again under their ID.",
 		}),
+		preemptedWork: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "heatherhub_preempted_work_seconds_total", Help: "Work that runs repeat which were stopped for urgent jobs.",
+		}),
 	}
 	if r != nil {
-		r.MustRegister(m.events, m.takeovers, m.shardsLost, m.commits, m.commitTime, m.stepWait, m.jobTime, m.workers, m.workersGone, m.workerRestarts)
+		r.MustRegister(m.events, m.takeovers, m.shardsLost, m.commits, m.commitTime, m.stepWait, m.jobTime, m.workers, m.workersGone, m.workerRestarts, m.preemptedWork)
 	}
 	return m
 }
@@ -72,6 +77,8 @@
 		m.stepWait.Observe(n.Waited.Seconds())
 	case dispatch.EventJobEnded:
 		m.jobTime.Observe(n.Waited.Seconds())
+	case dispatch.EventRunPreempted:
+		m.preemptedWork.Add(n.Lost.Seconds())
 	}
 }
 
