--- a/process/dispatch/doc.go
+++ b/process/dispatch/doc.go
@@ -25,6 +25,7 @@
 //     not started elsewhere.
 //
 // Each kind of decision has a file of its own: the order of waiting steps (order.go),
+// the share of large jobs (share.go), the stops for urgent jobs (preempt.go),
 // the choice of a worker (place.go), the throttling of filler tasks (throttle.go), and the
 // handling of faulty workers and stalled runs (health.go).
 package dispatch
