--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -50,6 +50,8 @@
 	nodes    map[heatherhub.WorkerID]*node
 	// sortedNodes has the nodes by worker ID, which makes decisions deterministic.
 	sortedNodes []*node
+	// largestCPU is the largest capacity that a worker has had.
+	largestCPU heatherhub.MilliCPU
 	// unresolved has the workers on which runs of a previous owner may still be active.
 	unresolved map[heatherhub.WorkerID]unresolvedWorker
 	// crashes has the recent crashes of workers, in the order in which they became known.
@@ -85,6 +87,10 @@
 	scheduled    []*job
 	changedJobs  []*job
 	orders       []Order
+	// reservations has the room that stopped runs leave to urgent tasks, preemptedAt is the time of
+	// the last search for runs to stop.
+	reservations []reservation
+	preemptedAt  time.Duration
 	// moved has the tasks that the next decision starts where room was reserved for them.
 	moved   []move
 	events  []EventRecord
@@ -109,6 +115,9 @@
 	forecast   *Forecast
 	forecastAt time.Duration
 	finished   []*job
+	// shares has the accounts by size of the queues, listedShares is reused by chooseAhead.
+	shares       map[heatherhub.QueueID]*queueShares
+	listedShares []*queueShares
 	// candidateBuffer is reused by candidates.
 	candidateBuffer []candidate
 	// progressCheckedAt is the time of the last check for stalled runs.
@@ -122,6 +131,12 @@
 // Stats counts events of the engine. Its field names are logged.
 type Stats struct {
 	Starts, Refused, Done, Failed, Stopped, Expired, Lost, Crashed, Unanswered int
+	// Ahead counts the jobs that went before others by their size.
+	Ahead int
+	// Preempted counts the runs that were stopped for urgent jobs, PreemptedWork is the work that
+	// they repeat.
+	Preempted     int
+	PreemptedWork time.Duration
 }
 
 // New returns an engine without jobs and workers. Zero fields of Tuning are set to
@@ -140,6 +155,7 @@
 		movedAway:   make(map[heatherhub.JobID]moveRecord),
 		runTimes:    make(map[heatherhub.QueueID]*runTimeRatio),
 		lanes:       make(map[laneKey]*lane),
+		shares:      make(map[heatherhub.QueueID]*queueShares),
 		model:       newInterference(), inheritUntil: cfg.InheritUntil,
 		nextRun: heatherhub.RunID(cfg.Token) * runsPerToken,
 	}
@@ -154,6 +170,11 @@
 	// state is WorkflowQueued until a run of the job is known to have begun. An ordered
 	// start may be refused or lost.
 	state heatherhub.WorkflowState
+	// size is the job's class in its queue, shares the account of the queue, isAhead that it goes before others of its priority,
+	// and isCounted that its outcome no longer counts for the class.
+	size               sizeClass
+	shares             *queueShares
+	isAhead, isCounted bool
 	// isInherited means that a previous owner may have started tasks of the job.
 	isInherited bool
 	occurrences []*occurrence
@@ -265,6 +286,8 @@
 	crashes []heatherhub.CrashedRun
 	// refusals counts the refusals of its starts in a row.
 	refusals int
+	// preemptedAt is the time at which a run of the task was last stopped for others.
+	preemptedAt time.Duration
 	// notBefore is the earliest time of the next attempt after a failure.
 	notBefore time.Duration
 	// avoidWorker is the worker on which the last attempt failed or stalled. The task
@@ -335,13 +358,17 @@
 	// moveTo is the worker that has room reserved for the task until this attempt is over.
 	moveTo     *node
 	checkpoint heatherhub.CheckpointRef
-	progress   heatherhub.Percent
-	progressAt time.Duration
-	measure    float64
-	hasMeasure bool
-	speedLimit heatherhub.Percent
 	// isMeasurable means that the whole run of the task is seen at full speed.
 	isMeasurable bool
+	// checkpointProgress is the progress at which the run reported checkpoint, isCheckpointSeen
+	// that it reported it to this owner.
+	checkpointProgress heatherhub.Percent
+	isCheckpointSeen   bool
+	progress           heatherhub.Percent
+	progressAt         time.Duration
+	measure            float64
+	hasMeasure         bool
+	speedLimit         heatherhub.Percent
 	// isSpeedLimitUnknown means that the worker may not have applied speedLimit: the last
 	// order was not confirmed, or a previous owner may have set another one.
 	isSpeedLimitUnknown bool
@@ -387,6 +414,8 @@
 	used   heatherhub.Resources
 	// promised is reserved for tasks that are moved here; see attempt.moveTo.
 	promised heatherhub.Resources
+	// reserved is kept for tasks for which others are stopped here; see Engine.reservations.
+	reserved heatherhub.Resources
 	attempts map[attemptKey]*attempt
 	// unaccounted has the runs of the last report whose jobs are unknown or absent. Their
 	// need is not in used.
@@ -455,7 +484,7 @@
 }
 
 func (n *node) free() heatherhub.Resources {
-	return n.worker.Capacity.Sub(n.used).Sub(n.promised)
+	return n.worker.Capacity.Sub(n.used).Sub(n.promised).Sub(n.reserved)
 }
 
 // servingUtilisation is the fraction of their reserved processors that serving tasks
@@ -523,6 +552,7 @@
 	n.isEvacuated = e.evacuated.Has(n.worker.Domain)
 	e.room.isStale = true
 	e.nodes[n.worker.ID] = n
+	e.largestCPU = max(e.largestCPU, n.worker.Capacity.CPU)
 	at, _ := slices.BinarySearchFunc(e.sortedNodes, n, compareNodes)
 	e.sortedNodes = slices.Insert(e.sortedNodes, at, n)
 }
--- a/process/owner/metrics.go
+++ b/process/owner/metrics.go
@@ -30,6 +30,8 @@
 	evacuatedTasks *prometheus.GaugeVec
 	// moves counts the moves of work to other shards, by kind.
 	moves *prometheus.CounterVec
+	// preemptedWork counts the work that runs repeat after they were stopped for urgent jobs.
+	preemptedWork prometheus.Counter
 }
 
 // waitBuckets are the histogram buckets of waiting times, in seconds. Most starts take
@@ -74,9 +76,12 @@
 		evacuatedTasks: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "heatherhub_evacuated_tasks", Help: "Tasks that run in evacuated failure domains, in this host's shards.",
 		}, []string{"shard", "domain", "kind"}),
+		preemptedWork: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "heatherhub_preempted_work_seconds_total", Help: "Work that runs repeat which were stopped for urgent jobs.",
+		}),
 	}
 	if r != nil {
-		r.MustRegister(m.events, m.takeovers, m.shardsLost, m.commits, m.commitTime, m.stepWait, m.jobTime, m.workers, m.workersGone, m.workerRestarts, m.evacuatedTasks, m.moves, m.forecastError)
+		r.MustRegister(m.events, m.takeovers, m.shardsLost, m.commits, m.commitTime, m.stepWait, m.jobTime, m.workers, m.workersGone, m.workerRestarts, m.evacuatedTasks, m.moves, m.forecastError, m.preemptedWork)
 	}
 	return m
 }
@@ -89,6 +94,8 @@
 		m.stepWait.Observe(n.Waited.Seconds())
 	case dispatch.EventJobEnded:
 		m.jobTime.Observe(n.Waited.Seconds())
+	case dispatch.EventRunPreempted:
+		m.preemptedWork.Add(n.Lost.Seconds())
 	}
 }
 
