Decide how long tasks wait for their rack

Cause: a step whose rack was full started elsewhere at once, where its tasks take several times as long, even if a place was free a moment later. Between shards the data counted a fixed 1.5 s, whatever the job loses.

Change: process/dispatch/wait.go asks for each step that names a rack, or wants one, whether a place there is expected, with the error of the estimate, before the time that it would lose elsewhere is over. The places come from the expected ends of the runs in the rack (places.go). The slowdown is that of the settings until 20 runs on each side were measured (slowdown.go). Jobs that lose the most value get the first places. Groups and gangs take the rack where the last of them has a place first. A wait reserves nothing, is not moved to another shard, ends after 2.4 s for a job with nothing running, and counts from the job's acceptance if it may have begun under an earlier owner. The shard of a job is chosen by what the job loses away from its data. Other steps, and long-running ones, are placed as before.

Ruled out: a deadline by the objective of a start elsewhere, which a higher slowdown would shorten.

--- a/command/explain/explain.go
+++ b/command/explain/explain.go
@@ -47,7 +47,7 @@
 // causalRanks orders events whose times differ by no more than the clock skew: a cause
 // has a lower rank than its effects.
 var causalRanks = map[string]int{
-	"job refused": 0, "job submitted": 1, "work moved": 1, "tasks started": 2, "start refused": 3, "start unanswered": 3,
+	"job refused": 0, "job submitted": 1, "work moved": 1, "location wait begun": 1, "location wait paid": 1, "location wait lost": 1, "tasks started": 2, "start refused": 3, "start unanswered": 3,
 	"run stalled": 4, "run ended": 5, "job cancelled": 6, "job given up": 6, "job ended": 7,
 }
 
--- a/command/explain/explain_test.go
+++ b/command/explain/explain_test.go
@@ -45,6 +45,26 @@
 	}
 }
 
+// TestWaitForARackIsPartOfTheStory guards against a start whose delay the timeline does not explain:
+// the end of a wait has the same time as the start that it led to, and is logged after it.
+func TestWaitForARackIsPartOfTheStory(t *testing.T) {
+	const in = `{"time":"2026-01-01T00:00:01.000Z","msg":"location wait begun","host":"entry-2","job":"5c0e7a21d94b36f8","reason":"rack full","rack":"r7","count":2,"expected":410,"pays":1280}
+{"time":"2026-01-01T00:00:01.400Z","msg":"tasks started","host":"entry-2","job":"5c0e7a21d94b36f8","count":2,"waited":400}
+{"time":"2026-01-01T00:00:01.400Z","msg":"location wait paid","host":"entry-2","job":"5c0e7a21d94b36f8","reason":"place free","rack":"r7","count":2,"waited":400,"gained":880}
+`
+	got, err := run(t, explain.Options{ID: "5c0e7a21d94b36f8"}, in)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := `00:00:01.000    +0.000s  entry-2                 location wait begun   count=2 expected=410 job=5c0e7a21d94b36f8 pays=1280 rack=r7 reason=rack full
+00:00:01.400    +0.400s  entry-2                 location wait paid    count=2 gained=880 job=5c0e7a21d94b36f8 rack=r7 reason=place free waited=400
+00:00:01.400    +0.400s  entry-2                 tasks started         count=2 job=5c0e7a21d94b36f8 waited=400
+`
+	if got != want {
+		t.Errorf("got\n%s\nwant\n%s", got, want)
+	}
+}
+
 func TestNearIncludesHostEvents(t *testing.T) {
 	got, err := run(t, explain.Options{ID: "5c0e7a21d94b36f8", WithHostEvents: true}, logs)
 	if err != nil || !strings.Contains(got, "worker gone") || !strings.Contains(got, "next=i-2@18") || strings.Contains(got, "aaaaaaaa") {
--- a/command/serve/serve.go
+++ b/command/serve/serve.go
@@ -140,7 +140,7 @@
 		Tables: &h.tables, Clock: h.clock, Log: log, Registry: h.registry, Limits: limits,
 	})
 	queueCounter := intake.NewQueueCounter(intake.QueueCounterConfig{Store: h.store, View: h.owner.View, Clock: h.clock, Log: log, Registry: registry})
-	h.shards = intake.NewShardSelector(intake.ShardSelectorConfig{Store: h.store, View: h.owner.View, Random: rand.Float64, OnLoads: queueCounter.Observe, Log: log})
+	h.shards = intake.NewShardSelector(intake.ShardSelectorConfig{Store: h.store, View: h.owner.View, Random: rand.Float64, OnLoads: queueCounter.Observe, RemoteFactor: s.RemoteFactor, Log: log})
 	h.peerServer = peer.NewServer(peer.ServerConfig{Self: s.Host, Log: log})
 	h.peerServer.Handle(peer.MethodWorkflowState, intake.StateHandler(h.owner.JobState))
 	h.peerServer.Handle(peer.MethodOverview, overview.Handler(h.owner.Overview))
--- a/process/dispatch/dispatch_test.go
+++ b/process/dispatch/dispatch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -37,11 +38,14 @@
 	outcome func(dispatch.Order) dispatch.Outcome
 	// fillerSpeed is the rate at which fillers progress on a worker; if nil, it is 1.
 	fillerSpeed func(heatherhub.WorkerID) float64
+	// slowdown is the factor by which tasks take longer away from their rack; zero stands for 1.
+	slowdown float64
 }
 
 type run struct {
 	order      dispatch.Order
 	remaining  time.Duration
+	total      time.Duration
 	speedLimit heatherhub.Percent
 }
 
@@ -105,7 +109,10 @@
 	switch o.Kind {
 	case dispatch.StartTask:
 		estimate := b.workflows[o.Task.Job].Steps[o.Task.Step].Estimate
-		b.runs[o.Worker] = append(b.runs[o.Worker], &run{order: o, remaining: estimate, speedLimit: 100})
+		if b.slowdown > 0 && b.isAway(o) {
+			estimate = time.Duration(b.slowdown * float64(estimate))
+		}
+		b.runs[o.Worker] = append(b.runs[o.Worker], &run{order: o, remaining: estimate, total: estimate, speedLimit: 100})
 		b.started = append(b.started, o.Task)
 		b.placed[o.Task] = o.Worker
 	case dispatch.ThrottleTask:
@@ -123,6 +130,12 @@
 	}
 }
 
+// isAway reports whether an order starts a task away from the rack of its data.
+func (b *simulation) isAway(o dispatch.Order) bool {
+	rack := b.workflows[o.Task.Job].Steps[o.Task.Step].DataRack
+	return rack != "" && rack != b.worker(slices.Index(b.workers, o.Worker)).Rack
+}
+
 // step advances the clock by d: runs progress, workers report and the engine decides.
 func (b *simulation) step(d time.Duration) {
 	b.now.Steady += d
@@ -176,7 +189,7 @@
 		}
 		kept = append(kept, run)
 		row := agent.Running{Task: run.order.Task, Run: run.order.Run, HasMeasurement: true, Measurement: float64(step.Need.CPU) * float64(run.speedLimit) / 100}
-		row.Progress = heatherhub.Percent(100 - 100*run.remaining/max(step.Estimate, 1))
+		row.Progress = heatherhub.Percent(100 - 100*run.remaining/max(run.total, 1))
 		if step.LongRunning {
 			row.Progress = 100
 		}
--- a/process/dispatch/event.go
+++ b/process/dispatch/event.go
@@ -31,6 +31,13 @@
 	// EventFillersHalted: fillers on a worker were halted because a serving task missed
 	// its latency target.
 	EventFillersHalted Event = "fillers halted"
+	// EventWaitBegun: tasks of a step wait for a place in their rack, although they could start
+	// elsewhere.
+	EventWaitBegun Event = "location wait begun"
+	// EventWaitPaid: the tasks that waited have started in their rack.
+	EventWaitPaid Event = "location wait paid"
+	// EventWaitLost: some of them have started elsewhere, or their job is over.
+	EventWaitLost Event = "location wait lost"
 	// EventJobGivenUp: a task crashes the workers that start it, and its job fails.
 	EventJobGivenUp Event = "job given up"
 	// EventJobEnded: a job reached a final state.
@@ -63,6 +70,10 @@
 	Evidence string
 	// Workers are those that a task has crashed.
 	Workers []heatherhub.WorkerID
+	// Rack is the one that a step waits for. WaitExpected is the expected time until it has a
+	// place, and WaitPays how long the wait pays. WaitGained is the time that a wait has saved.
+	Rack                               heatherhub.Rack
+	WaitExpected, WaitPays, WaitGained time.Duration
 }
 
 func (e *Engine) recordEvent(record EventRecord) {
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -13,6 +13,7 @@
 // removed keep their last policy.
 func (e *Engine) SetPolicies(policies map[heatherhub.QueueID]Policy) {
 	e.policies = policies
+	e.pruneLocationStats(policies)
 	for _, j := range e.jobs {
 		if p, ok := policies[j.workflow.Queue]; ok {
 			j.policy = p
@@ -122,6 +123,9 @@
 	e.adoptUnknown(now, workflow.ID)
 	for _, o := range j.occurrences {
 		e.enqueueReady(now, o)
+		for _, s := range o.steps {
+			s.mayHaveWaited = j.isInherited && s.isQueued
+		}
 	}
 	e.finishIfDone(now, j)
 }
@@ -171,7 +175,7 @@
 		chain = max(chain, s.criticalPath)
 	}
 	span := time.Duration(float64(chain)*max(o.job.policy.Stretch, 1)) + o.job.policy.Target
-	o.objective, o.valueUntil = from+span, from+3*span
+	o.from, o.objective, o.valueUntil = from, from+span, from+3*span
 }
 
 func (e *Engine) restoreFailures(j *job) {
@@ -264,6 +268,7 @@
 	}
 	e.finished = append(e.finished, j)
 	e.recordJobEnd(now, j)
+	e.endWaits(now, j)
 	if j.openAttempts == 0 {
 		return
 	}
--- a/process/dispatch/move.go
+++ b/process/dispatch/move.go
@@ -40,7 +40,7 @@
 	var out []Move
 	for _, s := range e.ready {
 		waited := now.Steady - s.readySince
-		if waited < e.cfg.MoveAfter || !e.isMovable(now, s) {
+		if waited < e.cfg.MoveAfter || s.wait.isWaiting(now.Steady) || !e.isMovable(now, s) {
 			continue
 		}
 		sh := shapeOf(s, false)
--- a/process/dispatch/order.go
+++ b/process/dispatch/order.go
@@ -110,6 +110,8 @@
 	// ones are skipped.
 	var unplaced []shape
 	waiting := e.candidates(now)
+	e.locations = newLocationPlan(waiting)
+	defer func() { e.locations = nil }()
 	hasSlowWorker := slices.ContainsFunc(e.sortedNodes, func(n *node) bool { return e.isSlow(now.Steady, n) })
 	e.isHoldingStarts = false
 	for _, c := range waiting {
@@ -167,7 +169,7 @@
 // isStarved reports whether a filler job has no running task and has waited for
 // StarvedAfter.
 func (e *Engine) isStarved(now Moment, s *stepRun) bool {
-	return s.spec.Filler && len(s.pending) > 0 && s.occ.job.openAttempts == 0 && now.Steady-s.readySince >= e.cfg.StarvedAfter
+	return s.spec.Filler && len(s.pending) > 0 && !s.wait.isWaiting(now.Steady) && s.occ.job.openAttempts == 0 && now.Steady-s.readySince >= e.cfg.StarvedAfter
 }
 
 // StarvationLoadLimit is the fraction of reserved processors up to which every filler
@@ -229,6 +231,7 @@
 func (e *Engine) startTasks(now Moment, s *stepRun) bool {
 	count := 0
 	var last heatherhub.WorkerID
+	var located *allotment
 	for _, t := range slices.Clone(s.pending) {
 		if !e.isStartable(now.Steady, t) {
 			continue
@@ -242,8 +245,23 @@
 			// It waits for a worker of its own, which says nothing of the room for others.
 			continue
 		}
+		if n != nil && s.prefersRack() && !t.needsIsolation() {
+			if located == nil {
+				located = e.allotmentOf(now, s)
+			}
+			if located != nil {
+				if n = e.chooseLocated(now, s, t, located, n); n == nil && located.isSettled() {
+					break
+				}
+				if n == nil {
+					// It waits by choice, or for places that other steps leave.
+					continue
+				}
+			}
+		}
 		if n == nil {
 			e.recordStarts(now, s, count, last)
+			e.recordLocation(now, s, located)
 			return false
 		}
 		e.nextRun++
@@ -251,6 +269,7 @@
 		count, last = count+1, n.worker.ID
 	}
 	e.recordStarts(now, s, count, last)
+	e.recordLocation(now, s, located)
 	return true
 }
 
@@ -265,30 +284,57 @@
 			return true
 		}
 	}
+	if !s.prefersRack() {
+		return e.placeGang(now, s, nil)
+	}
+	a := e.allotmentOf(now, s)
+	if a == nil {
+		return e.placeGang(now, s, nil)
+	}
+	return e.placeLocatedGang(now, s, a)
+}
+
+// placeGang starts all tasks of a gang on workers that isWanted accepts, or none. It reports false
+// if they could not all be placed.
+func (e *Engine) placeGang(now Moment, s *stepRun, isWanted func(*node) bool) bool {
+	placed, ok := e.tryGang(now, s, isWanted)
+	if ok {
+		e.recordStarts(now, s, len(placed), placed[0].node.worker.ID)
+	}
+	return ok
+}
+
+// tryGang orders the starts of all tasks of a gang, or of none.
+func (e *Engine) tryGang(now Moment, s *stepRun, isWanted func(*node) bool) ([]*attempt, bool) {
 	e.nextRun++
 	run := e.nextRun
 	placed := make([]*attempt, 0, len(s.tasks))
 	for _, t := range s.tasks {
-		n := e.chooseWorker(now, s, t)
+		n := e.chooseWorkerWhere(now, s, t, isWanted)
 		if n == nil {
-			for _, a := range placed {
-				e.release(a)
-				s.addPending(a.task)
-			}
-			e.orders = e.orders[:len(e.orders)-len(placed)]
-			e.Stats.Starts -= len(placed)
-			return false
+			e.undoGang(s, placed)
+			return nil, false
 		}
 		placed = append(placed, e.start(now, t, n, run))
 	}
-	e.recordStarts(now, s, len(placed), placed[0].node.worker.ID)
-	return true
+	return placed, true
+}
+
+// undoGang takes back the last starts that were ordered.
+func (e *Engine) undoGang(s *stepRun, placed []*attempt) {
+	for _, a := range placed {
+		e.release(a)
+		s.addPending(a.task)
+	}
+	e.orders = e.orders[:len(e.orders)-len(placed)]
+	e.Stats.Starts -= len(placed)
 }
 
 func (e *Engine) start(now Moment, t *task, n *node, run heatherhub.RunID) *attempt {
 	a := &attempt{
 		task: t, node: n, run: run, stateSince: now.Steady, startedAt: now.Steady, progressAt: now.Steady,
 		checkpoint: t.checkpoint, speedLimit: fullSpeed, isIsolated: t.needsIsolation(),
+		isMeasurable: t.checkpoint == "" && !t.step.spec.Filler,
 	}
 	e.attach(a)
 	e.Stats.Starts++
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -15,13 +15,19 @@
 // chooseWorker returns the best worker for the next task of a step, or nil if none is
 // eligible.
 func (e *Engine) chooseWorker(now Moment, s *stepRun, t *task) *node {
+	return e.chooseWorkerWhere(now, s, t, nil)
+}
+
+// chooseWorkerWhere is chooseWorker among the workers that isWanted accepts; nil accepts all.
+// Tasks that have to be isolated are placed without regard to it.
+func (e *Engine) chooseWorkerWhere(now Moment, s *stepRun, t *task, isWanted func(*node) bool) *node {
 	if t.needsIsolation() {
 		return e.chooseIsolated(now, s, t)
 	}
 	var best *node
 	var bestScore float64
 	for _, n := range e.sortedNodes {
-		if !e.isEligible(now, n, s, t) {
+		if (isWanted != nil && !isWanted(n)) || !e.isEligible(now, n, s, t) {
 			continue
 		}
 		score, ok := e.score(n, s)
@@ -75,8 +81,8 @@
 
 // Weights of the placement score, in fractions of a worker's processors.
 const (
-	// rackWeight exceeds every difference in free capacity: a task away from its rack
-	// takes several times as long.
+	// rackWeight exceeds every difference in free capacity: a task away from its rack takes
+	// several times as long. Whether a task waits for its rack is decided in wait.go.
 	rackWeight = 4
 	// servingWeight draws tasks that reserve processors to workers that run serving
 	// tasks.
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -242,6 +242,8 @@
 		}
 		if end.Kind != agent.EndDone {
 			e.recordTaskEvent(EventRunEnded, a, string(end.Kind))
+		} else {
+			e.measureLocation(now, a)
 		}
 		e.release(a)
 	}
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -95,6 +95,10 @@
 	progressCheckedAt time.Duration
 	// meanSpeed is the average speed over all workers.
 	meanSpeed speed
+	// locations has the decisions on tasks that prefer a rack while tasks are placed, and
+	// locationStats what was measured of such tasks.
+	locations     *locationPlan
+	locationStats map[heatherhub.QueueID]*locationStats
 	// Stats counts events since the engine was created.
 	Stats Stats
 }
@@ -102,6 +106,8 @@
 // Stats counts events of the engine. Its field names are logged.
 type Stats struct {
 	Starts, Refused, Done, Failed, Stopped, Expired, Lost, Crashed, Unanswered int
+	// WaitsBegun, WaitsPaid and WaitsLost count the waits of steps for their rack.
+	WaitsBegun, WaitsPaid, WaitsLost int
 }
 
 // New returns an engine without jobs and workers. Zero fields of Tuning are set to
@@ -117,8 +123,10 @@
 		restarted:   make(map[heatherhub.WorkerName]*restartedWorker),
 		unknownJobs: make(map[heatherhub.JobID]*unknownJob),
 		absent:      make(map[heatherhub.JobID]time.Duration),
-		movedAway:   make(map[heatherhub.JobID]moveRecord),
-		model:       newInterference(), inheritUntil: cfg.InheritUntil,
+
+		locationStats: make(map[heatherhub.QueueID]*locationStats),
+		movedAway:     make(map[heatherhub.JobID]moveRecord),
+		model:         newInterference(), inheritUntil: cfg.InheritUntil,
 		nextRun: heatherhub.RunID(cfg.Token) * runsPerToken,
 	}
 }
@@ -188,6 +196,8 @@
 	job   *job
 	index int
 	steps []*stepRun
+	// from is the steady time from which the objective counts.
+	from time.Duration
 	// objective is the steady time by which the occurrence should be complete.
 	objective time.Duration
 	// valueUntil is the steady time after which completing the occurrence has no value.
@@ -212,7 +222,11 @@
 	// longest chain of steps that depend on it.
 	criticalPath time.Duration
 	failedRuns   []heatherhub.RunID
-	tasksPerNode map[*node]int
+	wait         stepWait
+	// mayHaveWaited means that the step was due when this owner read its job, so that it may
+	// have waited for its rack under an earlier one.
+	mayHaveWaited bool
+	tasksPerNode  map[*node]int
 }
 
 // task is one task of a step.
@@ -307,6 +321,8 @@
 	measure    float64
 	hasMeasure bool
 	speedLimit heatherhub.Percent
+	// isMeasurable means that the time since startedAt is that of a whole run at full speed.
+	isMeasurable bool
 	// isSpeedLimitUnknown means that the worker may not have applied speedLimit: the last
 	// order was not confirmed, or a previous owner may have set another one.
 	isSpeedLimitUnknown bool
--- a/process/owner/metrics.go
+++ b/process/owner/metrics.go
@@ -22,6 +22,9 @@
 	workersGone *prometheus.CounterVec
 	// workerRestarts counts workers that were seen in another incarnation.
 	workerRestarts prometheus.Counter
+	// locationWaits counts the waits of steps for their rack by outcome, and locationWaitTime
+	// sums the seconds that they gained and lost.
+	locationWaits, locationWaitTime *prometheus.CounterVec
 }
 
 // waitBuckets are the histogram buckets of waiting times, in seconds. Most starts take
@@ -57,9 +60,15 @@
 		workerRestarts: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "heatherhub_worker_restarts_total", Help: "Workers that started again under their ID.",
 		}),
+		locationWaits: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "heatherhub_location_waits_total", Help: "Waits of steps for a place in their rack by outcome.",
+		}, []string{"outcome"}),
+		locationWaitTime: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "heatherhub_location_wait_seconds_total", Help: "Seconds that steps gained or lost by waiting for their rack.",
+		}, []string{"outcome"}),
 	}
 	if r != nil {
-		r.MustRegister(m.events, m.takeovers, m.shardsLost, m.commits, m.commitTime, m.stepWait, m.jobTime, m.workers, m.workersGone, m.workerRestarts)
+		r.MustRegister(m.locationWaits, m.locationWaitTime, m.events, m.takeovers, m.shardsLost, m.commits, m.commitTime, m.stepWait, m.jobTime, m.workers, m.workersGone, m.workerRestarts)
 	}
 	return m
 }
@@ -72,6 +81,14 @@
 		m.stepWait.Observe(n.Waited.Seconds())
 	case dispatch.EventJobEnded:
 		m.jobTime.Observe(n.Waited.Seconds())
+	case dispatch.EventWaitBegun:
+		m.locationWaits.WithLabelValues("begun").Inc()
+	case dispatch.EventWaitPaid:
+		m.locationWaits.WithLabelValues("paid").Inc()
+		m.locationWaitTime.WithLabelValues("gained").Add(n.WaitGained.Seconds())
+	case dispatch.EventWaitLost:
+		m.locationWaits.WithLabelValues("lost").Inc()
+		m.locationWaitTime.WithLabelValues("lost").Add(n.Waited.Seconds())
 	}
 }
 
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -483,6 +483,9 @@
 		if len(n.Workers) > 0 {
 			fields = append(fields, zap.Any("workers", n.Workers))
 		}
+		if n.Rack != "" {
+			fields = append(fields, zap.String("rack", string(n.Rack)), zap.Duration("expected", n.WaitExpected), zap.Duration("pays", n.WaitPays), zap.Duration("gained", n.WaitGained))
+		}
 		t.log.Info(string(n.Event), fields...)
 	}
 }
--- a/request/intake/shards.go
+++ b/request/intake/shards.go
@@ -12,6 +12,7 @@
 
 	"heatherhub.example/heatherhub"
 	"heatherhub.example/heatherhub/connection/ledger"
+	"heatherhub.example/heatherhub/process/dispatch"
 	"heatherhub.example/heatherhub/process/owner"
 	"heatherhub.example/heatherhub/process/record"
 )
@@ -24,6 +25,8 @@
 	log   *zap.Logger
 	// onLoads may be nil.
 	onLoads func(map[heatherhub.ShardID]record.Load)
+	// remoteFactor is the factor by which tasks take longer away from the rack of their data.
+	remoteFactor float64
 
 	mu    sync.Mutex
 	loads map[heatherhub.ShardID]record.Load
@@ -50,15 +53,19 @@
 	Random func() float64
 	// OnLoads, if set, is called with the loads after each read.
 	OnLoads func(map[heatherhub.ShardID]record.Load)
-	Log     *zap.Logger
+	// RemoteFactor is the factor by which tasks take longer away from the rack of their data;
+	// zero selects the default.
+	RemoteFactor float64
+	Log          *zap.Logger
 }
 
 // NewShardSelector returns a selector without loads. Run and Refresh read them.
 func NewShardSelector(cfg ShardSelectorConfig) *ShardSelector {
+	heatherhub.SetDefault(&cfg.RemoteFactor, dispatch.DefaultRemoteFactor)
 	return &ShardSelector{
 		store: cfg.Store, view: cfg.View, log: cfg.Log, onLoads: cfg.OnLoads,
 		loads: make(map[heatherhub.ShardID]record.Load), unreported: make(map[heatherhub.ShardID]unreportedLoad),
-		random: cfg.Random,
+		random: cfg.Random, remoteFactor: cfg.RemoteFactor,
 	}
 }
 
@@ -133,9 +140,9 @@
 	// jitter is the largest random addition to a cost. It keeps hosts that have read
 	// the same loads from all choosing the same shard until the next read.
 	jitter = 0.06
-	// remoteDataCost is added if the shard does not have the rack of the job's data.
-	// Tasks take up to three times as long away from their data.
-	remoteDataCost = 1.5
+	// remoteServingCost is that of long-running tasks away from the rack of their data. It
+	// exceeds every difference in the reserved share.
+	remoteServingCost = 1.5
 )
 
 // cost returns the cost of running a job in a shard; lower is better. A shard whose load
@@ -153,11 +160,20 @@
 		cost = l.ReservedShare()
 	}
 	if rack := dataRack(flow); rack != "" && len(l.Racks) > 0 && !slices.Contains(l.Racks, rack) {
-		cost += remoteDataCost
+		cost += s.remoteCost(flow, rack)
 	}
 	return cost
 }
 
+// remoteCost returns the cost of running a job away from the rack of its data: how much longer it
+// takes, in seconds of work like the pressure of a shard.
+func (s *ShardSelector) remoteCost(flow *heatherhub.Workflow, rack heatherhub.Rack) float64 {
+	if flow.IsLongRunning() {
+		return remoteServingCost
+	}
+	return dispatch.LocationLoss(flow, rack, s.remoteFactor).Seconds()
+}
+
 // addUnreported adds the load of a job to what this host has submitted to a shard. Batch
 // steps that wait for other steps do not count, as they start later. The caller holds mu.
 func (s *ShardSelector) addUnreported(shard heatherhub.ShardID, flow *heatherhub.Workflow) {
