Wait for a rack by the expected time, and stop by its error

Cause: a wait had to pay with the whole error of the estimate added, so places that were free in time were passed up.

Change: a wait pays if the expected time is before the break-even point. It ends there plus the stated error, and must be over with that error before the limit of a job with nothing running. So a job ends at most the error later than if it starts elsewhere at once.

--- a/process/dispatch/dispatch_test.go
+++ b/process/dispatch/dispatch_test.go
@@ -40,6 +40,8 @@
 	fillerSpeed func(heatherhub.WorkerID) float64
 	// slowdown is the factor by which tasks take longer away from their rack; zero stands for 1.
 	slowdown float64
+	// factor returns the ratio of the run time of a task to its estimate; if nil, it is 1.
+	factor func() float64
 }
 
 type run struct {
@@ -112,6 +114,9 @@
 		if b.slowdown > 0 && b.isAway(o) {
 			estimate = time.Duration(b.slowdown * float64(estimate))
 		}
+		if b.factor != nil {
+			estimate = time.Duration(b.factor() * float64(estimate))
+		}
 		b.runs[o.Worker] = append(b.runs[o.Worker], &run{order: o, remaining: estimate, total: estimate, speedLimit: 100})
 		b.started = append(b.started, o.Task)
 		b.placed[o.Task] = o.Worker
--- a/process/dispatch/wait.go
+++ b/process/dispatch/wait.go
@@ -11,8 +11,7 @@
 // The decision handles bursts of steps that name the rack of their data, or whose tasks belong
 // together in one rack, while that rack is full and others have room. A task takes several times
 // as long elsewhere, so it is often done earlier if it waits for a place there. It waits only if
-// such a place is expected, with the error of the estimate, before the time that it would lose
-// elsewhere has passed. The decision is made anew whenever tasks are placed, and nothing is
+// such a place is expected before the time that it would lose elsewhere has passed. The decision is made anew whenever tasks are placed, and nothing is
 // reserved for a task that waits.
 
 // LocationWait is the question whether a task that could start elsewhere waits for a place at
@@ -50,27 +49,38 @@
 	return time.Duration(min(max(slowdown-1, 0)*float64(runTime), float64(maxLoss)))
 }
 
-// Deadline returns the time at which the wait ends if no place was found. It is the time at which
-// the wait has cost what it could save, or a later one up to which the job can still have a value
-// at the preferred location that it can no longer have elsewhere.
-func (q *LocationWait) Deadline() time.Duration {
+// breakEven returns the time by which a place has to be free for a wait to pay. It is the time at
+// which the wait has cost what it could save, or a later one up to which the job can still have a
+// value at the preferred location that it can no longer have elsewhere.
+func (q *LocationWait) breakEven() time.Duration {
 	loss, left := q.Loss(), q.RunTime+q.Rest
-	deadline := q.Since + loss
+	until := q.Since + loss
 	for _, end := range []time.Duration{q.Objective, q.ValueUntil} {
 		if q.Now+left <= end && q.Now+left+loss > end {
-			deadline = max(deadline, end-left)
+			until = max(until, end-left)
 		}
 	}
+	return until
+}
+
+// Deadline returns the time at which the wait ends if no place was found: what pays by the
+// estimate, and its error.
+func (q *LocationWait) Deadline() time.Duration {
+	deadline := q.breakEven() + q.Spread
 	if q.Limit > 0 {
 		deadline = min(deadline, q.Limit)
 	}
 	return deadline
 }
 
-// Pays reports whether the task waits: even if a place is free later than expected by Spread, its
-// job ends no later than if the task starts elsewhere now.
+// Pays reports whether the task waits: a place is expected to be free in time. If it is free later
+// than expected by up to Spread, the job ends at most that much later than if the task starts
+// elsewhere now.
 func (q *LocationWait) Pays() bool {
-	return q.Loss() > 0 && q.Now+q.Free+q.Spread <= q.Deadline()
+	if q.Loss() == 0 || q.Now+q.Free > q.breakEven() {
+		return false
+	}
+	return q.Limit == 0 || q.Now+q.Free+q.Spread <= q.Limit
 }
 
 // valueLost returns the share of the job's value that is lost if the task starts elsewhere now
@@ -296,7 +306,7 @@
 	if !q.Pays() {
 		return false
 	}
-	a.question = q
+	a.question, a.deadline = q, q.Deadline()
 	a.waits++
 	return true
 }
@@ -316,8 +326,8 @@
 		return nil
 	}
 	a := &allotment{rack: best.rack, question: e.locationWait(now, s)}
-	a.deadline = a.question.Deadline()
 	a.question.Free, a.question.Spread = best.last.after, best.last.spread
+	a.deadline = a.question.Deadline()
 	if best.last.after > 0 && !a.question.Pays() {
 		a.isAnywhere = true
 		return a
