Make decisions on full racks cheap under a backlog

Cause: with 1,000 waiting jobs that prefer full racks and one place elsewhere, a decision took 4.3 ms and allocated 1.1 MB.

--- a/process/dispatch/order.go
+++ b/process/dispatch/order.go
@@ -110,8 +110,8 @@
 	// ones are skipped.
 	var unplaced []shape
 	waiting := e.candidates(now)
-	e.locations = newLocationPlan(waiting)
-	defer func() { e.locations = nil }()
+	e.beginLocationPlan(waiting)
+	defer e.endLocationPlan()
 	hasSlowWorker := slices.ContainsFunc(e.sortedNodes, func(n *node) bool { return e.isSlow(now.Steady, n) })
 	e.isHoldingStarts = false
 	for _, c := range waiting {
@@ -229,6 +229,9 @@
 // startTasks starts the pending tasks of a step. It reports false if a task that may
 // start could not be placed.
 func (e *Engine) startTasks(now Moment, s *stepRun) bool {
+	if e.keepsWaiting(now, s) {
+		return true
+	}
 	count := 0
 	var last heatherhub.WorkerID
 	var located *allotment
--- a/process/dispatch/places.go
+++ b/process/dispatch/places.go
@@ -11,7 +11,8 @@
 // rackPlaces are the workers of a location with the resources that their runs are expected to
 // free. Places are taken in it as they are planned; the workers themselves do not change.
 type rackPlaces struct {
-	workers []workerPlaces
+	workers  []workerPlaces
+	searches map[taskKind]*placeSearch
 }
 
 // workerPlaces is one worker of a location.
@@ -21,6 +22,8 @@
 	spare heatherhub.MilliCPU
 	// ends are the expected ends of runs in order of time.
 	ends []expectedEnd
+	// version counts the places taken.
+	version int
 }
 
 // expectedEnd is the expected end of a run.
@@ -123,39 +126,79 @@
 	return time.Duration(remaining), spread
 }
 
-// placeSearch looks for places for the tasks of one step, in the order in which they become free.
+// placeSearch looks for places for tasks of one kind, in the order in which they become free.
 type placeSearch struct {
 	places *rackPlaces
-	step   *stepRun
+	kind   taskKind
 	// duration is the time for which a task takes its place.
 	duration time.Duration
-	isUsable []bool
-	taken    []int
+	workers  []searchedWorker
 }
 
+// taskKind is what decides whether a worker is eligible for a task.
+type taskKind struct {
+	need     heatherhub.Resources
+	cpu      heatherhub.MilliCPU
+	isFiller bool
+	image    string
+	label    string
+	// step is set if the number of its tasks on a worker is limited.
+	step *stepRun
+}
+
+// searchedWorker is the first place on a worker. It is valid for one version of the worker.
+type searchedWorker struct {
+	isUsable bool
+	taken    int
+	version  int
+	place    place
+	hasPlace bool
+}
+
+// searchFor returns a search for the tasks of a step. Steps of one kind share it.
 func (r *rackPlaces) searchFor(e *Engine, now Moment, s *stepRun) *placeSearch {
-	search := &placeSearch{places: r, step: s, duration: e.expectedDuration(s), isUsable: make([]bool, len(r.workers)), taken: make([]int, len(r.workers))}
+	kind := taskKind{need: s.need, cpu: s.spec.Need.CPU, isFiller: s.spec.Filler, label: s.spec.RequiredLabel}
+	if s.spec.Filler {
+		kind.image = s.spec.Image
+	}
+	if s.spec.MaxPerWorker > 0 {
+		kind.step = s
+	}
+	if search := r.searches[kind]; search != nil {
+		search.duration = e.expectedDuration(s)
+		return search
+	}
+	search := &placeSearch{places: r, kind: kind, duration: e.expectedDuration(s), workers: make([]searchedWorker, len(r.workers))}
 	for i := range r.workers {
-		n := r.workers[i].node
-		if (s.spec.RequiredLabel != "" && !n.worker.HasLabel(s.spec.RequiredLabel)) || e.isSlow(now.Steady, n) {
+		n, w := r.workers[i].node, &search.workers[i]
+		w.version = -1
+		if (kind.label != "" && !n.worker.HasLabel(kind.label)) || e.isSlow(now.Steady, n) {
 			continue
 		}
-		_, search.isUsable[i] = e.score(n, s)
+		_, w.isUsable = e.score(n, s)
+	}
+	if r.searches == nil {
+		r.searches = make(map[taskKind]*placeSearch)
 	}
+	r.searches[kind] = search
 	return search
 }
 
 // next returns the place that is free first. It reports false if there is none.
 func (p *placeSearch) next() (place, bool) {
 	best, isFound := place{}, false
-	for i := range p.places.workers {
-		if !p.isUsable[i] || (p.step.spec.MaxPerWorker > 0 && p.step.tasksPerNode[p.places.workers[i].node]+p.taken[i] >= p.step.spec.MaxPerWorker) {
+	for i := range p.workers {
+		w := &p.workers[i]
+		if !w.isUsable || p.isAtLimit(i) {
 			continue
 		}
-		after, spread, ok := p.places.workers[i].freeAfter(p.step)
-		if ok && (!isFound || after < best.after) {
-			best, isFound = place{worker: i, after: after, spread: spread}, true
-			if after == 0 {
+		if free := &p.places.workers[i]; w.version != free.version {
+			w.place, w.hasPlace = free.firstPlace(p.kind)
+			w.place.worker, w.version = i, free.version
+		}
+		if w.hasPlace && (!isFound || w.place.after < best.after) {
+			best, isFound = w.place, true
+			if best.after == 0 {
 				break
 			}
 		}
@@ -163,31 +206,39 @@
 	return best, isFound
 }
 
+// isAtLimit reports whether the step may have no further task on a worker.
+func (p *placeSearch) isAtLimit(i int) bool {
+	s := p.kind.step
+	return s != nil && s.tasksPerNode[p.places.workers[i].node]+p.workers[i].taken >= s.spec.MaxPerWorker
+}
+
 // take takes a place for one task.
 func (p *placeSearch) take(at place) {
 	w := &p.places.workers[at.worker]
-	p.taken[at.worker]++
-	end := expectedEnd{after: at.after + p.duration, spread: at.spread + time.Duration(declaredError*float64(p.duration)), need: p.step.need, spare: p.step.spec.Need.CPU}
+	p.workers[at.worker].taken++
+	w.version++
+	end := expectedEnd{after: at.after + p.duration, spread: at.spread + time.Duration(declaredError*float64(p.duration)), need: p.kind.need, spare: p.kind.cpu}
 	w.free, w.spare = w.free.Sub(end.need), w.spare-end.spare
 	i, _ := slices.BinarySearchFunc(w.ends, end, compareEnds)
 	w.ends = slices.Insert(w.ends, i, end)
 }
 
-// freeAfter returns the time until the worker has room for a task of a step.
-func (w *workerPlaces) freeAfter(s *stepRun) (after, spread time.Duration, ok bool) {
+// firstPlace returns the place on the worker that is free first for a task.
+func (w *workerPlaces) firstPlace(kind taskKind) (place, bool) {
 	fits := func(free heatherhub.Resources, spare heatherhub.MilliCPU) bool {
-		return s.need.Fits(free) && (!s.spec.Filler || s.spec.Need.CPU <= spare)
+		return kind.need.Fits(free) && (!kind.isFiller || kind.cpu <= spare)
 	}
 	free, spare := w.free, w.spare
 	if fits(free, spare) {
-		return 0, 0, true
+		return place{}, true
 	}
+	spread := time.Duration(0)
 	for _, end := range w.ends {
 		free, spare = free.Add(end.need), spare+end.spare
 		spread = max(spread, end.spread)
 		if fits(free, spare) {
-			return end.after, spread, true
+			return place{after: end.after, spread: spread}, true
 		}
 	}
-	return 0, 0, false
+	return place{}, false
 }
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -97,8 +97,10 @@
 	meanSpeed speed
 	// locations has the decisions on tasks that prefer a rack while tasks are placed, and
 	// locationStats what was measured of such tasks.
-	locations     *locationPlan
-	locationStats map[heatherhub.QueueID]*locationStats
+	locations *locationPlan
+	// locationScratch is the plan that locations uses.
+	locationScratch *locationPlan
+	locationStats   map[heatherhub.QueueID]*locationStats
 	// Stats counts events since the engine was created.
 	Stats Stats
 }
--- a/process/dispatch/wait_test.go
+++ b/process/dispatch/wait_test.go
@@ -388,3 +388,35 @@
 		}
 	}
 }
+
+// TestOthersUseWhatWaitingTasksPassUp guards against workers that stay idle for a task that waits.
+func TestOthersUseWhatWaitingTasksPassUp(t *testing.T) {
+	b := newRackSimulation(t, dispatch.Tuning{})
+	b.fillRack(time.Second, time.Second)
+	b.add("waits", near(1, 2*time.Second))
+	b.decide()
+	b.add("plain", tasks(28, 5000, time.Second))
+	b.decide()
+	if got, want := len(b.started), 4+28; got != want {
+		t.Errorf("got %d starts, want %d: all places but those of the full rack were free", got, want)
+	}
+}
+
+// BenchmarkDecideWithFullRacks measures Decide with 110 workers and 1,000 waiting jobs that prefer
+// racks which are full, while another rack has one place.
+func BenchmarkDecideWithFullRacks(b *testing.B) {
+	w := newSimulation(&testing.T{}, dispatch.Policy{}, 110)
+	w.add("fill", tasks(220, 5000, time.Second))
+	w.decide()
+	w.addWorkerWithRoom(5000)
+	for k := range 1000 {
+		s := tasks(10, 5000, time.Second)
+		s.DataRack = heatherhub.Rack(fmt.Sprintf("r%d", k%50))
+		w.add(heatherhub.JobID(fmt.Sprintf("j%04d", k)), s)
+	}
+	w.outcome = func(dispatch.Order) dispatch.Outcome { return dispatch.Refused }
+	b.ReportAllocs()
+	for b.Loop() {
+		w.decide()
+	}
+}
