Start groups in the rack of the best worker among equal ones

Cause: a group that fits in several racks now went to the first of them, whatever the score of its workers.

Change: the rack of the worker that the score chooses is tried first.

--- a/process/dispatch/locate.go
+++ b/process/dispatch/locate.go
@@ -160,9 +160,9 @@
 	return q
 }
 
-// allotmentOf returns the decision on a step that prefers a rack, or nil if no worker of the shard
-// is in its rack.
-func (e *Engine) allotmentOf(now Moment, s *stepRun) *allotment {
+// allotmentOf returns the decision on a step that prefers a rack and could start a task on
+// anyWorker, or nil if no worker of the shard is in its rack.
+func (e *Engine) allotmentOf(now Moment, s *stepRun, anyWorker *node) *allotment {
 	p := e.locations
 	if p == nil {
 		return nil
@@ -171,7 +171,7 @@
 		return a
 	}
 	if s.isGroup() {
-		p.allotments[s] = e.allotGroup(now, s)
+		p.allotments[s] = e.allotGroup(now, s, anyWorker)
 	} else {
 		e.allotRack(now, location{s.occ.job.policy.Pool, s.spec.DataRack})
 	}
@@ -253,11 +253,12 @@
 }
 
 // allotGroup decides on the tasks of a step that belong in one rack: all get places in the rack
-// where the last of them has one first, or they are placed by their score.
-func (e *Engine) allotGroup(now Moment, s *stepRun) *allotment {
+// where the last of them has one first, or they are placed by their score. Among equal racks that of
+// the best worker is chosen.
+func (e *Engine) allotGroup(now Moment, s *stepRun, anyWorker *node) *allotment {
 	count := e.startableCount(now, s)
 	var best *groupPlaces
-	for _, rack := range e.groupRacks(s) {
+	for _, rack := range e.groupRacks(s, anyWorker) {
 		g := &groupPlaces{rack: rack, places: e.placesAt(now, location{s.occ.job.policy.Pool, rack}).clone()}
 		if g.fill(e, now, s, count) && (best == nil || g.last.after < best.last.after) {
 			best = g
@@ -307,8 +308,8 @@
 }
 
 // groupRacks returns the racks in which the tasks of a group may run together: that of the data,
-// else the one that runs most of them, else all.
-func (e *Engine) groupRacks(s *stepRun) []heatherhub.Rack {
+// else the one that runs most of them, else all, that of anyWorker first.
+func (e *Engine) groupRacks(s *stepRun, anyWorker *node) []heatherhub.Rack {
 	if s.spec.DataRack != "" {
 		return []heatherhub.Rack{s.spec.DataRack}
 	}
@@ -326,7 +327,11 @@
 	if len(counts) > 0 {
 		return []heatherhub.Rack{most}
 	}
-	return e.Racks()
+	racks := e.Racks()
+	if i := slices.Index(racks, anyWorker.worker.Rack); i > 0 {
+		racks[0], racks[i] = racks[i], racks[0]
+	}
+	return racks
 }
 
 func (e *Engine) startableCount(now Moment, s *stepRun) int {
--- a/process/dispatch/order.go
+++ b/process/dispatch/order.go
@@ -250,7 +250,7 @@
 		}
 		if n != nil && s.prefersRack() && !t.needsIsolation() {
 			if located == nil {
-				located = e.allotmentOf(now, s)
+				located = e.allotmentOf(now, s, n)
 			}
 			if located != nil {
 				if n = e.chooseLocated(now, s, t, located, n); n == nil && located.isSettled() {
@@ -290,7 +290,11 @@
 	if !s.prefersRack() {
 		return e.placeGang(now, s, nil)
 	}
-	a := e.allotmentOf(now, s)
+	n := e.chooseWorker(now, s, s.tasks[0])
+	if n == nil {
+		return false
+	}
+	a := e.allotmentOf(now, s, n)
 	if a == nil {
 		return e.placeGang(now, s, nil)
 	}
--- a/request/intake/shards.go
+++ b/request/intake/shards.go
@@ -107,10 +107,9 @@
 
 // Choose returns the shard with the lowest cost for a new job: the one that has the rack
 // of its data, unless the job would wait there for longer than it loses elsewhere, otherwise
-// the least loaded one. Jobs
-// with long-running tasks go to the shard with the lowest share of reserved processors.
-// Shards without an owner are chosen only if no shard has one. Choose returns
-// heatherhub.ErrUnavailable while no shard is known.
+// the least loaded one. Jobs with long-running tasks go to the shard with the lowest share of
+// reserved processors. Shards without an owner are chosen only if no shard has one. Choose
+// returns heatherhub.ErrUnavailable while no shard is known.
 func (s *ShardSelector) Choose(flow *heatherhub.Workflow) (heatherhub.ShardID, error) {
 	v := s.view()
 	if len(v.Layout.Shards) == 0 {
