--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -24,6 +24,8 @@
 	// missedTargetPolls is the number of polls within Tuning.HarmTime while a task on the worker
 	// misses its target: filler tasks beside it have to be halted well within that time.
 	missedTargetPolls = 10
+	// minMissedTargetPollWait bounds the cost of these polls for the owner.
+	minMissedTargetPollWait = 100 * time.Millisecond
 	// unconfirmedPollWait replaces pollWait while the store is late to confirm the ownership:
 	// the answers of the workers then have to be younger than confirmationTTL.
 	unconfirmedPollWait = 500 * time.Millisecond
@@ -334,7 +336,7 @@
 	switch {
 	case !isUp || w.isSilent.Load():
 	case isTargetMissed:
-		p.Wait = min(t.host.cfg.Tuning.HarmTime/missedTargetPolls, pollWait)
+		p.Wait = min(max(t.host.cfg.Tuning.HarmTime/missedTargetPolls, minMissedTargetPollWait), pollWait)
 	case sentAt-t.lastConfirmed() > publishInterval:
 		p.Wait = unconfirmedPollWait
 	default:
--- a/request/intake/intake_test.go
+++ b/request/intake/intake_test.go
@@ -228,6 +228,8 @@
 	batch := heatherhub.Step{Tasks: 2, Need: heatherhub.Resources{CPU: 1000}, Estimate: time.Second}
 	nearData := batch
 	nearData.DataRack = "r2"
+	shortNearData := nearData
+	shortNearData.Estimate = 100 * time.Millisecond
 	longRunning := batch
 	longRunning.LongRunning = true
 	cases := map[string]struct {
@@ -239,6 +241,8 @@
 		"less reserved":                   {load(5000, 0, 0), load(8000, 0, 0), batch, north},
 		"has the rack of the data":        {load(5000, 0, 0, "r1"), load(8000, 0, 0, "r2"), nearData, south},
 		"rack of the data is overloaded":  {load(5000, 0, 0, "r1"), load(8000, 0, 30*time.Second, "r2"), nearData, north},
+		"wait shorter than the loss":      {load(0, 0, 0, "r1"), load(9000, 0, 9*time.Second, "r2"), nearData, south},
+		"wait longer than the loss":       {load(0, 0, 0, "r1"), load(9000, 0, 9*time.Second, "r2"), shortNearData, north},
 		"long-running job, less reserved": {load(8000, 0, 0), load(5000, 5000, 9*time.Second), longRunning, south},
 	}
 	for name, c := range cases {
