--- a/command/serve/serve.go
+++ b/command/serve/serve.go
@@ -153,7 +153,7 @@
 		queueCounter.Observe(loads)
 		admission.Observe(loads)
 	}
-	h.shards = intake.NewShardSelector(intake.ShardSelectorConfig{Store: h.store, View: h.owner.View, Random: rand.Float64, OnLoads: onLoads, Evacuated: &h.evacuated, Log: log})
+	h.shards = intake.NewShardSelector(intake.ShardSelectorConfig{Store: h.store, View: h.owner.View, Random: rand.Float64, OnLoads: onLoads, Evacuated: &h.evacuated, RemoteFactor: s.RemoteFactor, Log: log})
 	h.peerServer = peer.NewServer(peer.ServerConfig{Self: s.Host, Log: log})
 	h.peerServer.Handle(peer.MethodWorkflowState, intake.StateHandler(h.owner.JobState))
 	h.peerServer.Handle(peer.MethodOverview, overview.Handler(h.owner.Overview))
--- a/process/dispatch/dispatch_test.go
+++ b/process/dispatch/dispatch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -43,6 +44,10 @@
 	fillerSpeed func(heatherhub.WorkerID) float64
 	// runTime is the ratio of the true to the declared run time; zero counts as 1.
 	runTime float64
+	// slowdown is the factor by which tasks take longer away from their rack; zero stands for 1.
+	slowdown float64
+	// factor returns the ratio of the run time of a task to its estimate; if nil, it is 1.
+	factor func() float64
 }
 
 type run struct {
@@ -117,6 +122,12 @@
 		if b.runTime > 0 {
 			estimate = time.Duration(b.runTime * float64(estimate))
 		}
+		if b.slowdown > 0 && b.isAway(o) {
+			estimate = time.Duration(b.slowdown * float64(estimate))
+		}
+		if b.factor != nil {
+			estimate = time.Duration(b.factor() * float64(estimate))
+		}
 		remaining := estimate
 		if saved, err := strconv.Atoi(string(o.Checkpoint)); err == nil {
 			remaining = estimate*time.Duration(100-saved)/100 + b.restoreTime
@@ -139,6 +150,12 @@
 	}
 }
 
+// isAway reports whether an order starts a task away from the rack of its data.
+func (b *simulation) isAway(o dispatch.Order) bool {
+	rack := b.workflows[o.Task.Job].Steps[o.Task.Step].DataRack
+	return rack != "" && rack != b.worker(slices.Index(b.workers, o.Worker)).Rack
+}
+
 // step advances the clock by d: runs progress, workers report and the engine decides.
 func (b *simulation) step(d time.Duration) {
 	b.now.Steady += d
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -13,6 +13,7 @@
 // removed keep their last policy.
 func (e *Engine) SetPolicies(policies map[heatherhub.QueueID]Policy) {
 	e.policies = policies
+	e.pruneLocationStats(policies)
 	for _, j := range e.jobs {
 		if p, ok := policies[j.workflow.Queue]; ok {
 			j.policy = p
@@ -124,6 +125,9 @@
 	e.adoptUnknown(now, workflow.ID)
 	for _, o := range j.occurrences {
 		e.enqueueReady(now, o)
+		for _, s := range o.steps {
+			s.mayHaveWaited = j.isInherited && s.isQueued
+		}
 	}
 	e.finishIfDone(now, j)
 }
@@ -169,7 +173,7 @@
 		from = o.job.arrived + o.job.workflow.Due(o.index).Sub(o.job.workflow.Accepted)
 	}
 	span := o.job.policy.Span(o.declaredChain())
-	o.objective, o.valueUntil = from+span, from+heatherhub.ValueSpans*span
+	o.from, o.objective, o.valueUntil = from, from+span, from+heatherhub.ValueSpans*span
 }
 
 func (e *Engine) restoreFailures(j *job) {
--- a/process/dispatch/move.go
+++ b/process/dispatch/move.go
@@ -87,7 +87,7 @@
 		j := s.occ.job
 		waited := now.Steady - s.readySince
 		hasWaited := waited >= e.cfg.MoveAfter && !isUrgentOnly
-		if (!hasWaited && !isStranded && len(j.workflow.Relocations) == 0) || !e.isMovable(now, s, isStranded) {
+		if s.wait.isWaiting(now.Steady) || (!hasWaited && !isStranded && len(j.workflow.Relocations) == 0) || !e.isMovable(now, s, isStranded) {
 			continue
 		}
 		sh := shapeOf(s, false)
--- a/process/dispatch/preempt.go
+++ b/process/dispatch/preempt.go
@@ -274,13 +274,13 @@
 // canWait reports whether a run that is stopped for a step keeps the value of its job: it gets room
 // again when the step's tasks end, and then restores its checkpoint.
 func (p *preemptor) canWait(s *stepRun, v victim) bool {
-	o, left := v.attempt.task.step.occ, p.e.timeLeft(v.attempt)
+	o, left := v.attempt.task.step.occ, p.e.chainLeft(v.attempt)
 	delay := p.readyAt - p.now.Steady + p.e.expectedDuration(s) + p.e.cfg.RestoreTime + v.unsaved
 	return o.urgencyAt(p.now.Steady+left) == o.urgencyAt(p.now.Steady+left+delay)
 }
 
-// timeLeft returns the expected time until the chain of steps ends that begins with a run's step.
-func (e *Engine) timeLeft(a *attempt) time.Duration {
+// chainLeft returns the expected time until the chain of steps ends that begins with a run's step.
+func (e *Engine) chainLeft(a *attempt) time.Duration {
 	s := a.task.step
 	done := time.Duration(float64(e.expectedDuration(s)) * float64(a.progress) / 100)
 	return s.criticalPath - done
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -124,6 +124,12 @@
 	progressCheckedAt time.Duration
 	// meanSpeed is the average speed over all workers.
 	meanSpeed speed
+	// locations has the decisions on tasks that prefer a rack while tasks are placed, and
+	// locationStats what was measured of such tasks.
+	locations *locationPlan
+	// locationScratch is the plan that locations uses.
+	locationScratch *locationPlan
+	locationStats   map[heatherhub.QueueID]*locationStats
 	// Stats counts events since the engine was created.
 	Stats Stats
 }
@@ -137,6 +143,8 @@
 	// they repeat.
 	Preempted     int
 	PreemptedWork time.Duration
+	// WaitsBegun, WaitsPaid and WaitsLost count the waits of steps for their rack.
+	WaitsBegun, WaitsPaid, WaitsLost int
 }
 
 // New returns an engine without jobs and workers. Zero fields of Tuning are set to
@@ -144,19 +152,20 @@
 func New(cfg Config) *Engine {
 	cfg.SetDefaults()
 	return &Engine{
-		cfg:         cfg,
-		policies:    make(map[heatherhub.QueueID]Policy),
-		jobs:        make(map[heatherhub.JobID]*job),
-		nodes:       make(map[heatherhub.WorkerID]*node),
-		unresolved:  make(map[heatherhub.WorkerID]unresolvedWorker),
-		restarted:   make(map[heatherhub.WorkerName]*restartedWorker),
-		unknownJobs: make(map[heatherhub.JobID]*unknownJob),
-		absent:      make(map[heatherhub.JobID]time.Duration),
-		movedAway:   make(map[heatherhub.JobID]moveRecord),
-		runTimes:    make(map[heatherhub.QueueID]*runTimeRatio),
-		lanes:       make(map[laneKey]*lane),
-		shares:      make(map[heatherhub.QueueID]*queueShares),
-		model:       newInterference(), inheritUntil: cfg.InheritUntil,
+		cfg:           cfg,
+		policies:      make(map[heatherhub.QueueID]Policy),
+		jobs:          make(map[heatherhub.JobID]*job),
+		nodes:         make(map[heatherhub.WorkerID]*node),
+		unresolved:    make(map[heatherhub.WorkerID]unresolvedWorker),
+		restarted:     make(map[heatherhub.WorkerName]*restartedWorker),
+		unknownJobs:   make(map[heatherhub.JobID]*unknownJob),
+		absent:        make(map[heatherhub.JobID]time.Duration),
+		locationStats: make(map[heatherhub.QueueID]*locationStats),
+		movedAway:     make(map[heatherhub.JobID]moveRecord),
+		runTimes:      make(map[heatherhub.QueueID]*runTimeRatio),
+		lanes:         make(map[laneKey]*lane),
+		shares:        make(map[heatherhub.QueueID]*queueShares),
+		model:         newInterference(), inheritUntil: cfg.InheritUntil,
 		nextRun: heatherhub.RunID(cfg.Token) * runsPerToken,
 	}
 }
@@ -240,6 +249,8 @@
 	job   *job
 	index int
 	steps []*stepRun
+	// from is the steady time from which the objective counts.
+	from time.Duration
 	// objective is the steady time by which the occurrence should be complete.
 	objective time.Duration
 	// valueUntil is the steady time after which completing the occurrence has no value.
@@ -264,7 +275,11 @@
 	// longest chain of steps that depend on it.
 	criticalPath time.Duration
 	failedRuns   []heatherhub.RunID
-	tasksPerNode map[*node]int
+	wait         stepWait
+	// mayHaveWaited means that the step was due when this owner read its job, so that it may
+	// have waited for its rack under an earlier one.
+	mayHaveWaited bool
+	tasksPerNode  map[*node]int
 }
 
 // task is one task of a step.
--- a/process/owner/metrics.go
+++ b/process/owner/metrics.go
@@ -32,6 +32,9 @@
 	moves *prometheus.CounterVec
 	// preemptedWork counts the work that runs repeat after they were stopped for urgent jobs.
 	preemptedWork prometheus.Counter
+	// locationWaits counts the waits of steps for their rack by outcome, and locationWaitTime
+	// sums the seconds that they gained and lost.
+	locationWaits, locationWaitTime *prometheus.CounterVec
 }
 
 // waitBuckets are the histogram buckets of waiting times, in seconds. Most starts take
@@ -79,9 +82,15 @@
 		preemptedWork: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "heatherhub_preempted_work_seconds_total", Help: "Work that runs repeat which were stopped for urgent jobs.",
 		}),
+		locationWaits: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "heatherhub_location_waits_total", Help: "Waits of steps for a place in their rack by outcome.",
+		}, []string{"outcome"}),
+		locationWaitTime: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "heatherhub_location_wait_seconds_total", Help: "Seconds that steps gained or lost by waiting for their rack.",
+		}, []string{"outcome"}),
 	}
 	if r != nil {
-		r.MustRegister(m.events, m.takeovers, m.shardsLost, m.commits, m.commitTime, m.stepWait, m.jobTime, m.workers, m.workersGone, m.workerRestarts, m.evacuatedTasks, m.moves, m.forecastError, m.preemptedWork)
+		r.MustRegister(m.events, m.takeovers, m.shardsLost, m.commits, m.commitTime, m.stepWait, m.jobTime, m.workers, m.workersGone, m.workerRestarts, m.evacuatedTasks, m.moves, m.forecastError, m.preemptedWork, m.locationWaits, m.locationWaitTime)
 	}
 	return m
 }
@@ -96,6 +105,14 @@
 		m.jobTime.Observe(n.Waited.Seconds())
 	case dispatch.EventRunPreempted:
 		m.preemptedWork.Add(n.Lost.Seconds())
+	case dispatch.EventWaitBegun:
+		m.locationWaits.WithLabelValues("begun").Inc()
+	case dispatch.EventWaitPaid:
+		m.locationWaits.WithLabelValues("paid").Inc()
+		m.locationWaitTime.WithLabelValues("gained").Add(n.WaitGained.Seconds())
+	case dispatch.EventWaitLost:
+		m.locationWaits.WithLabelValues("lost").Inc()
+		m.locationWaitTime.WithLabelValues("lost").Add(n.Waited.Seconds())
 	}
 }
 
--- a/request/intake/shards.go
+++ b/request/intake/shards.go
@@ -12,6 +12,7 @@
 
 	"heatherhub.example/heatherhub"
 	"heatherhub.example/heatherhub/connection/ledger"
+	"heatherhub.example/heatherhub/process/dispatch"
 	"heatherhub.example/heatherhub/process/owner"
 	"heatherhub.example/heatherhub/process/record"
 	"heatherhub.example/heatherhub/version/evacuation"
@@ -27,6 +28,8 @@
 	evacuated *evacuation.Current
 	// onLoads may be nil.
 	onLoads func(map[heatherhub.ShardID]record.Load)
+	// remoteFactor is the factor by which tasks take longer away from the rack of their data.
+	remoteFactor float64
 
 	mu    sync.Mutex
 	loads map[heatherhub.ShardID]record.Load
@@ -55,15 +58,19 @@
 	OnLoads func(map[heatherhub.ShardID]record.Load)
 	// Evacuated, if set, holds the evacuated failure domains.
 	Evacuated *evacuation.Current
-	Log       *zap.Logger
+	// RemoteFactor is the factor by which tasks take longer away from the rack of their data;
+	// zero selects the default.
+	RemoteFactor float64
+	Log          *zap.Logger
 }
 
 // NewShardSelector returns a selector without loads. Run and Refresh read them.
 func NewShardSelector(cfg ShardSelectorConfig) *ShardSelector {
+	heatherhub.SetDefault(&cfg.RemoteFactor, dispatch.DefaultRemoteFactor)
 	return &ShardSelector{
 		store: cfg.Store, view: cfg.View, log: cfg.Log, onLoads: cfg.OnLoads, evacuated: cfg.Evacuated,
 		loads: make(map[heatherhub.ShardID]record.Load), unreported: make(map[heatherhub.ShardID]unreportedLoad),
-		random: cfg.Random,
+		random: cfg.Random, remoteFactor: cfg.RemoteFactor,
 	}
 }
 
@@ -104,12 +111,12 @@
 }
 
 // Choose returns the shard with the lowest cost for a new job: the one that has the rack
-// of its data, unless that shard is much busier, otherwise the least loaded one or, if all
-// loads have forecasts, the one where the job is expected to start first. Jobs
-// with long-running tasks go to the shard with the lowest share of reserved processors.
-// Shards without an owner are chosen only if no shard has one, and those without a usable
-// worker, by their load or because their failure domain is evacuated, only if no shard has
-// one. Choose returns heatherhub.ErrUnavailable while no shard is known.
+// of its data, unless the job would wait there for longer than it loses elsewhere, otherwise
+// the least loaded one or, if all loads have forecasts, the one where the job is expected to
+// start first. Jobs with long-running tasks go to the shard with the lowest share of reserved
+// processors. Shards without an owner are chosen only if no shard has one, and those without a
+// usable worker, by their load or because their failure domain is evacuated, only if no shard
+// has one. Choose returns heatherhub.ErrUnavailable while no shard is known.
 func (s *ShardSelector) Choose(flow *heatherhub.Workflow) (heatherhub.ShardID, error) {
 	v := s.view()
 	if len(v.Layout.Shards) == 0 {
@@ -152,9 +159,9 @@
 	// noRoomCost is added for a shard without workers for the job. It is higher than any
 	// expected wait and lower than noOwnerCost.
 	noRoomCost = 1e5
-	// remoteDataCost is added if the shard does not have the rack of the job's data.
-	// Tasks take up to three times as long away from their data.
-	remoteDataCost = 1.5
+	// remoteServingCost is that of long-running tasks away from the rack of their data. It
+	// exceeds every difference in the reserved share.
+	remoteServingCost = 1.5
 )
 
 // cost returns the cost of running a job in a shard; lower is better. A shard whose load
@@ -172,7 +179,7 @@
 		cost = l.ReservedShare()
 	}
 	if rack := dataRack(flow); rack != "" && len(l.Racks) > 0 && !slices.Contains(l.Racks, rack) {
-		cost += remoteDataCost
+		cost += s.remoteCost(flow, rack)
 	}
 	return cost
 }
@@ -199,11 +206,20 @@
 		cost += noRoomCost
 	}
 	if rack := dataRack(flow); rack != "" && len(l.Racks) > 0 && !slices.Contains(l.Racks, rack) {
-		cost += remoteDataCost
+		cost += s.remoteCost(flow, rack)
 	}
 	return cost
 }
 
+// remoteCost returns the cost of running a job away from the rack of its data: how much longer it
+// takes, in seconds of work like the pressure of a shard.
+func (s *ShardSelector) remoteCost(flow *heatherhub.Workflow, rack heatherhub.Rack) float64 {
+	if flow.IsLongRunning() {
+		return remoteServingCost
+	}
+	return dispatch.LocationLoss(flow, rack, s.remoteFactor).Seconds()
+}
+
 // addUnreported adds the load of a job to what this host has submitted to a shard. Batch
 // steps that wait for other steps do not count, as they start later. The caller holds mu.
 func (s *ShardSelector) addUnreported(shard heatherhub.ShardID, flow *heatherhub.Workflow) {
