Keep jobs that are suspected of crashing workers in their shard

Change: a begun job with a task that has to start isolated moves only from a shard in which nothing can start.

--- a/process/dispatch/move.go
+++ b/process/dispatch/move.go
@@ -186,13 +186,14 @@
 // isSettled reports whether nothing of a begun job runs, all of its progress is stored, and no
 // worker holds an end of it that this shard would have to record. A worker that has vanished may
 // return with such an end. That does not keep the job in a shard in which nothing can start: the
-// lease of that worker is over, so its runs have to be repeated in any case. Gangs do not move, as
-// their workers are chosen together.
+// lease of that worker is over, so its runs have to be repeated in any case. Nor does a job leave
+// that is suspected of crashing its workers, as its next crash would lose runs of another shard.
+// Gangs do not move, as their workers are chosen together.
 func (e *Engine) isSettled(j *job, isStranded bool) bool {
 	if j.state != heatherhub.WorkflowRunning || j.isOwnedElsewhere || j.openAttempts > 0 || j.committed != j.changed {
 		return false
 	}
-	if !isStranded && (j.mayHaveBegun || j.mayBeReported || (j.isInherited && e.hasLostUnresolved)) {
+	if !isStranded && (j.mayHaveBegun || j.mayBeReported || (j.isInherited && e.hasLostUnresolved) || slices.ContainsFunc(j.tasksOf(nil), (*task).needsIsolation)) {
 		return false
 	}
 	if slices.ContainsFunc(j.workflow.Steps, func(s heatherhub.Step) bool { return s.Gang }) || e.unknownJobs[j.workflow.ID] != nil {
--- a/process/dispatch/move_test.go
+++ b/process/dispatch/move_test.go
@@ -423,3 +423,21 @@
 		t.Errorf("got moves %+v with a usable worker, want none", got)
 	}
 }
+
+// TestSuspectedJobStays guards against a job that takes the crashes of its workers to other shards,
+// unless nothing can start where it is.
+func TestSuspectedJobStays(t *testing.T) {
+	b := newSimulation(t, dispatch.Policy{}, 0)
+	flow := &heatherhub.Workflow{ID: "suspect", Queue: queue, Steps: []heatherhub.Step{tasks(2, 6000, time.Second)}, Accepted: b.now.Wall}
+	b.e.AddJob(b.now, dispatch.JobRecord{
+		Workflow: flow, RecordRevision: 1, ProgressRevision: 2,
+		Progress: dispatch.Progress{Crashes: []heatherhub.CrashedRun{{Run: 3, Worker: "w", Evidence: heatherhub.CrashSuspect}}},
+	})
+	if got := chainMoves(b); len(got) != 0 {
+		t.Errorf("got moves %+v of a suspected job, want none", got)
+	}
+	b.e.MarkWorkersAsked()
+	if got := chainMoves(b); len(got) != 1 {
+		t.Errorf("got moves %+v in a shard without workers, want one", got)
+	}
+}
