Place fillers by the headroom that serving tasks have ahead

Cause: the interference model compared the tail with its mean over time, in the logarithm. The tail swings by a factor of 2 with the users' load, all tasks of a job alike, and the effect of a filler on the logarithm varies with it, so most misses came at the peak, beside fillers that were known to interfere.

Ruled out: learning too slowly (a third of the misses were beside unknown pairs early, and as many late), other coefficients or limits of the same model, and faster throttling (docs/design/colocation.md).

Change: the model works with headroom, the target over the tail, of which users and fillers take independent amounts; each serving step's course tells the lowest headroom ahead; a filler leaves more the longer its job can wait; unknown images are tried one at a time on a worker.

--- a/process/dispatch/crash.go
+++ b/process/dispatch/crash.go
@@ -450,7 +450,7 @@
 		if !e.hasRoom(now, n, s, t) {
 			continue
 		}
-		if _, ok := e.score(n, s); !ok {
+		if _, ok := e.score(now.Steady, n, s); !ok {
 			continue
 		}
 		switch {
--- a/process/dispatch/interference_snapshot.go
+++ b/process/dispatch/interference_snapshot.go
@@ -16,11 +16,12 @@
 // InterferenceSnapshot is the part of the interference model that an owner stores for
 // the next one.
 type InterferenceSnapshot struct {
-	// Base has the mean log tail latency, by serving image, without fillers.
-	Base map[string]Coefficient `msgpack:"b,omitempty" json:"base"`
+	// Base has the mean headroom, by serving image, without fillers. The tags differ from those
+	// of an earlier model, whose values are in other units.
+	Base map[string]Coefficient `msgpack:"hb,omitempty" json:"base"`
 	// Fillers has the mean coefficient, by filler image, over all serving images.
-	Fillers map[string]Coefficient `msgpack:"f,omitempty" json:"fillers"`
-	Pairs   []PairCoefficient      `msgpack:"p,omitempty" json:"pairs"`
+	Fillers map[string]Coefficient `msgpack:"hf,omitempty" json:"fillers"`
+	Pairs   []PairCoefficient      `msgpack:"hp,omitempty" json:"pairs"`
 	// RunTimes has the learned run times by queue.
 	RunTimes map[heatherhub.QueueID]RunTime `msgpack:"r,omitempty" json:"runTimes,omitempty"`
 }
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -174,6 +174,7 @@
 	}
 	span := o.job.policy.Span(o.declaredChain())
 	o.from, o.objective, o.valueUntil = from, from+span, from+heatherhub.ValueSpans*span
+	o.slack = span - o.declaredChain()
 }
 
 func (e *Engine) restoreFailures(j *job) {
--- a/process/dispatch/load.go
+++ b/process/dispatch/load.go
@@ -92,7 +92,7 @@
 			out[n.worker.Pool] = room
 		}
 		for _, image := range images {
-			room[image] = max(room[image], e.fillerRoom(n, image))
+			room[image] = max(room[image], e.fillerRoom(now.Steady, n, image))
 		}
 	}
 	return out
--- a/process/dispatch/move.go
+++ b/process/dispatch/move.go
@@ -90,7 +90,7 @@
 		if s.wait.isWaiting(now.Steady) || (!hasWaited && !isStranded && len(j.workflow.Relocations) == 0) || !e.isMovable(now, s, isStranded) {
 			continue
 		}
-		sh := shapeOf(s, false)
+		sh := shapeOf(now.Steady, s, false)
 		m := Move{
 			Job: j.workflow.ID, Need: sh.need, Reserved: s.need, Pool: sh.pool,
 			IsFiller: sh.isFiller, Image: sh.image, Waited: waited, IsStranded: isStranded, At: now.Wall,
--- a/process/dispatch/order.go
+++ b/process/dispatch/order.go
@@ -182,7 +182,7 @@
 			return
 		}
 		s := c.step
-		sh := shapeOf(s, hasSlowWorker)
+		sh := shapeOf(now.Steady, s, hasSlowWorker)
 		if slices.ContainsFunc(unplaced, func(u shape) bool { return u.covers(sh) }) {
 			continue
 		}
@@ -246,14 +246,14 @@
 // expected to slow down least. The free processors of the worker are not considered.
 func (e *Engine) leastInterference(now Moment, s *stepRun, t *task) *node {
 	var best *node
-	var bestRatio float64
+	var bestHeadroom float64
 	for _, n := range e.sortedNodes {
 		if !e.hasLabelsAndRoom(now, n, s) || !n.isOpenTo(now.Steady, t) {
 			continue
 		}
-		ratio := e.logTailRatio(n) + e.logTailRise(n, s.spec.Image, n.shareOf(s.spec.Need.CPU))
-		if best == nil || ratio < bestRatio {
-			best, bestRatio = n, ratio
+		headroom := e.lowestHeadroom(now.Steady, n) - e.headroomLoss(n, s.spec.Image, n.shareOf(s.spec.Need.CPU))
+		if best == nil || headroom > bestHeadroom {
+			best, bestHeadroom = n, headroom
 		}
 	}
 	return best
@@ -267,6 +267,8 @@
 	// image is set for fillers only, whose placement depends on the images they
 	// interfere with.
 	image string
+	// patience is set for fillers only; see patienceOf.
+	patience int
 	// isLongRunning is set while the shard has a slow worker, which only long-running tasks
 	// use.
 	isLongRunning bool
@@ -275,21 +277,21 @@
 	isUnconstrained bool
 }
 
-func shapeOf(s *stepRun, hasSlowWorker bool) shape {
+func shapeOf(now time.Duration, s *stepRun, hasSlowWorker bool) shape {
 	sh := shape{
 		isLongRunning: hasSlowWorker && s.spec.LongRunning,
 		pool:          s.occ.job.policy.Pool, need: s.spec.Need, isFiller: s.spec.Filler,
 		isUnconstrained: s.spec.RequiredLabel == "" && s.spec.MaxPerWorker == 0 && !s.spec.Gang,
 	}
 	if s.spec.Filler {
-		sh.image = s.spec.Image
+		sh.image, sh.patience = s.spec.Image, patienceOf(now, s)
 	}
 	return sh
 }
 
 // covers reports whether o cannot be placed if f cannot.
 func (f shape) covers(o shape) bool {
-	return f.pool == o.pool && f.isFiller == o.isFiller && f.isLongRunning == o.isLongRunning && f.image == o.image && f.need.Fits(o.need)
+	return f.pool == o.pool && f.isFiller == o.isFiller && f.isLongRunning == o.isLongRunning && f.image == o.image && f.patience <= o.patience && f.need.Fits(o.need)
 }
 
 // startTasks starts the pending tasks of a step. It reports false if a task that may
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -31,7 +31,7 @@
 		if (isWanted != nil && !isWanted(n)) || !e.isEligible(now, n, s, t) {
 			continue
 		}
-		score, ok := e.score(n, s)
+		score, ok := e.score(now.Steady, n, s)
 		score -= n.coldPenalty(now.Steady, s)
 		if ok && (best == nil || score > bestScore) {
 			best, bestScore = n, score
@@ -92,26 +92,19 @@
 	// emptyWeight keeps workers without serving tasks free for fillers that interfere
 	// with some.
 	emptyWeight = 0.3
-	// interferenceWeight converts the expected rise in log tail latency to a fraction of the
-	// processors.
-	interferenceWeight = 6
 	// dissimilarWeight separates serving images that are sensitive to different
 	// fillers. sameImageWeight packs tasks of one image together.
 	dissimilarWeight = 1
 	sameImageWeight  = 0.5
-	// maxLogTailRatio is the highest logarithm of expected tail latency over target up
-	// to which a filler that interferes may be placed. Samples spread by about 0.4
-	// around the expected value, so the limit stays below zero by most of that.
-	maxLogTailRatio = -0.3
 )
 
 // score rates a worker for a step; higher is better. It reports false for a filler that
 // would bring a serving task too close to its latency target.
-func (e *Engine) score(n *node, s *stepRun) (float64, bool) {
+func (e *Engine) score(now time.Duration, n *node, s *stepRun) (float64, bool) {
 	v, ok := 0.0, true
 	switch {
 	case s.spec.Filler:
-		v, ok = e.scoreFiller(n, s)
+		v, ok = e.scoreFiller(now, n, s)
 	case s.spec.LatencyTarget > 0:
 		v = e.scoreServing(n, s)
 	default:
@@ -145,35 +138,6 @@
 	return float64(cpu) / float64(max(n.worker.Capacity.CPU, 1))
 }
 
-// scoreFiller prefers workers with spare processors on which the filler slows down no
-// serving task.
-func (e *Engine) scoreFiller(n *node, s *stepRun) (float64, bool) {
-	if n.servingTasks == 0 {
-		return n.spareShare() - emptyWeight, true
-	}
-	rise := e.logTailRise(n, s.spec.Image, n.shareOf(s.spec.Need.CPU))
-	if rise > noticeableRise {
-		if n.throttle.isMissed() || e.logTailRatio(n)+rise > maxLogTailRatio {
-			return 0, false
-		}
-	}
-	return n.spareShare() - interferenceWeight*rise, true
-}
-
-// fillerRoom returns the most processors that a filler may need for the worker to have them
-// spare and scoreFiller to accept it.
-func (e *Engine) fillerRoom(n *node, image string) heatherhub.MilliCPU {
-	risePerShare := e.logTailRise(n, image, 1)
-	if risePerShare <= 0 {
-		return n.spareCPU()
-	}
-	rise := noticeableRise
-	if !n.throttle.isMissed() {
-		rise = max(rise, maxLogTailRatio-e.logTailRatio(n))
-	}
-	return heatherhub.MilliCPU(min(float64(n.spareCPU()), rise/risePerShare*float64(n.worker.Capacity.CPU)))
-}
-
 // scoreServing packs serving tasks of one image together, so that every filler finds
 // workers on which it does not interfere.
 func (e *Engine) scoreServing(n *node, s *stepRun) float64 {
--- a/process/dispatch/places.go
+++ b/process/dispatch/places.go
@@ -175,7 +175,7 @@
 		if (kind.label != "" && !n.worker.HasLabel(kind.label)) || e.isSlow(now.Steady, n) {
 			continue
 		}
-		_, w.isUsable = e.score(n, s)
+		_, w.isUsable = e.score(now.Steady, n, s)
 	}
 	if r.searches == nil {
 		r.searches = make(map[taskKind]*placeSearch)
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -121,7 +121,7 @@
 		e.resolveRestarted(id)
 		e.reconcileUnlisted(now, sentAt, n, listed)
 	}
-	e.updateInterference(n)
+	e.updateInterference(now.Steady, n)
 	e.throttleFillers(now, n)
 }
 
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -253,6 +253,8 @@
 	from time.Duration
 	// objective is the steady time by which the occurrence should be complete.
 	objective time.Duration
+	// slack is the time that the occurrence could wait when it arrived and be complete in time.
+	slack time.Duration
 	// valueUntil is the steady time after which completing the occurrence has no value.
 	valueUntil time.Duration
 }
@@ -280,6 +282,8 @@
 	// have waited for its rack under an earlier one.
 	mayHaveWaited bool
 	tasksPerNode  map[*node]int
+	// headrooms is the recent course of the headroom of a serving step, or nil.
+	headrooms *headroomCourse
 }
 
 // task is one task of a step.
@@ -443,6 +447,8 @@
 	servingTasks  int
 	servingCPU    heatherhub.MilliCPU
 	servingImages []servingImage
+	// servingSteps has the steps of the serving tasks.
+	servingSteps []servingStep
 	// hasListedAll means that the last report was complete.
 	hasListedAll bool
 	// isUnresponsive means that the last call to the worker got no reply.
@@ -545,6 +551,7 @@
 		n.servingTasks += sign
 		n.servingCPU += heatherhub.MilliCPU(sign) * s.need.CPU
 		n.adjustImageCount(s.spec, sign)
+		n.adjustStepCount(s, sign)
 	}
 	if s.tasksPerNode != nil {
 		s.tasksPerNode[n] += sign
@@ -563,6 +570,24 @@
 	}
 }
 
+// servingStep counts the tasks of a serving step on a worker.
+type servingStep struct {
+	step  *stepRun
+	count int
+}
+
+func (n *node) adjustStepCount(s *stepRun, sign int) {
+	at := slices.IndexFunc(n.servingSteps, func(v servingStep) bool { return v.step == s })
+	if at < 0 {
+		n.servingSteps = append(n.servingSteps, servingStep{step: s, count: sign})
+		return
+	}
+	n.servingSteps[at].count += sign
+	if n.servingSteps[at].count == 0 {
+		n.servingSteps = slices.Delete(n.servingSteps, at, at+1)
+	}
+}
+
 func (e *Engine) addNode(n *node) {
 	n.isEvacuated = e.evacuated.Has(n.worker.Domain)
 	e.room.isStale = true
--- a/process/dispatch/throttle.go
+++ b/process/dispatch/throttle.go
@@ -32,9 +32,9 @@
 	// inheritedSpeed is the share of its processors below which a filler of a previous owner
 	// may have been slowed down by that owner.
 	inheritedSpeed = 0.7
-	// noticeableRise is the rise in log tail latency up to which a filler is not
-	// considered to interfere.
-	noticeableRise = 0.05
+	// noticeableLoss is the loss of headroom up to which a filler is not considered to
+	// interfere.
+	noticeableLoss = 0.1
 )
 
 // haltAfter returns how long a target may be missed before the fillers that may interfere with
@@ -96,7 +96,7 @@
 // task of its worker.
 func (e *Engine) mayInterfere(n *node, filler *attempt) bool {
 	s := filler.task.step.spec
-	return e.logTailRise(n, s.Image, n.shareOf(s.Need.CPU)) > noticeableRise
+	return e.headroomLoss(n, s.Image, n.shareOf(s.Need.CPU)) > noticeableLoss
 }
 
 // isMissed reports whether a target is missed or has not been met for recoveryTime yet.
@@ -176,7 +176,7 @@
 func (e *Engine) isResponsible(filler *attempt, missed []*attempt) bool {
 	x := filler.cpuShare()
 	for _, m := range missed {
-		if e.model.coefficientOf(m.task.step.spec.Image, filler.task.step.spec.Image)*x > noticeableRise {
+		if e.model.coefficientOf(m.task.step.spec.Image, filler.task.step.spec.Image)*x > noticeableLoss {
 			return true
 		}
 	}
