Probe a silent store with a read instead of a submission

Cause: while the store did not answer, each host let one submission through every 0.4 s to find out whether it is back. Each had no answer for 1.2 s, and its caller got a 504, as the job may have been accepted.

Change: the submission reads its job's key first. A read without an answer leaves no doubt, so the caller gets a 503 and may come back.

--- a/request/intake/intake_test.go
+++ b/request/intake/intake_test.go
@@ -26,6 +26,8 @@
 	items   map[string]ledger.Item
 	commits []func(ledger.Txn) (ledger.Revision, error)
 	calls   int
+	// getErr, if set, is the error of all reads.
+	getErr error
 }
 
 func (s *scriptedStore) Commit(_ context.Context, txn ledger.Txn) (ledger.Revision, error) {
@@ -39,7 +41,7 @@
 }
 
 func (s *scriptedStore) Get(_ context.Context, key string) (ledger.Item, error) {
-	return s.items[key], nil
+	return s.items[key], s.getErr
 }
 
 // apply checks the preconditions of a transaction and writes its puts with revision 9.
@@ -150,6 +152,27 @@
 	}
 }
 
+// TestOutageLeavesNoSubmissionInDoubt guards against submissions that are sent to find out whether the
+// store is back: each one that gets no answer may have been accepted, so its caller must not be
+// told that it was not.
+func TestOutageLeavesNoSubmissionInDoubt(t *testing.T) {
+	s, clock := &scriptedStore{}, &testClock{now: time.Second}
+	api := newJobAPI(s, clock)
+	s.commits = append(s.commits, noReply, noReply)
+	_ = api.Submit(t.Context(), newWorkflow(), table)
+	calls := s.calls
+	s.getErr = heatherhub.ErrUnknown.New("no reply")
+	for range 5 {
+		clock.now += time.Second
+		if err := api.Submit(t.Context(), newWorkflow(), table); !heatherhub.DidNotRun(err) {
+			t.Errorf("got error %v in the outage, want a refusal", err)
+		}
+	}
+	if s.calls != calls {
+		t.Errorf("got %d writes in the outage, want none", s.calls-calls)
+	}
+}
+
 // TestOutdatedTableIsRefused checks that a job is not written if the configuration has been
 // replaced since the caller read it.
 func TestOutdatedTableIsRefused(t *testing.T) {
--- a/request/intake/jobs.go
+++ b/request/intake/jobs.go
@@ -86,18 +86,27 @@
 	a.lastFailureAt.Store(0)
 }
 
-// checkStore returns ErrUnavailable while the store is unresponsive, except for one
-// submission per storeProbeInterval.
-func (a *JobAPI) checkStore() error {
+// checkStore returns ErrUnavailable while the store is unresponsive. Once per storeProbeInterval, a
+// submission first reads the job's key: a read without an answer leaves no doubt whether the job was
+// accepted, as a write would. checkStore reports true if the job exists.
+func (a *JobAPI) checkStore(ctx context.Context, id heatherhub.JobID) (bool, error) {
 	since := a.lastFailureAt.Load()
 	if since == 0 {
-		return nil
+		return false, nil
 	}
+	unavailable := heatherhub.WithRetryAfter(heatherhub.ErrUnavailable.New("the store is not responding: try again later"), outageRetryAfter)
 	now := int64(a.cfg.Clock.Now().Steady)
-	if now-since >= int64(storeProbeInterval) && a.lastFailureAt.CompareAndSwap(since, now) {
-		return nil
+	if now-since < int64(storeProbeInterval) || !a.lastFailureAt.CompareAndSwap(since, now) {
+		return false, unavailable
 	}
-	return heatherhub.WithRetryAfter(heatherhub.ErrUnavailable.New("the store is not responding: try again later"), outageRetryAfter)
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	it, err := a.cfg.Store.Get(ctx, record.JobKey(id))
+	a.recordStoreResult(err)
+	if err != nil {
+		return false, unavailable
+	}
+	return it.Revision > 0, nil
 }
 
 // recordStoreResult clears lastFailureAt after a successful store call, and sets it if
@@ -168,8 +177,11 @@
 }
 
 func (a *JobAPI) submit(ctx context.Context, flow *heatherhub.Workflow, table *queues.Table) error {
-	if err := a.checkStore(); err != nil {
+	isStored, err := a.checkStore(ctx, flow.ID)
+	if err != nil {
 		a.cfg.Log.Info("job refused", zap.String("job", string(flow.ID)), zap.String("why", "store silent"))
+	}
+	if err != nil || isStored {
 		return err
 	}
 	if isAccepted, err := a.checkPool(ctx, flow, table); isAccepted || err != nil {
