Check and compare configurations of the platform

Cause: an operator's configuration is first read by the hosts once it is in force. They report only the first value of a wrong type and read missing fields as 0, attempts of 0 as 1 and a stretch below 1 as 1, so mistakes either disable the whole change or go unnoticed.

Change: platform.ReadTable decodes a configuration strictly, field by field, and returns all problems; ReadTableInForce accepts what hosts accept. queues.Candidate.Check finds contradicting settings, queues that match no request, pools without workers and a version that is not higher, and does not repeat a field that could not be decoded. queues.Diff compares two tables. DecodeTable reads what it did before; its default for attempts moved out of routeBody.decode, since the check needs the value as given.

Ruled out: calling DecodeTable for the check, as encoding/json reports only the first error of a type and cannot tell a missing field from 0. Refusing unknown fields, as the platform has fields that hosts do not read.

--- a/version/queues/queues.go
+++ b/version/queues/queues.go
@@ -7,6 +7,14 @@
 //	var t queues.Current
 //	t.Offer(table) // ignored if it is older than the active table
 //	q, rest, ok := t.Load().Match(host, path)
+//
+// Before a table is put in force, it can be checked and compared with the one in force:
+//
+//	c := queues.Candidate{Table: table, InForce: inForce, Pools: pools}
+//	for _, p := range c.Check() {
+//		fmt.Println(p.Queue, p.Field, p.Message)
+//	}
+//	changes := queues.Diff(inForce, table)
 package queues
 
 import (
