Let heatherhub check take a configuration for the platform

The exit status is 2 if there is a problem in either file, else 0, also with differences.

Ruled out: problems in the same table as the differences, as tables are cut to the width of the terminal and messages are long.

--- a/command/dispatch.go
+++ b/command/dispatch.go
@@ -42,7 +42,7 @@
 	Domain   *Domain          `arg:"subcommand:domain" help:"list failure domains and their evacuation"`
 	Status   *status.Options  `arg:"subcommand:status" help:"sum up what an entry host knows"`
 	Apply    *apply.Options   `arg:"subcommand:apply" help:"put declarations in force"`
-	Check    *check.Options   `arg:"subcommand:check" help:"validate declarations without a network"`
+	Check    *check.Options   `arg:"subcommand:check" help:"validate declarations, settings or a configuration without a network"`
 	Entry    *entry.Options   `arg:"subcommand:entry" help:"run one entry host"`
 	Serve    *serve.Options   `arg:"subcommand:serve" help:"run one host on the users' platform"`
 	Explain  *explain.Options `arg:"subcommand:explain" help:"tell the story of a job from logs"`
@@ -104,6 +104,7 @@
 func (Root) Epilogue() string {
 	return `Examples:
   heatherhub check -f sites/vanroosbroeck
+  heatherhub check --configuration next.json --in-force now.json --pools job,serve
   heatherhub apply -f sites/vanroosbroeck --dry-run
   heatherhub preset switch peak
   heatherhub job add course-grading --tasks 40 --id grades-17
--- a/command/exitcode/exitcode.go
+++ b/command/exitcode/exitcode.go
@@ -45,7 +45,7 @@
 const Help = `Exit status:
   0  done
   1  failed
-  2  the command line, a setting or a declaration is invalid
+  2  the command line, a setting, a declaration or a configuration is invalid
   3  nothing was done; an entry host or the store cannot be reached, try again
   4  the token is missing or wrong
   5  conflict with an earlier change; read the current version and repeat
