Refuse long-running jobs that leave no room for batch work

Cause: long-running tasks reserve what urgent jobs need in each burst, and keep it.

Ruled out: the order of waiting work, preemption (both have priority 0), and a wait of accepted long-running tasks, which may not wait beside free room.

Change: loads have what long-running tasks reserve and the recent peak of batch work; hosts refuse a long-running job that does not leave that peak over all shards, with a Retry-After.

--- a/process/dispatch/load.go
+++ b/process/dispatch/load.go
@@ -15,6 +15,8 @@
 	// Capacity and Reserved are totals over the workers that are reachable, not draining and
 	// not evacuated.
 	Capacity, Reserved heatherhub.MilliCPU
+	// LongRunning is the part of Reserved that long-running tasks reserve.
+	LongRunning heatherhub.MilliCPU
 	// FillerDemand is the processor demand of the filler tasks on these workers.
 	FillerDemand heatherhub.MilliCPU
 	// Backlog is the processor time that waiting tasks need.
@@ -30,6 +32,7 @@
 		}
 		l.Capacity += n.worker.Capacity.CPU
 		l.Reserved += n.used.CPU
+		l.LongRunning += n.longRunningCPU
 		l.FillerDemand += n.fillerCPU
 	}
 	for _, s := range e.ready {
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -104,6 +104,8 @@
 	isShortOfRoom bool
 	// isRoomStale holds back all starts.
 	isRoomStale bool
+	// peak is the recent demand of batch tasks.
+	peak batchPeak
 	// evacuated has the failure domains whose workers get no starts.
 	evacuated evacuation.Set
 	model     *interference
@@ -447,6 +449,8 @@
 	servingTasks  int
 	servingCPU    heatherhub.MilliCPU
 	servingImages []servingImage
+	// longRunningCPU is what long-running tasks reserve.
+	longRunningCPU heatherhub.MilliCPU
 	// servingSteps has the steps of the serving tasks.
 	servingSteps []servingStep
 	// hasListedAll means that the last report was complete.
@@ -547,6 +551,9 @@
 	if s.spec.Filler {
 		n.fillerCPU += heatherhub.MilliCPU(sign) * s.spec.Need.CPU
 	}
+	if s.spec.LongRunning {
+		n.longRunningCPU += heatherhub.MilliCPU(sign) * s.need.CPU
+	}
 	if s.spec.LatencyTarget > 0 {
 		n.servingTasks += sign
 		n.servingCPU += heatherhub.MilliCPU(sign) * s.need.CPU
--- a/process/owner/commit.go
+++ b/process/owner/commit.go
@@ -335,6 +335,7 @@
 		zap.Any("waiting", waiting), zap.Any("unconfirmed", t.engine.UnconfirmedJobs()), zap.Any("stats", t.engine.Stats), zap.Any("forecast", forecast.Pools))
 	value, err := record.Encode(record.Load{
 		Capacity: l.Capacity, Reserved: l.Reserved, FillerDemand: l.FillerDemand, Backlog: l.Backlog,
+		LongRunning: l.LongRunning, BatchPeak: t.engine.BatchPeak(now),
 		Waiting: waiting, BegunGuests: t.engine.BegunGuests(), MovedJobs: t.engine.MovedJobs(now), JobsRead: t.jobsRead, JobsReadAge: now.Steady - t.jobsAnsweredAt, OwnerRevision: t.ownerRevision,
 		Racks: t.engine.Racks(), LargestFree: record.Rooms(t.engine.LargestFree(now, record.MaxLargestFree)),
 		LargestSpare: record.Rooms(t.engine.LargestSpare(now, record.MaxLargestFree)), FillerRoom: t.engine.FillerRoom(now), Forecast: forecast, At: now.Wall,
--- a/process/record/load.go
+++ b/process/record/load.go
@@ -13,7 +13,11 @@
 	Capacity     heatherhub.MilliCPU `msgpack:"c" json:"capacityMilli"`
 	Reserved     heatherhub.MilliCPU `msgpack:"r" json:"reservedMilli"`
 	FillerDemand heatherhub.MilliCPU `msgpack:"f" json:"fillingMilli"`
-	Backlog      time.Duration       `msgpack:"b" json:"backlog"`
+	// LongRunning is the part of Reserved that long-running tasks reserve, and BatchPeak the most
+	// processors that batch tasks have reserved or waited for lately.
+	LongRunning heatherhub.MilliCPU `msgpack:"lr,omitempty" json:"longRunningMilli,omitempty"`
+	BatchPeak   heatherhub.MilliCPU `msgpack:"bp,omitempty" json:"batchPeakMilli,omitempty"`
+	Backlog     time.Duration       `msgpack:"b" json:"backlog"`
 	// Waiting counts, by queue, the jobs of the shard that have started no task.
 	Waiting map[heatherhub.QueueID]int `msgpack:"w,omitempty" json:"waiting,omitempty"`
 	// MovedJobs are waiting jobs that this shard has moved to others lately. They are
--- a/request/intake/admission.go
+++ b/request/intake/admission.go
@@ -60,6 +60,14 @@
 	return a.IsKnown && a.End > a.ValueUntil
 }
 
+// refusalReason is why a job was refused, for logs and callers.
+type refusalReason string
+
+const (
+	reasonTooLate refusalReason = "ends too late"
+	reasonNoRoom  refusalReason = "no room beside batch work"
+)
+
 // assess returns the assessment of a job, before which ahead goes in addition to what forecasts
 // count. A shard without workers for the job does not count.
 func assess(flow *heatherhub.Workflow, shards []record.ShardSize, loads map[heatherhub.ShardID]observedLoad, now dispatch.Moment, accepted *acceptedWork, ahead float64) Assessment {
@@ -366,31 +374,42 @@
 	key := keyOf(flow)
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if flow.IsLongRunning() {
+		if leavesRoomForBatch(flow, shards, a.loads, now) {
+			return nil
+		}
+		return &Refusal{Reason: reasonNoRoom, RetryAfter: longRunningRetry(flow.ID), key: key}
+	}
 	r := assess(flow, shards, a.loads, now, a.accepted[key], a.refusals.ahead(flow.ID, key))
 	if !r.isLate() {
 		return nil
 	}
-	return &Refusal{Assessment: r, key: key, RetryAfter: min(max(r.Excess, minAdmissionRetry), maxAdmissionRetry)}
+	return &Refusal{Reason: reasonTooLate, Assessment: r, key: key, RetryAfter: min(max(r.Excess, minAdmissionRetry), maxAdmissionRetry)}
 }
 
 // Refusal says why a job is not submitted.
 type Refusal struct {
+	// Assessment is set for batch jobs only.
 	Assessment
+	Reason     refusalReason
 	RetryAfter time.Duration
 	key        refusalKey
 }
 
 // Refused remembers that a job was refused, and returns the error for its caller.
 func (a *Admission) Refused(flow *heatherhub.Workflow, r *Refusal) error {
-	a.mu.Lock()
-	count := a.refusals.add(flow.ID, refusal{key: r.key, work: flow.Work(), returnsAt: a.cfg.Clock.Now().Steady + r.RetryAfter})
-	a.mu.Unlock()
+	count := 0
+	if r.Reason == reasonTooLate {
+		a.mu.Lock()
+		count = a.refusals.add(flow.ID, refusal{key: r.key, work: flow.Work(), returnsAt: a.cfg.Clock.Now().Steady + r.RetryAfter})
+		a.mu.Unlock()
+	}
 	a.decisions.WithLabelValues("refused").Inc()
 	a.retries.Observe(r.RetryAfter.Seconds())
-	a.cfg.Log.Info("job refused", zap.String("job", string(flow.ID)), zap.String("queue", string(flow.Queue)), zap.String("why", "ends too late"),
+	a.cfg.Log.Info("job refused", zap.String("job", string(flow.ID)), zap.String("queue", string(flow.Queue)), zap.String("why", string(r.Reason)),
 		zap.Stringer("shard", r.Shard), zap.Duration("wait", r.Wait), zap.Duration("end", r.End), zap.Duration("valueUntil", r.ValueUntil),
 		zap.Duration("retryAfter", r.RetryAfter), zap.Int("count", count))
-	return heatherhub.WithRetryAfter(heatherhub.ErrUnavailable.New("the job would end too late and was not accepted: try again later"), r.RetryAfter)
+	return heatherhub.WithRetryAfter(heatherhub.ErrUnavailable.New("the job was not accepted (%s): try again later", r.Reason), r.RetryAfter)
 }
 
 // Accepted notes a job that was accepted, and forgets its refusals.
--- a/request/intake/admission_test.go
+++ b/request/intake/admission_test.go
@@ -92,6 +92,37 @@
 	}
 }
 
+// TestLongRunningJobsLeaveRoomForBatch guards against long-running jobs that take the room which each
+// burst of batch work needs, and against refusals while it is not known or not needed.
+func TestLongRunningJobsLeaveRoomForBatch(t *testing.T) {
+	clock := &testClock{now: time.Minute}
+	load := func(longRunning, batchPeak heatherhub.MilliCPU) record.Load {
+		return record.Load{At: clock.Now().Wall, Revision: 1, Capacity: 10_000, Reserved: longRunning, LongRunning: longRunning, BatchPeak: batchPeak}
+	}
+	old := load(9000, 1500)
+	old.At = clock.Now().Wall.Add(-2100 * time.Millisecond)
+	for name, c := range map[string]struct {
+		north, south record.Load
+		isRefused    bool
+	}{
+		"room for both":             {north: load(7000, 1500), south: load(7000, 1500)},
+		"no room beside batch work": {north: load(8000, 1500), south: load(8000, 1500), isRefused: true},
+		"room in the other shard":   {north: load(9500, 1500), south: load(4000, 1500)},
+		"no batch work":             {north: load(9500, 0), south: load(9500, 0)},
+		"one load is old":           {north: load(9500, 1500), south: old},
+	} {
+		flow := newBatch("j")
+		flow.Steps[0].LongRunning = true
+		r := newAdmission(clock, map[heatherhub.ShardID]record.Load{north: c.north, south: c.south}).Decide(flow)
+		if got := r != nil; got != c.isRefused {
+			t.Errorf("%s: got refused %v, want %v", name, got, c.isRefused)
+		}
+		if r != nil && (r.RetryAfter < 4*time.Second || r.RetryAfter > 9*time.Second) {
+			t.Errorf("%s: got Retry-After %s, want 4 to 9 s", name, r.RetryAfter)
+		}
+	}
+}
+
 // TestReturningCallersGoFirst guards against callers that all return at the same time, and
 // against new callers that take the room of those that were sent away.
 func TestReturningCallersGoFirst(t *testing.T) {
