Give up room that is reserved on workers without starts

An urgent task kept its reservation on a worker that drains or is evacuated until it could no longer be in time. Until then no run was stopped for it elsewhere, so it waited beside runs that may be stopped. Restarted and vanished workers were handled already.

The reservation now ends once the worker drains, is evacuated, or has been silent for as long as strands work. A shorter silence is a single failed call, after which the stop mostly still takes effect.

--- a/process/dispatch/move.go
+++ b/process/dispatch/move.go
@@ -159,9 +159,13 @@
 
 // isUsable reports whether any worker of the shard could take a start now.
 func (e *Engine) isUsable(now Moment) bool {
-	return slices.ContainsFunc(e.sortedNodes, func(n *node) bool {
-		return !n.worker.Draining && !n.isEvacuated && (!n.isUnresponsive || now.Steady-n.silentSince < strandedSilence)
-	})
+	return slices.ContainsFunc(e.sortedNodes, func(n *node) bool { return n.isUsable(now.Steady) })
+}
+
+// isUsable reports whether the worker is neither draining nor evacuated, nor silent for
+// strandedSilence.
+func (n *node) isUsable(now time.Duration) bool {
+	return !n.worker.Draining && !n.isEvacuated && (!n.isUnresponsive || now-n.silentSince < strandedSilence)
 }
 
 func (e *Engine) isMovable(now Moment, s *stepRun, isStranded bool) bool {
--- a/process/dispatch/preempt.go
+++ b/process/dispatch/preempt.go
@@ -356,14 +356,14 @@
 	return slices.ContainsFunc(e.reservations, func(r reservation) bool { return r.task == t })
 }
 
-// startReserved starts the tasks whose reserved room is free, and gives up the room of tasks that
-// have started elsewhere or can no longer be in time.
+// startReserved starts the tasks whose reserved room is free. It gives up the room of tasks that have
+// started elsewhere or can no longer be in time, and room on workers that get no more starts.
 func (e *Engine) startReserved(now Moment) {
 	e.reservations = slices.DeleteFunc(e.reservations, func(r reservation) bool {
 		t, n := r.task, r.node
 		j := t.step.occ.job
 		isWanted := e.jobs[j.workflow.ID] == j && !j.isOver() && t.isPending && !t.isRemote && urgencyOf(now.Steady, t.step) == inTime
-		if !isWanted || e.nodes[n.worker.ID] != n {
+		if !isWanted || e.nodes[n.worker.ID] != n || !n.isUsable(now.Steady) {
 			n.reserved = n.reserved.Sub(t.step.need)
 			return true
 		}
--- a/process/dispatch/preempt_test.go
+++ b/process/dispatch/preempt_test.go
@@ -204,3 +204,31 @@
 	}
 	return n
 }
+
+// TestReservationEndsWithItsWorker guards against an urgent task that waits for room on a worker which
+// gets no more starts, while runs elsewhere could be stopped for it in time.
+func TestReservationEndsWithItsWorker(t *testing.T) {
+	for name, withdraw := range map[string]func(*simulation){
+		"evacuated": func(b *simulation) { b.evacuate(evacuatedDomain) },
+		"draining": func(b *simulation) {
+			w := b.worker(0)
+			w.Draining = true
+			b.e.UpdateWorker(w)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newPreemptionFleet(t, 2, 200*time.Millisecond)
+			b.setDomain(evacuatedDomain, 0)
+			b.submit("batch", "batch", batchTasks(10, 2000, 10*time.Second))
+			b.decide()
+			b.advanceBy(time.Second, 50*time.Millisecond)
+			b.submit("urgent", "urgent", tasks(1, 2000, 2*time.Second))
+			b.decide()
+			withdraw(b)
+			b.advanceBy(1200*time.Millisecond, 50*time.Millisecond)
+			if got, want := b.placed[heatherhub.StepTask{Job: "urgent"}], b.workers[1]; got != want {
+				t.Errorf("got the urgent task started at %q, want %q (%+v)", got, want, b.e.Stats)
+			}
+		})
+	}
+}
