Bound waits for a rack when nothing can start or runs

Work that waits for its rack by choice is not offered to other shards until the deadline of the wait. The deadline stays as decided last. So stranded work stayed in its shard until then, and so did a job whose last run ended meanwhile, if no later decision found a worker for it: without the limit of 2.4 s, a wait lasts for as long as the job loses elsewhere.

Stranded work now moves at once, and the limit for jobs with nothing running is applied when the wait is read. Setting the deadline back as soon as the shard is full was ruled out: the job would move after 1 s and lose more elsewhere than the rest of its wait.

--- a/process/dispatch/locate.go
+++ b/process/dispatch/locate.go
@@ -34,9 +34,11 @@
 	startedIn int
 }
 
-// isWaiting reports whether tasks of the step wait for their location by choice.
-func (w *stepWait) isWaiting(now time.Duration) bool {
-	return w.isOpen && now < w.deadline
+// waitsByChoice reports whether tasks of the step wait for their location by choice. The deadline may
+// have been set while the job had runs; once it has none, maxLocationWait applies as well.
+func (s *stepRun) waitsByChoice(now time.Duration) bool {
+	w := &s.wait
+	return w.isOpen && now < w.deadline && (s.occ.job.openAttempts > 0 || now < w.since+maxLocationWait)
 }
 
 // prefersRack reports whether the tasks of a step are faster in one rack. Long-running tasks never
--- a/process/dispatch/move.go
+++ b/process/dispatch/move.go
@@ -87,7 +87,8 @@
 		j := s.occ.job
 		waited := now.Steady - s.readySince
 		hasWaited := waited >= e.cfg.MoveAfter && !isUrgentOnly
-		if s.wait.isWaiting(now.Steady) || (!hasWaited && !isStranded && len(j.workflow.Relocations) == 0) || !e.isMovable(now, s, isStranded) {
+		isWaiting := !isStranded && s.waitsByChoice(now.Steady)
+		if isWaiting || (!hasWaited && !isStranded && len(j.workflow.Relocations) == 0) || !e.isMovable(now, s, isStranded) {
 			continue
 		}
 		sh := shapeOf(s, false)
--- a/process/dispatch/order.go
+++ b/process/dispatch/order.go
@@ -235,7 +235,7 @@
 // isStarved reports whether a filler job has no running task and has waited for
 // StarvedAfter.
 func (e *Engine) isStarved(now Moment, s *stepRun) bool {
-	return s.spec.Filler && len(s.pending) > 0 && !s.wait.isWaiting(now.Steady) && s.occ.job.openAttempts == 0 && now.Steady-s.readySince >= e.cfg.StarvedAfter
+	return s.spec.Filler && len(s.pending) > 0 && !s.waitsByChoice(now.Steady) && s.occ.job.openAttempts == 0 && now.Steady-s.readySince >= e.cfg.StarvedAfter
 }
 
 // StarvationLoadLimit is the fraction of reserved processors up to which every filler
--- a/process/dispatch/wait_test.go
+++ b/process/dispatch/wait_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -420,3 +421,50 @@
 		w.decide()
 	}
 }
+
+// TestStrandedWorkDoesNotWaitForItsRack guards against work that stays in a shard without usable
+// workers since it has waited for a rack there.
+func TestStrandedWorkDoesNotWaitForItsRack(t *testing.T) {
+	b := newRackSimulation(t, dispatch.Tuning{})
+	for i := range b.workers {
+		b.setDomain(evacuatedDomain, i)
+	}
+	b.e.MarkWorkersAsked()
+	b.fillRack(time.Second, time.Second)
+	b.add("waits", near(1, 2*time.Second))
+	b.decide()
+	if got := b.e.Stats.WaitsBegun; got != 1 {
+		t.Fatalf("got %d waits begun, want 1", got)
+	}
+	b.evacuate(evacuatedDomain)
+	b.step(100 * time.Millisecond)
+	if got := b.e.UrgentWork(b.now); len(got) != 1 || got[0].Job != "waits" {
+		t.Errorf("got moves %+v without a usable worker, want one", got)
+	}
+}
+
+// TestWaitOfIdleJobIsBounded guards against a job that is not offered to other shards until the deadline
+// of a wait that was decided while it had runs, although it has none any more and its shard is full.
+func TestWaitOfIdleJobIsBounded(t *testing.T) {
+	b := newRackSimulation(t, dispatch.Tuning{StallAfter: time.Hour})
+	b.fillRack(3*time.Second, time.Hour)
+	// It starts before the other step, and takes no room from the others.
+	filler := tasks(1, 1000, 5*time.Second)
+	filler.Filler, filler.Image = true, "filler"
+	b.add("waits", filler, near(1, 4*time.Second))
+	b.decide()
+	for _, r := range b.runs[b.placed[heatherhub.StepTask{Job: "waits"}]] {
+		r.remaining = time.Second
+	}
+	if got := b.e.Stats.WaitsBegun; got != 1 {
+		t.Fatalf("got %d waits begun, want 1", got)
+	}
+	b.add("others", tasks(28, 5000, time.Hour))
+	for range 27 {
+		b.step(100 * time.Millisecond)
+	}
+	movable := b.e.MovableWork(b.now)
+	if !slices.ContainsFunc(movable, func(m dispatch.Move) bool { return m.Job == "waits" }) {
+		t.Errorf("got moves %+v after 2.7 s, want one of the job that has no room", movable)
+	}
+}
