Refuse no job for an evacuation while a write of it may take effect

A caller whose first submission got no answer from the store sends the job again. If all workers of its pool were evacuated by then, the look-up of the job found nothing and the caller was told that the job has not run, although the first write could still take effect. Refusals by estimate already leave such jobs to the write, which settles the matter; refusals because of evacuations now do the same.

--- a/request/intake/intake_test.go
+++ b/request/intake/intake_test.go
@@ -394,3 +394,31 @@
 		}
 	}
 }
+
+// TestPoolRefusalIsTrue guards against a 503 because of an evacuation for a job whose first write got
+// no answer and may still take effect.
+func TestPoolRefusalIsTrue(t *testing.T) {
+	loads := map[heatherhub.ShardID]record.Load{north: {Capacity: 1000}, south: {Capacity: 1000}}
+	shards := newTwoShardSelector(t, loads, "x")
+	flow, clock := newWorkflow(), &testClock{now: time.Minute}
+	s := &scriptedStore{items: map[string]ledger.Item{tableKey: {Key: tableKey, Revision: 5}}}
+	api := intake.New(intake.Config{Store: s, TableKey: tableKey, Clock: clock, Log: zap.NewNop(), Shards: shards})
+	pooled := &queues.Table{Version: 1, Revision: 5, Queues: []queues.Queue{{ID: "q", QueuePolicy: heatherhub.QueuePolicy{Pool: "p"}}}}
+	s.commits = append(s.commits, noReply, noReply)
+	if err := api.Submit(t.Context(), flow, pooled); !heatherhub.IsUnknown(err) {
+		t.Fatalf("got error %v, want an unknown outcome", err)
+	}
+	for id := range loads {
+		loads[id] = record.Load{EvacuatedPools: []heatherhub.PoolID{"p"}}
+	}
+	if err := shards.Refresh(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	clock.now += time.Second
+	if err := api.Submit(t.Context(), flow, pooled); err != nil {
+		t.Errorf("got error %v, want the retry written", err)
+	}
+	if err := api.Submit(t.Context(), &heatherhub.Workflow{ID: "other", Queue: "q", Steps: flow.Steps}, pooled); !heatherhub.DidNotRun(err) {
+		t.Errorf("got error %v for another job, want a refusal", err)
+	}
+}
--- a/request/intake/jobs.go
+++ b/request/intake/jobs.go
@@ -205,14 +205,15 @@
 
 // checkPool returns heatherhub.ErrUnavailable if no worker may take the tasks of the job because of
 // evacuations. It reports true if the job was accepted before: a caller that has missed the answer
-// sends it again, and must not be told that it has not run.
+// sends it again, and must not be told that it has not run. If another submission of the job may
+// still take effect, the write of the job settles the matter.
 func (a *JobAPI) checkPool(ctx context.Context, flow *heatherhub.Workflow, table *queues.Table) (bool, error) {
 	q := table.Queue(flow.Queue)
 	if q == nil {
 		return false, nil
 	}
 	refusal := a.cfg.Shards.CheckPool(q.Pool)
-	if refusal == nil {
+	if refusal == nil || !a.inFlight.isOnly(a.cfg.Clock.Now().Steady, flow.ID) {
 		return false, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
@@ -226,6 +227,8 @@
 		return false, heatherhub.ErrUnknown.Wrap(err, "the job may have been accepted: send it again with the same id")
 	case it.Revision > 0:
 		return true, nil
+	case !a.inFlight.isOnly(a.cfg.Clock.Now().Steady, flow.ID):
+		return false, nil
 	default:
 		return false, refusal
 	}
