Keep room that earlier steps await out of preemptions

A step claims the room of runs that end by themselves in time before later steps look for runs to stop. The search for the later ones did not regard these claims: it stopped a run that an earlier step waited for and reserved its room, so the first step in the order was late, and it counted free room that was claimed.

Runs whose ends are awaited are no longer stopped, and only unclaimed room counts.

--- a/process/dispatch/preempt.go
+++ b/process/dispatch/preempt.go
@@ -100,8 +100,10 @@
 	// byNode has the runs that may be stopped, those with the least unsaved work first.
 	byNode     map[*node][]victim
 	isSearched bool
-	// claimed is the room that steps before in the order get from runs that end by themselves.
+	// claimed is the room that steps before in the order get, free now or from runs that end by
+	// themselves. awaited has the runs whose ends it needs.
 	claimed map[*node]heatherhub.Resources
+	awaited map[*attempt]struct{}
 }
 
 // hasVictims reports whether any run may be stopped.
@@ -110,7 +112,7 @@
 		return len(p.byNode) > 0
 	}
 	p.isSearched = true
-	p.byNode, p.claimed = make(map[*node][]victim), make(map[*node]heatherhub.Resources)
+	p.byNode, p.claimed, p.awaited = make(map[*node][]victim), make(map[*node]heatherhub.Resources), make(map[*attempt]struct{})
 	for _, n := range p.e.sortedNodes {
 		if !n.acceptsTasks(p.now.Steady) {
 			continue
@@ -159,10 +161,12 @@
 		if !p.accepts(n, s) {
 			continue
 		}
-		room := n.free().Sub(p.claimed[n])
+		room, before := n.free().Sub(p.claimed[n]), got
+		var ending []*attempt
 		for _, a := range n.attemptsByRun() {
 			if a.stop == noStop && p.e.endsBefore(p.now.Steady, a, limit) {
 				room = room.Add(a.task.step.need)
+				ending = append(ending, a)
 			}
 		}
 		for got < count && s.need.Fits(room) {
@@ -170,10 +174,25 @@
 			p.claimed[n] = p.claimed[n].Add(s.need)
 			got++
 		}
+		if got > before && !p.claimed[n].Fits(n.free()) {
+			for _, a := range ending {
+				p.awaited[a] = struct{}{}
+			}
+		}
 	}
 	return got
 }
 
+// unclaimed returns the free room of a worker that no step before in the order gets. It is none if
+// such a step also needs the ends of runs there.
+func (p *preemptor) unclaimed(n *node) heatherhub.Resources {
+	free, claimed := n.free(), p.claimed[n]
+	if claimed.IsZero() || claimed.Fits(free) {
+		return free.Sub(claimed)
+	}
+	return heatherhub.Resources{CPU: min(free.CPU, 0), Memory: min(free.Memory, 0), Accelerators: min(free.Accelerators, 0)}
+}
+
 // accepts reports whether a worker may run tasks of a step, without regard to its room.
 func (p *preemptor) accepts(n *node, s *stepRun) bool {
 	switch {
@@ -194,9 +213,9 @@
 		if len(p.byNode[n]) == 0 || !p.accepts(n, s) {
 			continue
 		}
-		o := &option{node: n, room: n.free()}
+		o := &option{node: n, room: p.unclaimed(n)}
 		for _, v := range p.byNode[n] {
-			if p.canWait(s, v) {
+			if _, isAwaited := p.awaited[v.attempt]; !isAwaited && p.canWait(s, v) {
 				o.left = append(o.left, v)
 			}
 		}
--- a/process/dispatch/preempt_test.go
+++ b/process/dispatch/preempt_test.go
@@ -232,3 +232,23 @@
 		})
 	}
 }
+
+// TestPreemptionLeavesRoomThatOthersAwait guards against a stop of a run whose end a step before in the
+// order counts on, so that this step starts late.
+func TestPreemptionLeavesRoomThatOthersAwait(t *testing.T) {
+	b := newPreemptionFleet(t, 1, 200*time.Millisecond)
+	serving := tasks(1, 5000, time.Hour)
+	serving.LongRunning = true
+	b.submit("serving", "batch", serving)
+	b.submit("ending", "batch", batchTasks(1, 5000, 1800*time.Millisecond))
+	b.decide()
+	b.advanceBy(time.Second, 50*time.Millisecond)
+	b.submit("first", "urgent", tasks(1, 5000, 2*time.Second))
+	b.submit("second", "urgent", tasks(1, 5000, 2200*time.Millisecond))
+	accepted := b.now.Steady
+	b.decide()
+	b.advanceBy(3500*time.Millisecond, 50*time.Millisecond)
+	if got, want := b.doneAt["first"]-accepted, 3250*time.Millisecond; got <= 0 || got > want {
+		t.Errorf("got the first job done after %s, want it by %s (%+v)", got, want, b.e.Stats)
+	}
+}
