--- a/process/dispatch/order.go
+++ b/process/dispatch/order.go
@@ -13,9 +13,8 @@
 // of their occurrence: a small job yields more value per second of work than a large
 // one. Only tasks that wait count, as those that run need no further room. Where room is
 // short, started jobs go first, and before them those that go ahead by their size
-// (share.go). Ordering by deadline alone would make all jobs slightly
-// late under overload. Steps that are late but still have value follow, and steps without
-// value come last.
+// (share.go). Ordering by deadline alone would make all jobs slightly late under overload.
+// Steps that are late but still have value follow, and steps without value come last.
 
 // urgency is the value that starting a step now still has.
 type urgency int
@@ -60,9 +59,8 @@
 }
 
 // candidates returns the waiting steps in the order in which they are placed, valid until the next
-// call. Steps
-// that a previous owner may have started are left out while a worker is unresolved that may
-// run any task.
+// call. Steps that a previous owner may have started are left out while a worker is unresolved that
+// may run any task.
 func (e *Engine) candidates(now Moment) []candidate {
 	kept := e.ready[:0]
 	out := e.candidateBuffer[:0]
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -10,8 +10,8 @@
 // but use less than half, and some fillers interfere with some serving images. Serving
 // tasks are packed by image. Other tasks that reserve processors join them, so that some
 // workers stay free of serving tasks. Both go where the fewest processors are left to reserve,
-// so that large needs find room; fillers on a worker do not count, as they reserve none. Fillers go where the most processors are left and
-// where they interfere with no serving task.
+// so that large needs find room; fillers on a worker do not count, as they reserve none. Fillers go
+// where the most processors are left and where they interfere with no serving task.
 
 // chooseWorker returns the best worker for the next task of a step, or nil if none is
 // eligible.
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -179,8 +179,9 @@
 	// state is WorkflowQueued until a run of the job is known to have begun. An ordered
 	// start may be refused or lost.
 	state heatherhub.WorkflowState
-	// size is the job's class in its queue, shares the account of the queue, isAhead that it goes before others of its priority,
-	// and isCounted that its outcome no longer counts for the class.
+	// size is the job's class in its queue, and shares the account of the queue. isAhead means that
+	// it goes before others of its priority, isCounted that its outcome no longer counts for the
+	// class.
 	size               sizeClass
 	shares             *queueShares
 	isAhead, isCounted bool
--- a/process/dispatch/wait.go
+++ b/process/dispatch/wait.go
@@ -9,8 +9,8 @@
 // The decision handles bursts of steps that name the rack of their data, or whose tasks belong
 // together in one rack, while that rack is full and others have room. A task takes several times
 // as long elsewhere, so it is often done earlier if it waits for a place there. It waits only if
-// such a place is expected before the time that it would lose elsewhere has passed. The decision is made anew whenever tasks are placed, and nothing is
-// reserved for a task that waits.
+// such a place is expected before the time that it would lose elsewhere has passed. The decision is
+// made anew whenever tasks are placed, and nothing is reserved for a task that waits.
 
 // LocationWait is the question whether a task that could start elsewhere waits for a place at
 // its preferred location. All points in time are steady times.
--- a/process/owner/move.go
+++ b/process/owner/move.go
@@ -302,8 +302,8 @@
 }
 
 // replaceJobRecord replaces the record of a job at revision recorded, if the preconditions in
-// more hold as well, and returns the new record. It retries until the result is known. With an error it returns the record that
-// the store has instead, if it is known.
+// more hold as well, and returns the new record. It retries until the result is known. With an error
+// it returns the record that the store has instead, if it is known.
 func (t *term) replaceJobRecord(flow *heatherhub.Workflow, recorded ledger.Revision, more []ledger.Precondition) (ledger.Item, error) {
 	value, err := record.Encode(flow)
 	if err != nil {
