Share what the expected ends of runs have in common

remainingTime, remainingWithError, endsBefore and chainLeft each had the same formulas: whether a run ends by itself, the rest of a run at its speed limit, and the work up to some progress. These are now endsByItself, timeLeft and workAt in estimate.go.

What differs stays apart, since it decides: from which progress on the run's own rate is used (10 and 20 percent), the speed of the worker, and the slowdown away from data. No behaviour changes.

mayTakeStarts was isInService under another name. Engine.isUsable and IsUsable differed in the silence that they allow; the former is now isWithdrawn of a worker.

--- a/process/dispatch/drain.go
+++ b/process/dispatch/drain.go
@@ -94,11 +94,10 @@
 
 // endsBefore reports whether a run is expected to end by itself before limit.
 func (e *Engine) endsBefore(now time.Duration, a *attempt, limit time.Duration) bool {
-	step := a.task.step
-	if step.spec.LongRunning || a.speedLimit == 0 {
+	if !a.endsByItself() {
 		return false
 	}
-	left := float64(e.expectedDuration(step)) * (1 - float64(a.progress)/100) * float64(fullSpeed) / float64(a.speedLimit)
+	left := a.timeLeft(float64(e.expectedDuration(a.task.step)))
 	if v := a.node.speed; v.count >= slowMinSamples {
 		left /= max(v.value, minMeasuredSpeed)
 	}
--- a/process/dispatch/forecast.go
+++ b/process/dispatch/forecast.go
@@ -209,7 +209,7 @@
 	e.room.isStale = true
 	f := &Forecast{Pools: make(map[heatherhub.PoolID]PoolForecast)}
 	for _, n := range e.sortedNodes {
-		if !n.mayTakeStarts() {
+		if !n.isInService() {
 			continue
 		}
 		p := f.Pools[n.worker.Pool]
@@ -375,9 +375,9 @@
 // maxForecastAge is the age up to which a forecast is used; see also intake's admission.
 const maxForecastAge = 2 * time.Second
 
-// predictStart notes when a new job is expected to start by the last forecast and, as hosts
-// do, the work that has arrived since. Jobs that are
-// expected to be late are left out: many of them never start.
+// predictStart notes when a new job is expected to start by the last forecast and, as hosts do, the
+// work that has arrived since. Jobs that are expected to be late are left out: many of them never
+// start.
 func (e *Engine) predictStart(now Moment, j *job) {
 	w := j.workflow
 	if w.Schedule != nil || w.IsLongRunning() || j.isInherited {
--- a/process/dispatch/move.go
+++ b/process/dispatch/move.go
@@ -155,18 +155,13 @@
 
 // isStranded reports whether it is known that no worker of the shard could start anything now.
 func (e *Engine) isStranded(now Moment) bool {
-	return e.hasAskedWorkers && !e.isUsable(now)
+	return e.hasAskedWorkers && !slices.ContainsFunc(e.sortedNodes, func(n *node) bool { return !n.isWithdrawn(now.Steady) })
 }
 
-// isUsable reports whether any worker of the shard could take a start now.
-func (e *Engine) isUsable(now Moment) bool {
-	return slices.ContainsFunc(e.sortedNodes, func(n *node) bool { return n.isUsable(now.Steady) })
-}
-
-// isUsable reports whether the worker is neither draining nor evacuated, nor silent for
-// strandedSilence.
-func (n *node) isUsable(now time.Duration) bool {
-	return !n.worker.Draining && !n.isEvacuated && (!n.isUnresponsive || now-n.silentSince < strandedSilence)
+// isWithdrawn reports whether the worker gets no starts for some time: it drains, is evacuated or
+// has been silent for strandedSilence.
+func (n *node) isWithdrawn(now time.Duration) bool {
+	return n.worker.Draining || n.isEvacuated || (n.isUnresponsive && now-n.silentSince >= strandedSilence)
 }
 
 func (e *Engine) isMovable(now Moment, s *stepRun, isStranded bool) bool {
--- a/process/dispatch/places.go
+++ b/process/dispatch/places.go
@@ -101,7 +101,7 @@
 	switch {
 	case a.stop != noStop:
 		end.after = e.cfg.StopTime
-	case s.spec.LongRunning, a.speedLimit == 0:
+	case !a.endsByItself():
 		return end, false
 	default:
 		end.after, end.spread = e.remainingWithError(now, a)
@@ -117,7 +117,7 @@
 		total *= e.slowdownOf(a.task.step.occ.job)
 	}
 	progress := float64(a.progress) / 100
-	remaining, relative := total*(1-progress)*float64(fullSpeed)/float64(a.speedLimit), declaredError
+	remaining, relative := a.timeLeft(total), declaredError
 	if a.isMeasurable && a.progress >= minProgress && a.speedLimit == fullSpeed {
 		remaining, relative = float64(a.progressAt-a.startedAt)*(1-progress)/progress, measuredError
 	}
--- a/process/dispatch/preempt.go
+++ b/process/dispatch/preempt.go
@@ -301,8 +301,7 @@
 // chainLeft returns the expected time until the chain of steps ends that begins with a run's step.
 func (e *Engine) chainLeft(a *attempt) time.Duration {
 	s := a.task.step
-	done := time.Duration(float64(e.expectedDuration(s)) * float64(a.progress) / 100)
-	return s.criticalPath - done
+	return s.criticalPath - e.workAt(s, a.progress)
 }
 
 // urgencyAt returns what an occurrence is worth that ends at the given time.
@@ -336,13 +335,11 @@
 // unsavedWork returns the work of a run since its last checkpoint. Of a checkpoint whose progress is
 // not known, as after a change of owner, an interval is assumed.
 func (e *Engine) unsavedWork(a *attempt) time.Duration {
-	work := func(p heatherhub.Percent) time.Duration {
-		return time.Duration(float64(e.expectedDuration(a.task.step)) * float64(p) / 100)
-	}
+	s := a.task.step
 	if a.checkpoint != "" && !a.isCheckpointSeen {
-		return min(work(a.progress), e.cfg.CheckpointInterval)
+		return min(e.workAt(s, a.progress), e.cfg.CheckpointInterval)
 	}
-	return work(a.progress - a.checkpointProgress)
+	return e.workAt(s, a.progress-a.checkpointProgress)
 }
 
 // noteCheckpoint records the progress at which a run reported a checkpoint.
@@ -382,7 +379,7 @@
 		t, n := r.task, r.node
 		j := t.step.occ.job
 		isWanted := e.jobs[j.workflow.ID] == j && !j.isOver() && t.isPending && !t.isRemote && urgencyOf(now.Steady, t.step) == inTime
-		if !isWanted || e.nodes[n.worker.ID] != n || !n.isUsable(now.Steady) {
+		if !isWanted || e.nodes[n.worker.ID] != n || n.isWithdrawn(now.Steady) {
 			n.reserved = n.reserved.Sub(t.step.need)
 			return true
 		}
--- a/process/dispatch/room.go
+++ b/process/dispatch/room.go
@@ -72,7 +72,7 @@
 }
 
 // ExpectedRoom is expectedFree for tasks that reserve processors and for fillers, which need
-// spare ones.
+// spare ones. Workers that get no task for a moment, after a refusal or in quarantine, count.
 func (e *Engine) ExpectedRoom(now Moment, need heatherhub.Resources, pool heatherhub.PoolID, isFiller bool) (time.Duration, bool) {
 	f := e.currentRoom(now.Steady)
 	var best time.Duration
@@ -80,7 +80,7 @@
 	for i := range f.workers {
 		w := &f.workers[i]
 		n := w.node
-		if n.worker.Pool != pool || !n.mayTakeStarts() {
+		if n.worker.Pool != pool || !n.isInService() {
 			continue
 		}
 		if fits(need, n.free(), n.spareCPU(), isFiller) && n.acceptsTasks(now.Steady) {
@@ -109,9 +109,3 @@
 	}
 	return need.Fits(free)
 }
-
-// mayTakeStarts reports whether the worker counts in forecasts. One that gets no task for a
-// moment, after a refusal or in quarantine, does.
-func (n *node) mayTakeStarts() bool {
-	return n.isInService()
-}
--- a/process/dispatch/runtimes.go
+++ b/process/dispatch/runtimes.go
@@ -114,14 +114,13 @@
 // remainingTime returns the expected time until an attempt ends by itself. It reports false
 // for an attempt that does not: a long-running or halted one.
 func (e *Engine) remainingTime(now time.Duration, a *attempt) (time.Duration, bool) {
-	s := a.task.step
-	if s.spec.LongRunning || a.speedLimit == 0 {
+	if !a.endsByItself() {
 		return 0, false
 	}
 	if a.stop != noStop {
 		return e.cfg.StopTime, true
 	}
-	left := float64(e.expectedDuration(s)) * (1 - float64(a.progress)/100) * float64(fullSpeed) / float64(a.speedLimit)
+	left := a.timeLeft(float64(e.expectedDuration(a.task.step)))
 	if a.isMeasurable && a.progress >= minOwnProgress {
 		left = float64(a.progressAt-a.stateSince) * float64(100-a.progress) / float64(a.progress)
 	} else if e.isSlow(now, a.node) {
