Keep jobs with reserved room in their shard

A job that has arrived by a move and found no room moves on after 0.1 s. An urgent one could move while a run was being stopped for it, which takes 0.5 s and more, and have runs stopped in the next shard as well.

A job with reserved room now stays, unless no worker of the shard can start anything.

--- a/process/dispatch/move.go
+++ b/process/dispatch/move.go
@@ -172,6 +172,9 @@
 	if j.workflow.CanSplit() {
 		return true
 	}
+	if !isStranded && e.hasReservation(j) {
+		return false
+	}
 	if !e.canMoveWhole(j, isStranded) || j.workflow.Schedule != nil || j.workflow.IsLongRunning() {
 		return false
 	}
--- a/process/dispatch/preempt.go
+++ b/process/dispatch/preempt.go
@@ -372,6 +372,11 @@
 	return slices.ContainsFunc(e.reservations, func(r reservation) bool { return r.task == t })
 }
 
+// hasReservation reports whether room is reserved for a task of a job.
+func (e *Engine) hasReservation(j *job) bool {
+	return slices.ContainsFunc(e.reservations, func(r reservation) bool { return r.task.step.occ.job == j })
+}
+
 // startReserved starts the tasks whose reserved room is free. It gives up the room of tasks that have
 // started elsewhere or can no longer be in time, and room on workers that get no more starts.
 func (e *Engine) startReserved(now Moment) {
--- a/process/dispatch/preempt_test.go
+++ b/process/dispatch/preempt_test.go
@@ -252,3 +252,28 @@
 		t.Errorf("got the first job done after %s, want it by %s (%+v)", got, want, b.e.Stats)
 	}
 }
+
+// TestJobWithReservedRoomStays guards against runs that are stopped for an urgent job in one shard after
+// the other: it has arrived by a move, finds no room and would move on before the stop has ended.
+func TestJobWithReservedRoomStays(t *testing.T) {
+	b := newPreemptionFleet(t, 1, 200*time.Millisecond)
+	b.setDomain(evacuatedDomain, 0)
+	b.e.MarkWorkersAsked()
+	b.submit("batch", "batch", batchTasks(5, 2000, 10*time.Second))
+	b.decide()
+	b.advanceBy(time.Second, 50*time.Millisecond)
+	flow := &heatherhub.Workflow{ID: "urgent", Queue: "urgent", Steps: []heatherhub.Step{tasks(1, 2000, 2*time.Second)}, Accepted: b.now.Wall}
+	flow.Relocations = []heatherhub.Relocation{{At: b.now.Wall}}
+	b.workflows["urgent"] = flow
+	b.e.AddJob(b.now, dispatch.JobRecord{Workflow: flow, RecordRevision: 1})
+	b.decide()
+	b.advanceBy(150*time.Millisecond, 50*time.Millisecond)
+	if got := b.e.UrgentWork(b.now); b.e.Stats.Preempted != 1 || len(got) != 0 {
+		t.Errorf("got moves %+v while a run is stopped for the job (%d stops), want none", got, b.e.Stats.Preempted)
+	}
+	b.evacuate(evacuatedDomain)
+	b.decide()
+	if got := b.e.UrgentWork(b.now); len(got) == 0 || got[0].Job != "urgent" {
+		t.Errorf("got moves %+v without a usable worker, want one of the job", got)
+	}
+}
