--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -266,6 +266,7 @@
 	}
 	e.finished = append(e.finished, j)
 	e.recordJobEnd(now, j)
+	e.endWaits(now, j, "job over")
 	j.countEnd(now.Steady)
 	if j.openAttempts == 0 {
 		return
--- a/process/dispatch/locate.go
+++ b/process/dispatch/locate.go
@@ -477,13 +477,14 @@
 	e.recordEvent(record)
 }
 
-// endWaits records the end of the waits of a job that is over.
-func (e *Engine) endWaits(now Moment, j *job) {
+// endWaits records the end of the waits of a job that is over or has moved away.
+func (e *Engine) endWaits(now Moment, j *job, reason string) {
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			if s.wait.isOpen {
 				s.wait.isOpen = false
-				e.recordWait(now, EventWaitLost, s, "job over", len(s.pending), 0, 0)
+				e.Stats.WaitsLost++
+				e.recordWait(now, EventWaitLost, s, reason, len(s.pending), 0, 0)
 			}
 		}
 	}
--- a/process/dispatch/move.go
+++ b/process/dispatch/move.go
@@ -412,6 +412,7 @@
 func (e *Engine) removeMovedJob(now Moment, j *job) {
 	e.movedAway[j.workflow.ID] = moveRecord{recordRevision: j.recordRevision, at: now.Steady}
 	j.leaveShares()
+	e.endWaits(now, j, "job moved")
 	delete(e.jobs, j.workflow.ID)
 	isOf := func(s *stepRun) bool { return s.occ.job == j }
 	e.ready = slices.DeleteFunc(e.ready, isOf)
--- a/process/dispatch/wait_test.go
+++ b/process/dispatch/wait_test.go
@@ -297,6 +297,22 @@
 	}
 }
 
+// TestWaitEndsWithItsJob guards against waits that are counted as begun and never as ended.
+func TestWaitEndsWithItsJob(t *testing.T) {
+	b := newRackSimulation(t, dispatch.Tuning{})
+	b.fillRack(time.Second, time.Second)
+	b.add("cancelled", near(1, 2*time.Second))
+	b.add("moved", near(1, 2*time.Second))
+	b.decide()
+	b.e.Cancel(b.now, "cancelled")
+	flow := *b.workflows["moved"]
+	flow.Shard = otherShard
+	b.e.AddJob(b.now, dispatch.JobRecord{Workflow: &flow, RecordRevision: 2})
+	if s := b.e.Stats; s.WaitsBegun != 2 || s.WaitsLost != 2 {
+		t.Errorf("got %d waits begun and %d lost, want 2 of both", s.WaitsBegun, s.WaitsLost)
+	}
+}
+
 // TestMeasuredSlowdownReplacesTheSetting guards against waits of queues whose tasks lose nothing
 // elsewhere.
 func TestMeasuredSlowdownReplacesTheSetting(t *testing.T) {
