--- a/process/dispatch/room.go
+++ b/process/dispatch/room.go
@@ -65,14 +65,9 @@
 	return f
 }
 
-// expectedFree returns the expected steady time at which a worker of a pool has room for a
-// need. It reports false if no end of a run that is expected gives such room.
-func (e *Engine) expectedFree(now Moment, need heatherhub.Resources, pool heatherhub.PoolID) (time.Duration, bool) {
-	return e.ExpectedRoom(now, need, pool, false)
-}
-
-// ExpectedRoom is expectedFree for tasks that reserve processors and for fillers, which need
-// spare ones. Workers that get no task for a moment, after a refusal or in quarantine, count.
+// ExpectedRoom returns the expected steady time at which a worker of a pool has room for a need;
+// fillers need spare processors. It reports false if no end of a run that is expected gives such
+// room. Workers that get no task for a moment, after a refusal or in quarantine, count.
 func (e *Engine) ExpectedRoom(now Moment, need heatherhub.Resources, pool heatherhub.PoolID, isFiller bool) (time.Duration, bool) {
 	f := e.currentRoom(now.Steady)
 	var best time.Duration
