Learn no run times from cold workers

After an evacuation the workers of a domain are slow for a while. Their runs were counted in the learned run times and the measured slowdown, so a queue that ran there counted as slower than declared: its jobs count as late, are served after others and may be refused by estimate.

Runs that begin on a cold worker are left out now. An entry that no longer says that a worker is slow used to move the end of that time to the moment of the entry; it is now kept if it is in the past.

--- a/process/dispatch/cold.go
+++ b/process/dispatch/cold.go
@@ -22,6 +22,11 @@
 	}
 }
 
+// hasRunCold reports whether a run has begun on a worker that was cold.
+func (a *attempt) hasRunCold() bool {
+	return a.startedAt < a.node.coldUntil
+}
+
 // coldPenalty returns what the score of a worker loses for a step because it is cold. Long-running
 // tasks outlast the time in which a worker is cold.
 func (n *node) coldPenalty(now time.Duration, s *stepRun) float64 {
--- a/process/dispatch/runtimes.go
+++ b/process/dispatch/runtimes.go
@@ -41,11 +41,11 @@
 
 // learnRunTime adds the run time of an attempt that has ended done. Runs whose time says
 // nothing of the declaration are left out: throttled, resumed or adopted ones, those on slow
-// workers, and those away from the rack of their data or their group.
+// or cold workers, and those away from the rack of their data or their group.
 func (e *Engine) learnRunTime(now Moment, a *attempt) {
 	s := a.task.step
 	isAway := s.spec.SameRack || (s.spec.DataRack != "" && s.spec.DataRack != a.node.worker.Rack)
-	if !a.isMeasurable || a.state != running || s.spec.LongRunning || s.spec.Estimate <= 0 || isAway || e.isSlow(now.Steady, a.node) {
+	if !a.isMeasurable || a.state != running || s.spec.LongRunning || s.spec.Estimate <= 0 || isAway || e.isSlow(now.Steady, a.node) || a.hasRunCold() {
 		return
 	}
 	id := s.occ.job.workflow.Queue
--- a/process/dispatch/runtimes_test.go
+++ b/process/dispatch/runtimes_test.go
@@ -53,3 +53,25 @@
 		t.Errorf("got run times %v after %d ends, want none after 40", got, b.e.Stats.Done)
 	}
 }
+
+// TestColdRunsTeachNothing guards against queues that count as slower than declared, so that their jobs
+// count as late, since they ran on workers that were cold.
+func TestColdRunsTeachNothing(t *testing.T) {
+	b := newSimulation(t, dispatch.Policy{}, 4)
+	b.runTime = 3
+	for _, w := range b.workers {
+		b.e.WorkerCold(w, b.now.Steady+2*time.Second)
+	}
+	b.add("cold", tasks(40, 1000, time.Second))
+	b.decide()
+	b.advance(4 * time.Second)
+	if got := b.e.RunTimes(); b.e.Stats.Done < 40 || len(got) > 0 {
+		t.Errorf("got run times %v after %d ends on cold workers, want none after 40", got, b.e.Stats.Done)
+	}
+	b.add("warm", tasks(40, 1000, time.Second))
+	b.decide()
+	b.advance(4 * time.Second)
+	if got := b.e.RunTimes(); len(got) != 1 {
+		t.Errorf("got run times %v after %d ends, want one", got, b.e.Stats.Done)
+	}
+}
--- a/process/dispatch/slowdown.go
+++ b/process/dispatch/slowdown.go
@@ -37,11 +37,12 @@
 }
 
 // measureLocation records the run time of a task that is done. Runs that continued from a
-// checkpoint, that another owner started or whose speed was limited are not measured.
+// checkpoint, that another owner started, whose speed was limited or whose worker was cold are not
+// measured.
 func (e *Engine) measureLocation(now Moment, a *attempt) {
 	s := a.task.step
 	expected := e.expectedDuration(s)
-	if s.spec.DataRack == "" || s.spec.Filler || expected <= 0 || !a.isMeasurable {
+	if s.spec.DataRack == "" || s.spec.Filler || expected <= 0 || !a.isMeasurable || a.hasRunCold() {
 		return
 	}
 	id := s.occ.job.workflow.Queue
--- a/process/owner/fleet.go
+++ b/process/owner/fleet.go
@@ -254,7 +254,7 @@
 		entry.Draining = entry.Draining || w.hasDrained
 		w.entry, w.isListed = entry, true
 		t.engine.UpdateWorker(entry)
-		w.coldUntil = t.now().Steady + entry.ColdRemaining
+		w.updateCold(t.now().Steady, entry.ColdRemaining)
 		t.engine.WorkerCold(w.id, w.coldUntil)
 		w.updateVacated()
 		return entry.ID, true
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -572,6 +572,15 @@
 	w.applyReport(t.now(), sentAt, &r)
 }
 
+// updateCold applies how much longer the worker is slow. A worker that is no longer slow keeps the
+// time until which it was.
+func (w *workerLoop) updateCold(now, remaining time.Duration) {
+	w.coldUntil = min(w.coldUntil, now)
+	if remaining > 0 {
+		w.coldUntil = now + remaining
+	}
+}
+
 // grantStart returns the end of the lease of a start that is sent at now, and zero for other
 // orders. It reports false for a start that no longer stands: the worker counts as gone, or its
 // failure domain is evacuated. All of it is decided under the term's mu, like the end of the
