Count no start that is taken back in the error of forecasts

A gang is placed task by task, and taken back if not all of it fits or if it waits for its rack. The first task already counted as the first start of its job, so the measured error of a forecast, by which jobs are refused, had samples of jobs that had not started.

The comparison is now made where starts are recorded, once they stand.

--- a/process/dispatch/event.go
+++ b/process/dispatch/event.go
@@ -95,11 +95,13 @@
 	return out
 }
 
-// recordStarts records the tasks of a step that one decision started, as one event.
+// recordStarts records the tasks of a step that one decision started, as one event, and compares the
+// first start of a job with its forecast.
 func (e *Engine) recordStarts(now Moment, s *stepRun, count int, worker heatherhub.WorkerID) {
 	if count == 0 {
 		return
 	}
+	e.observeStart(now, s)
 	e.recordEvent(EventRecord{
 		Event: EventTasksStarted, Job: s.occ.job.workflow.ID, Step: s.index, Count: count, Worker: worker,
 		Waited: now.Steady - s.readySince, Slack: s.occ.objective - now.Steady, Reason: urgencyOf(now.Steady, s).String(),
--- a/process/dispatch/forecast.go
+++ b/process/dispatch/forecast.go
@@ -404,15 +404,15 @@
 }
 
 // observeStart compares the first start of a job with what was expected.
-func (e *Engine) observeStart(a *attempt) {
-	j := a.task.step.occ.job
+func (e *Engine) observeStart(now Moment, s *stepRun) {
+	j := s.occ.job
 	if j.expectedStart == 0 {
 		return
 	}
-	l := e.laneOf(a.startedAt, laneKeyOf(j, a.task.step.spec))
+	l := e.laneOf(now.Steady, laneKeyOf(j, s.spec))
 	l.samples++
 	// A job that has turned late starts at any later time, which says no more of the error.
-	difference := min((a.startedAt - j.expectedStart).Abs(), a.task.step.occ.objective-j.arrived)
+	difference := min((now.Steady - j.expectedStart).Abs(), s.occ.objective-j.arrived)
 	l.meanError += time.Duration(float64(difference-l.meanError) * max(errorWeight, 1/float64(l.samples)))
 	j.expectedStart = 0
 }
--- a/process/dispatch/forecast_test.go
+++ b/process/dispatch/forecast_test.go
@@ -184,3 +184,22 @@
 		e.Forecast(now)
 	}
 }
+
+// TestUndoneStartIsNoStart guards against a measured error of forecasts that counts a gang as started
+// which was taken back, as there was no room for all of it.
+func TestUndoneStartIsNoStart(t *testing.T) {
+	b := newSimulation(t, dispatch.Policy{Target: time.Minute}, 2)
+	for range 3 {
+		b.e.JobWatchReplied(b.now)
+	}
+	b.e.Forecast(b.now)
+	gang := tasks(3, 6000, time.Second)
+	gang.Gang = true
+	b.add("gang", gang)
+	b.decide()
+	for _, l := range b.e.Forecast(b.now).Pools[pool].Lanes {
+		if l.Samples > 0 || len(b.started) > 0 {
+			t.Errorf("got %d measured starts and %d started tasks, want none", l.Samples, len(b.started))
+		}
+	}
+}
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -204,7 +204,6 @@
 		e.pendingStarts++
 	}
 	a.isMeasurable = a.state == sent && a.checkpoint == ""
-	e.observeStart(a)
 	t.step.removePending(t)
 	a.node.addAttempt(a)
 }
