--- a/process/dispatch/cold_test.go
+++ b/process/dispatch/cold_test.go
@@ -41,3 +41,28 @@
 		t.Errorf("got %d starts with room for 2 on warm workers, want %d", got, want)
 	}
 }
+
+// TestColdWorkerTakesStarts guards against a worker that gets no batch tasks for some time after it was
+// cold, since it counts as slow, while work waits for its room.
+func TestColdWorkerTakesStarts(t *testing.T) {
+	b := newSimulation(t, dispatch.Policy{}, 2)
+	b.fillerSpeed = func(w heatherhub.WorkerID) float64 {
+		if w == b.workers[0] {
+			return 0.3
+		}
+		return 1
+	}
+	b.e.WorkerCold(b.workers[0], b.now.Steady+10*time.Second)
+	fillers := tasks(16, 1200, 20*time.Second)
+	fillers.Filler, fillers.Image = true, "filler"
+	b.add("fillers", fillers)
+	b.decide()
+	b.advance(4 * time.Second)
+	b.add("j", tasks(2, 9000, time.Second))
+	b.decide()
+	for k := range 2 {
+		if got := b.placed[heatherhub.StepTask{Job: "j", Index: k}]; got == "" {
+			t.Errorf("got task %d not started with room for it, want a start", k)
+		}
+	}
+}
