--- a/process/dispatch/colocate.go
+++ b/process/dispatch/colocate.go
@@ -23,7 +23,7 @@
 	// impatientHeadroom is the same once the job has waited for as long as it should.
 	impatientHeadroom = 1
 	// lateHeadroom is the same once the job would be late otherwise.
-	lateHeadroom = 0.6
+	lateHeadroom = 0.85
 	// patienceSteps is the granularity of the values between the first two.
 	patienceSteps = 4
 	// reservedSlack is the part of its slack that a job does not spend on waiting for a better
--- a/process/dispatch/forecast.go
+++ b/process/dispatch/forecast.go
@@ -209,7 +209,7 @@
 	e.room.isStale = true
 	f := &Forecast{Pools: make(map[heatherhub.PoolID]PoolForecast)}
 	for _, n := range e.sortedNodes {
-		if !n.mayTakeStarts() {
+		if !n.isInService() {
 			continue
 		}
 		p := f.Pools[n.worker.Pool]
@@ -375,9 +375,9 @@
 // maxForecastAge is the age up to which a forecast is used; see also intake's admission.
 const maxForecastAge = 2 * time.Second
 
-// predictStart notes when a new job is expected to start by the last forecast and, as hosts
-// do, the work that has arrived since. Jobs that are
-// expected to be late are left out: many of them never start.
+// predictStart notes when a new job is expected to start by the last forecast and, as hosts do, the
+// work that has arrived since. Jobs that are expected to be late are left out: many of them never
+// start.
 func (e *Engine) predictStart(now Moment, j *job) {
 	w := j.workflow
 	if w.Schedule != nil || w.IsLongRunning() || j.isInherited {
@@ -404,15 +404,15 @@
 }
 
 // observeStart compares the first start of a job with what was expected.
-func (e *Engine) observeStart(a *attempt) {
-	j := a.task.step.occ.job
+func (e *Engine) observeStart(now Moment, s *stepRun) {
+	j := s.occ.job
 	if j.expectedStart == 0 {
 		return
 	}
-	l := e.laneOf(a.startedAt, laneKeyOf(j, a.task.step.spec))
+	l := e.laneOf(now.Steady, laneKeyOf(j, s.spec))
 	l.samples++
 	// A job that has turned late starts at any later time, which says no more of the error.
-	difference := min((a.startedAt - j.expectedStart).Abs(), a.task.step.occ.objective-j.arrived)
+	difference := min((now.Steady - j.expectedStart).Abs(), s.occ.objective-j.arrived)
 	l.meanError += time.Duration(float64(difference-l.meanError) * max(errorWeight, 1/float64(l.samples)))
 	j.expectedStart = 0
 }
--- a/process/dispatch/locate.go
+++ b/process/dispatch/locate.go
@@ -34,9 +34,11 @@
 	startedIn int
 }
 
-// isWaiting reports whether tasks of the step wait for their location by choice.
-func (w *stepWait) isWaiting(now time.Duration) bool {
-	return w.isOpen && now < w.deadline
+// waitsByChoice reports whether tasks of the step wait for their location by choice. The deadline may
+// have been set while the job had runs; once it has none, maxLocationWait applies as well.
+func (s *stepRun) waitsByChoice(now time.Duration) bool {
+	w := &s.wait
+	return w.isOpen && now < w.deadline && (s.occ.job.openAttempts > 0 || now < w.since+maxLocationWait)
 }
 
 // prefersRack reports whether the tasks of a step are faster in one rack. Long-running tasks never
@@ -475,13 +477,14 @@
 	e.recordEvent(record)
 }
 
-// endWaits records the end of the waits of a job that is over.
-func (e *Engine) endWaits(now Moment, j *job) {
+// endWaits records the end of the waits of a job that is over or has moved away.
+func (e *Engine) endWaits(now Moment, j *job, reason string) {
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			if s.wait.isOpen {
 				s.wait.isOpen = false
-				e.recordWait(now, EventWaitLost, s, "job over", len(s.pending), 0, 0)
+				e.Stats.WaitsLost++
+				e.recordWait(now, EventWaitLost, s, reason, len(s.pending), 0, 0)
 			}
 		}
 	}
--- a/process/dispatch/move.go
+++ b/process/dispatch/move.go
@@ -87,7 +87,8 @@
 		j := s.occ.job
 		waited := now.Steady - s.readySince
 		hasWaited := waited >= e.cfg.MoveAfter && !isUrgentOnly
-		if s.wait.isWaiting(now.Steady) || (!hasWaited && !isStranded && len(j.workflow.Relocations) == 0) || !e.isMovable(now, s, isStranded) {
+		isWaiting := !isStranded && s.waitsByChoice(now.Steady)
+		if isWaiting || (!hasWaited && !isStranded && len(j.workflow.Relocations) == 0) || !e.isMovable(now, s, isStranded) {
 			continue
 		}
 		sh := shapeOf(now.Steady, s, false)
@@ -154,14 +155,13 @@
 
 // isStranded reports whether it is known that no worker of the shard could start anything now.
 func (e *Engine) isStranded(now Moment) bool {
-	return e.hasAskedWorkers && !e.isUsable(now)
+	return e.hasAskedWorkers && !slices.ContainsFunc(e.sortedNodes, func(n *node) bool { return !n.isWithdrawn(now.Steady) })
 }
 
-// isUsable reports whether any worker of the shard could take a start now.
-func (e *Engine) isUsable(now Moment) bool {
-	return slices.ContainsFunc(e.sortedNodes, func(n *node) bool {
-		return !n.worker.Draining && !n.isEvacuated && (!n.isUnresponsive || now.Steady-n.silentSince < strandedSilence)
-	})
+// isWithdrawn reports whether the worker gets no starts for some time: it drains, is evacuated or
+// has been silent for strandedSilence.
+func (n *node) isWithdrawn(now time.Duration) bool {
+	return n.worker.Draining || n.isEvacuated || (n.isUnresponsive && now-n.silentSince >= strandedSilence)
 }
 
 func (e *Engine) isMovable(now Moment, s *stepRun, isStranded bool) bool {
@@ -172,6 +172,9 @@
 	if j.workflow.CanSplit() {
 		return true
 	}
+	if !isStranded && e.hasReservation(j) {
+		return false
+	}
 	if !e.canMoveWhole(j, isStranded) || j.workflow.Schedule != nil || j.workflow.IsLongRunning() {
 		return false
 	}
@@ -409,6 +412,7 @@
 func (e *Engine) removeMovedJob(now Moment, j *job) {
 	e.movedAway[j.workflow.ID] = moveRecord{recordRevision: j.recordRevision, at: now.Steady}
 	j.leaveShares()
+	e.endWaits(now, j, "job moved")
 	delete(e.jobs, j.workflow.ID)
 	isOf := func(s *stepRun) bool { return s.occ.job == j }
 	e.ready = slices.DeleteFunc(e.ready, isOf)
--- a/process/dispatch/preempt.go
+++ b/process/dispatch/preempt.go
@@ -100,8 +100,10 @@
 	// byNode has the runs that may be stopped, those with the least unsaved work first.
 	byNode     map[*node][]victim
 	isSearched bool
-	// claimed is the room that steps before in the order get from runs that end by themselves.
+	// claimed is the room that steps before in the order get, free now or from runs that end by
+	// themselves. awaited has the runs whose ends it needs.
 	claimed map[*node]heatherhub.Resources
+	awaited map[*attempt]struct{}
 }
 
 // hasVictims reports whether any run may be stopped.
@@ -110,7 +112,7 @@
 		return len(p.byNode) > 0
 	}
 	p.isSearched = true
-	p.byNode, p.claimed = make(map[*node][]victim), make(map[*node]heatherhub.Resources)
+	p.byNode, p.claimed, p.awaited = make(map[*node][]victim), make(map[*node]heatherhub.Resources), make(map[*attempt]struct{})
 	for _, n := range p.e.sortedNodes {
 		if !n.acceptsTasks(p.now.Steady) {
 			continue
@@ -159,10 +161,12 @@
 		if !p.accepts(n, s) {
 			continue
 		}
-		room := n.free().Sub(p.claimed[n])
+		room, before := n.free().Sub(p.claimed[n]), got
+		var ending []*attempt
 		for _, a := range n.attemptsByRun() {
 			if a.stop == noStop && p.e.endsBefore(p.now.Steady, a, limit) {
 				room = room.Add(a.task.step.need)
+				ending = append(ending, a)
 			}
 		}
 		for got < count && s.need.Fits(room) {
@@ -170,10 +174,25 @@
 			p.claimed[n] = p.claimed[n].Add(s.need)
 			got++
 		}
+		if got > before && !p.claimed[n].Fits(n.free()) {
+			for _, a := range ending {
+				p.awaited[a] = struct{}{}
+			}
+		}
 	}
 	return got
 }
 
+// unclaimed returns the free room of a worker that no step before in the order gets. It is none if
+// such a step also needs the ends of runs there.
+func (p *preemptor) unclaimed(n *node) heatherhub.Resources {
+	free, claimed := n.free(), p.claimed[n]
+	if claimed.IsZero() || claimed.Fits(free) {
+		return free.Sub(claimed)
+	}
+	return heatherhub.Resources{CPU: min(free.CPU, 0), Memory: min(free.Memory, 0), Accelerators: min(free.Accelerators, 0)}
+}
+
 // accepts reports whether a worker may run tasks of a step, without regard to its room.
 func (p *preemptor) accepts(n *node, s *stepRun) bool {
 	switch {
@@ -194,9 +213,9 @@
 		if len(p.byNode[n]) == 0 || !p.accepts(n, s) {
 			continue
 		}
-		o := &option{node: n, room: n.free()}
+		o := &option{node: n, room: p.unclaimed(n)}
 		for _, v := range p.byNode[n] {
-			if p.canWait(s, v) {
+			if _, isAwaited := p.awaited[v.attempt]; !isAwaited && p.canWait(s, v) {
 				o.left = append(o.left, v)
 			}
 		}
@@ -282,8 +301,7 @@
 // chainLeft returns the expected time until the chain of steps ends that begins with a run's step.
 func (e *Engine) chainLeft(a *attempt) time.Duration {
 	s := a.task.step
-	done := time.Duration(float64(e.expectedDuration(s)) * float64(a.progress) / 100)
-	return s.criticalPath - done
+	return s.criticalPath - e.workAt(s, a.progress)
 }
 
 // urgencyAt returns what an occurrence is worth that ends at the given time.
@@ -317,13 +335,11 @@
 // unsavedWork returns the work of a run since its last checkpoint. Of a checkpoint whose progress is
 // not known, as after a change of owner, an interval is assumed.
 func (e *Engine) unsavedWork(a *attempt) time.Duration {
-	work := func(p heatherhub.Percent) time.Duration {
-		return time.Duration(float64(e.expectedDuration(a.task.step)) * float64(p) / 100)
-	}
+	s := a.task.step
 	if a.checkpoint != "" && !a.isCheckpointSeen {
-		return min(work(a.progress), e.cfg.CheckpointInterval)
+		return min(e.workAt(s, a.progress), e.cfg.CheckpointInterval)
 	}
-	return work(a.progress - a.checkpointProgress)
+	return e.workAt(s, a.progress-a.checkpointProgress)
 }
 
 // noteCheckpoint records the progress at which a run reported a checkpoint.
@@ -356,14 +372,19 @@
 	return slices.ContainsFunc(e.reservations, func(r reservation) bool { return r.task == t })
 }
 
-// startReserved starts the tasks whose reserved room is free, and gives up the room of tasks that
-// have started elsewhere or can no longer be in time.
+// hasReservation reports whether room is reserved for a task of a job.
+func (e *Engine) hasReservation(j *job) bool {
+	return slices.ContainsFunc(e.reservations, func(r reservation) bool { return r.task.step.occ.job == j })
+}
+
+// startReserved starts the tasks whose reserved room is free. It gives up the room of tasks that have
+// started elsewhere or can no longer be in time, and room on workers that get no more starts.
 func (e *Engine) startReserved(now Moment) {
 	e.reservations = slices.DeleteFunc(e.reservations, func(r reservation) bool {
 		t, n := r.task, r.node
 		j := t.step.occ.job
 		isWanted := e.jobs[j.workflow.ID] == j && !j.isOver() && t.isPending && !t.isRemote && urgencyOf(now.Steady, t.step) == inTime
-		if !isWanted || e.nodes[n.worker.ID] != n {
+		if !isWanted || e.nodes[n.worker.ID] != n || n.isWithdrawn(now.Steady) {
 			n.reserved = n.reserved.Sub(t.step.need)
 			return true
 		}
--- a/process/dispatch/preempt_test.go
+++ b/process/dispatch/preempt_test.go
@@ -191,3 +191,76 @@
 		t.Errorf("got %.2f of the urgent jobs in time, want at least %.2f (without preemption %.2f)", with, want, without)
 	}
 }
+
+// TestReservationEndsWithItsWorker guards against an urgent task that waits for room on a worker which
+// gets no more starts, while runs elsewhere could be stopped for it in time.
+func TestReservationEndsWithItsWorker(t *testing.T) {
+	for name, withdraw := range map[string]func(*simulation){
+		"evacuated": func(b *simulation) { b.evacuate(evacuatedDomain) },
+		"draining": func(b *simulation) {
+			w := b.worker(0)
+			w.Draining = true
+			b.e.UpdateWorker(w)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newPreemptionFleet(t, 2, 200*time.Millisecond)
+			b.setDomain(evacuatedDomain, 0)
+			b.submit("batch", "batch", batchTasks(10, 2000, 10*time.Second))
+			b.decide()
+			b.advanceBy(time.Second, 50*time.Millisecond)
+			b.submit("urgent", "urgent", tasks(1, 2000, 2*time.Second))
+			b.decide()
+			withdraw(b)
+			b.advanceBy(1200*time.Millisecond, 50*time.Millisecond)
+			if got, want := b.placed[heatherhub.StepTask{Job: "urgent"}], b.workers[1]; got != want {
+				t.Errorf("got the urgent task started at %q, want %q (%+v)", got, want, b.e.Stats)
+			}
+		})
+	}
+}
+
+// TestPreemptionLeavesRoomThatOthersAwait guards against a stop of a run whose end a step before in the
+// order counts on, so that this step starts late.
+func TestPreemptionLeavesRoomThatOthersAwait(t *testing.T) {
+	b := newPreemptionFleet(t, 1, 200*time.Millisecond)
+	serving := tasks(1, 5000, time.Hour)
+	serving.LongRunning = true
+	b.submit("serving", "batch", serving)
+	b.submit("ending", "batch", batchTasks(1, 5000, 1800*time.Millisecond))
+	b.decide()
+	b.advanceBy(time.Second, 50*time.Millisecond)
+	b.submit("first", "urgent", tasks(1, 5000, 2*time.Second))
+	b.submit("second", "urgent", tasks(1, 5000, 2200*time.Millisecond))
+	accepted := b.now.Steady
+	b.decide()
+	b.advanceBy(3500*time.Millisecond, 50*time.Millisecond)
+	if got, want := b.doneAt["first"]-accepted, 3250*time.Millisecond; got <= 0 || got > want {
+		t.Errorf("got the first job done after %s, want it by %s (%+v)", got, want, b.e.Stats)
+	}
+}
+
+// TestJobWithReservedRoomStays guards against runs that are stopped for an urgent job in one shard after
+// the other: it has arrived by a move, finds no room and would move on before the stop has ended.
+func TestJobWithReservedRoomStays(t *testing.T) {
+	b := newPreemptionFleet(t, 1, 200*time.Millisecond)
+	b.setDomain(evacuatedDomain, 0)
+	b.e.MarkWorkersAsked()
+	b.submit("batch", "batch", batchTasks(5, 2000, 10*time.Second))
+	b.decide()
+	b.advanceBy(time.Second, 50*time.Millisecond)
+	flow := &heatherhub.Workflow{ID: "urgent", Queue: "urgent", Steps: []heatherhub.Step{tasks(1, 2000, 2*time.Second)}, Accepted: b.now.Wall}
+	flow.Relocations = []heatherhub.Relocation{{At: b.now.Wall}}
+	b.workflows["urgent"] = flow
+	b.e.AddJob(b.now, dispatch.JobRecord{Workflow: flow, RecordRevision: 1})
+	b.decide()
+	b.advanceBy(150*time.Millisecond, 50*time.Millisecond)
+	if got := b.e.UrgentWork(b.now); b.e.Stats.Preempted != 1 || len(got) != 0 {
+		t.Errorf("got moves %+v while a run is stopped for the job (%d stops), want none", got, b.e.Stats.Preempted)
+	}
+	b.evacuate(evacuatedDomain)
+	b.decide()
+	if got := b.e.UrgentWork(b.now); len(got) == 0 || got[0].Job != "urgent" {
+		t.Errorf("got moves %+v without a usable worker, want one of the job", got)
+	}
+}
--- a/process/dispatch/runtimes.go
+++ b/process/dispatch/runtimes.go
@@ -41,11 +41,11 @@
 
 // learnRunTime adds the run time of an attempt that has ended done. Runs whose time says
 // nothing of the declaration are left out: throttled, resumed or adopted ones, those on slow
-// workers, and those away from the rack of their data or their group.
+// or cold workers, and those away from the rack of their data or their group.
 func (e *Engine) learnRunTime(now Moment, a *attempt) {
 	s := a.task.step
 	isAway := s.spec.SameRack || (s.spec.DataRack != "" && s.spec.DataRack != a.node.worker.Rack)
-	if !a.isMeasurable || a.state != running || s.spec.LongRunning || s.spec.Estimate <= 0 || isAway || e.isSlow(now.Steady, a.node) {
+	if !a.isMeasurable || a.state != running || s.spec.LongRunning || s.spec.Estimate <= 0 || isAway || e.isSlow(now.Steady, a.node) || a.hasRunCold() {
 		return
 	}
 	id := s.occ.job.workflow.Queue
@@ -114,14 +114,13 @@
 // remainingTime returns the expected time until an attempt ends by itself. It reports false
 // for an attempt that does not: a long-running or halted one.
 func (e *Engine) remainingTime(now time.Duration, a *attempt) (time.Duration, bool) {
-	s := a.task.step
-	if s.spec.LongRunning || a.speedLimit == 0 {
+	if !a.endsByItself() {
 		return 0, false
 	}
 	if a.stop != noStop {
 		return e.cfg.StopTime, true
 	}
-	left := float64(e.expectedDuration(s)) * (1 - float64(a.progress)/100) * float64(fullSpeed) / float64(a.speedLimit)
+	left := a.timeLeft(float64(e.expectedDuration(a.task.step)))
 	if a.isMeasurable && a.progress >= minOwnProgress {
 		left = float64(a.progressAt-a.stateSince) * float64(100-a.progress) / float64(a.progress)
 	} else if e.isSlow(now, a.node) {
