--- a/process/owner/worker_test.go
+++ b/process/owner/worker_test.go
@@ -319,6 +319,10 @@
 		return 0, a.site.unansweredError()
 	}
 	c, err := do(m, false)
+	if a.site.isAnswerLost(a.host) {
+		ledger.Sleep(ctx, callTimeout)
+		return 0, a.site.unansweredError()
+	}
 	if a.isCutOff(m) {
 		return 0, a.site.unansweredError()
 	}
@@ -373,6 +377,10 @@
 // pollOver polls the incarnation of the worker to which a connection leads.
 func (a *hostAgent) pollOver(ctx context.Context, m *fakeWorker, p agent.Poll) (agent.Report, error) {
 	r, err := m.poll(ctx, p)
+	if a.site.isAnswerLost(a.host) {
+		ledger.Sleep(ctx, callTimeout)
+		return agent.Report{}, heatherhub.ErrUnknown.New("the answer was lost")
+	}
 	if a.isCutOff(m) || a.site.isDead(a.host) {
 		return agent.Report{}, heatherhub.ErrUnknown.New("the answer was lost")
 	}
--- a/process/owner/world_test.go
+++ b/process/owner/world_test.go
@@ -96,6 +96,25 @@
 	callFaults atomic.Pointer[workerFaults]
 	// evacuatedAt has the times at which failure domains were evacuated.
 	evacuatedAt map[heatherhub.FailureDomain]time.Time
+	// deaf has the share of the workers' answers that a host does not get, and deafRNG tells
+	// which; mu guards both.
+	deaf    map[heatherhub.HostID]float64
+	deafRNG *rand.Rand
+}
+
+// loseAnswers has a share of the answers of workers to a host lost. The calls reach the workers.
+func (site *simSite) loseAnswers(id heatherhub.HostID, share float64, rnd *rand.Rand) {
+	site.mu.Lock()
+	defer site.mu.Unlock()
+	site.deaf, site.deafRNG = map[heatherhub.HostID]float64{id: share}, rnd
+}
+
+// isAnswerLost reports whether the next answer of a worker to a host is lost.
+func (site *simSite) isAnswerLost(id heatherhub.HostID) bool {
+	site.mu.Lock()
+	defer site.mu.Unlock()
+	share := site.deaf[id]
+	return share > 0 && site.deafRNG.Float64() < share
 }
 
 // newSimSite returns a site without workers and hosts.
