Have serving tasks miss their target in the tests of fillers that interfere

The tests took a filler of an unknown image for one that interferes. Such an image is now tried on a worker with headroom, so the serving tasks of these tests report tails above their target. The bounds are the same: no start, no move, or one start on the worker without serving tasks.

--- a/process/owner/worker_test.go
+++ b/process/owner/worker_test.go
@@ -255,6 +255,9 @@
 		if whole := m.site.runTime(t); whole < longRunTime {
 			row.Progress = heatherhub.Percent(100 * (1 - float64(time.Until(run.endsAt))/float64(whole)))
 		}
+		if target := m.site.latencyTarget(t); target > 0 && m.site.missesTargets.Load() {
+			row.Measurement, row.HasMeasurement = 1.3*float64(target.Milliseconds()), true
+		}
 		r.Running = append(r.Running, row)
 	}
 	return r
--- a/process/owner/world_test.go
+++ b/process/owner/world_test.go
@@ -96,6 +96,8 @@
 	callFaults atomic.Pointer[workerFaults]
 	// evacuatedAt has the times at which failure domains were evacuated.
 	evacuatedAt map[heatherhub.FailureDomain]time.Time
+	// missesTargets has serving tasks report a tail latency above their target.
+	missesTargets atomic.Bool
 	// deaf has the share of the workers' answers that a host does not get, and deafRNG tells
 	// which; mu guards both.
 	deaf    map[heatherhub.HostID]float64
@@ -386,6 +388,13 @@
 	return s.Estimate
 }
 
+// latencyTarget returns the latency target of a task, or zero.
+func (site *simSite) latencyTarget(t heatherhub.StepTask) time.Duration {
+	site.mu.Lock()
+	defer site.mu.Unlock()
+	return site.jobs[t.Job].Steps[t.Step].LatencyTarget
+}
+
 // addViolation records a violated guarantee with the virtual time. The caller holds
 // site.mu.
 func (site *simSite) addViolation(format string, args ...any) {
