Halt fillers beside a missed target without a further wait

A halt that was due waited up to 0.6 s for the last change of a speed on its worker, fillers that count as not interfering were halted 0.7 s later than before, and new ones still started there.

Change: a due halt does not wait; only fillers whose learned effect is next to nothing wait for the later halt; a worker whose target has been missed for 0.6 s gets no filler.

--- a/process/dispatch/colocate.go
+++ b/process/dispatch/colocate.go
@@ -38,10 +38,10 @@
 		return n.spareShare() - emptyWeight, true
 	}
 	loss := e.headroomLoss(n, s.spec.Image, n.shareOf(s.spec.Need.CPU))
+	if n.throttle.isClosed(now, loss) {
+		return 0, false
+	}
 	if loss > noticeableLoss {
-		if n.throttle.isMissed() {
-			return 0, false
-		}
 		headroom, required := e.lowestHeadroom(now, n), requiredHeadroom(patienceOf(now, s))
 		if headroom < required || (headroom-loss < required && !e.isTrial(n, s.spec.Image)) {
 			return 0, false
@@ -111,6 +111,9 @@
 // fillerRoom returns the most processors that a filler whose job can wait may need for the worker
 // to have them spare and scoreFiller to accept it.
 func (e *Engine) fillerRoom(now time.Duration, n *node, image string) heatherhub.MilliCPU {
+	if n.throttle.isClosed(now, 0) {
+		return 0
+	}
 	lossPerShare := e.headroomLoss(n, image, 1)
 	if lossPerShare <= 0 {
 		return n.spareCPU()
--- a/process/dispatch/colocate_test.go
+++ b/process/dispatch/colocate_test.go
@@ -44,6 +44,35 @@
 	}
 }
 
+// TestDueHaltDoesNotWait guards against fillers that are at work beside a missed target for over 2 s,
+// because the speed of another one was changed shortly before: with the time until the miss is
+// reported, that is longer than a serving task may be harmed.
+func TestDueHaltDoesNotWait(t *testing.T) {
+	for _, delay := range []time.Duration{0, 300 * time.Millisecond, 700 * time.Millisecond, 1300 * time.Millisecond} {
+		b := newSimulation(t, dispatch.Policy{}, 1)
+		tail := 8.0
+		b.tail = func(string, []string) float64 { return tail }
+		b.addServing("serving", 2)
+		b.advance(time.Second)
+		b.addFillers("first", 1, 20*time.Second)
+		b.advance(10 * time.Second)
+		tail = 30
+		missedSince := b.now.Steady + 100*time.Millisecond
+		b.advance(delay)
+		other := tasks(1, 1000, 20*time.Second)
+		other.Filler, other.Image = true, "other"
+		b.add("other", other)
+		for b.now.Steady-missedSince < 2*time.Second {
+			b.step(100 * time.Millisecond)
+		}
+		for _, r := range b.runs[b.workers[0]] {
+			if b.spec(r).Filler && r.speedLimit > 0 {
+				t.Errorf("second filler after %s: got %s at work at %d%% after %s, want it halted", delay, r.order.Task.Job, r.speedLimit, b.now.Steady-missedSince)
+			}
+		}
+	}
+}
+
 // TestLateFillerIsPlacedAllTheSame guards against fillers that wait for serving tasks until their job
 // is worth nothing.
 func TestLateFillerIsPlacedAllTheSame(t *testing.T) {
--- a/process/dispatch/throttle.go
+++ b/process/dispatch/throttle.go
@@ -32,6 +32,9 @@
 	// inheritedSpeed is the share of its processors below which a filler of a previous owner
 	// may have been slowed down by that owner.
 	inheritedSpeed = 0.7
+	// harmlessCoefficient is the learned coefficient below which a filler is left at work for
+	// longer beside a missed target.
+	harmlessCoefficient = 0.5
 	// noticeableLoss is the loss of headroom up to which a filler is not considered to
 	// interfere.
 	noticeableLoss = 0.1
@@ -92,11 +95,16 @@
 	return n != nil && n.fillerCPU > 0 && n.throttle.isMissed()
 }
 
-// mayInterfere reports whether a filler at full speed noticeably slows down any serving
-// task of its worker.
+// mayInterfere reports whether a filler is not known to do no harm to the serving tasks of its
+// worker.
 func (e *Engine) mayInterfere(n *node, filler *attempt) bool {
-	s := filler.task.step.spec
-	return e.headroomLoss(n, s.Image, n.shareOf(s.Need.CPU)) > noticeableLoss
+	image := filler.task.step.spec.Image
+	for _, v := range n.servingImages {
+		if c := e.model.pairs[pairKey{v.image, image}]; c == nil || c.samples < minSamples || c.value >= harmlessCoefficient {
+			return true
+		}
+	}
+	return false
 }
 
 // isMissed reports whether a target is missed or has not been met for recoveryTime yet.
@@ -104,6 +112,13 @@
 	return p.missedSince > 0
 }
 
+// isClosed reports whether a worker gets no filler that is expected to cost its serving tasks a loss of
+// headroom, because a target is missed. After a while it gets none at all: each new filler would
+// run at full speed until the next report, so there would always be some at work.
+func (p *fillerThrottle) isClosed(now time.Duration, loss float64) bool {
+	return p.isMissed() && (loss > noticeableLoss || p.missedFor(now) >= throttleInterval)
+}
+
 // throttleFillers adjusts the speed limits of a worker's fillers to the latencies of
 // its serving tasks.
 func (e *Engine) throttleFillers(now Moment, n *node) {
@@ -112,10 +127,12 @@
 	}
 	missed := n.missedTargets()
 	n.throttle.update(now.Steady, len(missed) > 0)
-	if now.Steady-n.throttle.changedAt < throttleInterval {
+	isHalted := n.throttle.missedFor(now.Steady) >= e.cfg.haltAfter()
+	// A halt that is due does not wait: with the time until the miss was reported, the harm time is
+	// nearly over.
+	if now.Steady-n.throttle.changedAt < throttleInterval && !isHalted {
 		return
 	}
-	isHalted := n.throttle.missedFor(now.Steady) >= e.cfg.haltAfter()
 	if isHalted && !n.throttle.isHalted {
 		e.recordEvent(EventRecord{Event: EventFillersHalted, Worker: n.worker.ID, Count: len(missed), Waited: n.throttle.missedFor(now.Steady)})
 	}
