Refuse no job in an outage whose earlier submission may have been accepted

Cause: while the store is silent, a retry of a job whose first write got no answer was refused with 503, which says that the job was not accepted.

--- a/request/intake/jobs.go
+++ b/request/intake/jobs.go
@@ -178,6 +178,9 @@
 
 func (a *JobAPI) submit(ctx context.Context, flow *heatherhub.Workflow, table *queues.Table) error {
 	isStored, err := a.checkStore(ctx, flow.ID)
+	if err != nil && !a.inFlight.isOnly(a.cfg.Clock.Now().Steady, flow.ID) {
+		err = heatherhub.ErrUnknown.Wrap(err, "the job may have been accepted: send it again with the same id")
+	}
 	if err != nil {
 		a.cfg.Log.Info("job refused", zap.String("job", string(flow.ID)), zap.String("why", "store silent"))
 	}
