--- a/process/owner/lost_answer_test.go
+++ b/process/owner/lost_answer_test.go
@@ -22,7 +22,7 @@
 				}
 				time.Sleep(time.Second)
 				deaf := site.currentOwner()
-				site.loseAnswers(deaf, 0.6+0.4*rnd.Float64(), rnd)
+				site.loseAnswers(deaf, 0.6+0.4*rnd.Float64(), rand.New(rand.NewPCG(seed, 17)))
 				time.Sleep(time.Duration(6000+rnd.IntN(6000)) * time.Millisecond)
 				site.loseAnswers(deaf, 0, nil)
 				time.Sleep(12 * time.Second)
