Show that a job runs after its client was told that there is none

Cause: a DELETE of a job whose record is absent is answered 410 and writes nothing, so the condition of a write that was not answered still holds.

Tried: two writes of one job are lost and done 5.5 s late; the client gets 504, withdraws the job and gets 410.

--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -11,11 +11,9 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -45,31 +43,24 @@
 	frontPort = "7000"
 )
 
-// site is a small deployment: hosts as real processes, the store and the workers.
+// site is a small deployment: the store, the workers and the settings of the hosts, which play.sh
+// starts as processes.
 type site struct {
 	*world
 	record *record
 	dir    string
-	hosts  []*hostProcess
 	front  []string
 	store  *standin.Store
 	// storeAddress is where the hosts reach the store.
 	storeAddress string
 	proxy        *storeProxy
+	losing       *losingStore
 	server       *http.Server
 	group        conc.WaitGroup
 	hold         net.Listener
 }
 
-type hostProcess struct {
-	cmd      *exec.Cmd
-	exited   chan struct{}
-	ip       string
-	settings string
-	log      string
-}
-
-// newSite starts the store, the workers and the hosts.
+// newSite starts the store and the workers, and has the hosts started.
 func newSite(r *record, dir string, hosts, workers int) (*site, error) {
 	store := standin.NewStore()
 	s := &site{record: r, dir: dir, store: store, world: newWorld(r, store)}
@@ -78,7 +69,8 @@
 		return nil, err
 	}
 	s.storeAddress = l.Addr().String()
-	s.server = &http.Server{Handler: store, ReadHeaderTimeout: 5 * time.Second}
+	s.losing = &losingStore{Store: store, record: r, done: s.done}
+	s.server = &http.Server{Handler: s.losing, ReadHeaderTimeout: 5 * time.Second}
 	s.group.Go(func() { _ = s.server.Serve(l) })
 	s.group.Go(s.runClock)
 	if s.proxy, err = newStoreProxy(s.storeAddress); err != nil {
@@ -98,11 +90,12 @@
 		return s, err
 	}
 	for i := range hosts {
-		if err := s.startHost(i, fmt.Sprintf("%s.%d", network, i+1)); err != nil {
+		if err := s.writeSettings(i, fmt.Sprintf("%s.%d", network, i+1)); err != nil {
 			return s, err
 		}
 	}
-	return s, nil
+	// play.sh starts the hosts once this file is there.
+	return s, os.WriteFile(filepath.Join(dir, "ready"), nil, 0o600)
 }
 
 // configuration is the operator's configuration, with the route that the clients use or without it.
@@ -151,8 +144,8 @@
 	return "", fmt.Errorf("no free loopback addresses")
 }
 
-func (s *site) startHost(i int, ip string) error {
-	h := &hostProcess{ip: ip, settings: filepath.Join(s.dir, fmt.Sprintf("host-%d.conf", i)), log: filepath.Join(s.dir, fmt.Sprintf("host-%d.log", i))}
+// writeSettings writes the settings file of a host.
+func (s *site) writeSettings(i int, ip string) error {
 	lines := []string{
 		fmt.Sprintf("node_name=frontend-%s-%d", zoneOf(i), i), "role=host", "machine_class=frontend", "serves=frontend", "ip=" + ip,
 		"zone=" + zoneOf(i), "region=here", "zones.z0=here", "zones.z1=here", "zones.z2=here",
@@ -169,43 +162,14 @@
 		"platform.writes_per_s=400", "platform.reads_per_s=2000", "platform.history_s=20", "platform.value_bytes=1048576",
 		"platform.ttl_min_ms=1000", "cloud_api.duties=",
 	}
-	if err := os.WriteFile(h.settings, []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
-		return err
-	}
-	s.hosts = append(s.hosts, h)
 	s.front = append(s.front, ip+":"+frontPort)
-	return s.run(h)
+	s.record.write("host %d at %s", i, ip)
+	path := filepath.Join(s.dir, fmt.Sprintf("host-%d.conf", i))
+	return os.WriteFile(path, []byte(strings.Join(lines, "\n")+"\n"), 0o600)
 }
 
-// run starts the process of a host with the command of the deploy file.
-func (s *site) run(h *hostProcess) error {
-	out, err := os.OpenFile(h.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		return err
-	}
-	defer out.Close()
-	cmd := exec.Command("target/heatherhub", "serve")
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "HEATHERHUB_CONFIG=" + h.settings}
-	cmd.Stdout, cmd.Stderr = out, out
-	if err := cmd.Start(); err != nil {
-		return err
-	}
-	exited := make(chan struct{})
-	h.cmd, h.exited = cmd, exited
-	s.group.Go(func() {
-		_ = cmd.Wait()
-		close(exited)
-	})
-	s.record.write("host %s starts", h.ip)
-	return nil
-}
-
-// close ends all processes and servers.
+// close ends all servers.
 func (s *site) close() {
-	for _, h := range s.hosts {
-		_ = h.cmd.Process.Signal(syscall.SIGKILL)
-		<-h.exited
-	}
 	close(s.done)
 	s.world.mu.Lock()
 	workers := append([]*worker(nil), s.workers...)
