--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,4 +1,3 @@
 #!/usr/bin/env bash
 # Plays the case; TROUBLE=0 leaves out the disruption.
-cd "$(dirname "$0")/../.."
-exec target/review/standin crashes review/3
+exec "$(dirname "$0")/../play.sh" crashes review/3
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -41,6 +41,8 @@
 	routeHost = "desk.example"
 	prefix    = "/claims/"
 	frontPort = "7000"
+	// maxAttempts is that of most requests of the site.
+	maxAttempts = 3
 )
 
 // site is a small deployment: the store, the workers and the settings of the hosts, which play.sh
@@ -103,7 +105,7 @@
 	route := func(name, prefix string) map[string]any {
 		return map[string]any{
 			"name": name, "host": routeHost, "prefix": prefix, "kind": "non_idempotent", "timeout_ms": 3000,
-			"target_duration_ms": 1000, "priority": 1, "service": "pool", "max_attempts": 3, "stretch": 2,
+			"target_duration_ms": 1000, "priority": 1, "service": "pool", "max_attempts": maxAttempts, "stretch": 2,
 		}
 	}
 	routes := []any{route("r-idle", "/idle/")}
