--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -41,6 +41,7 @@
 	Checkpointing bool  `json:"checkpointing,omitempty"`
 	Gang          bool  `json:"gang,omitempty"`
 	LongRunning   bool  `json:"long_running,omitempty"`
+	AntiAffinity  int   `json:"anti_affinity,omitempty"`
 }
 
 // world has the workers of the deployment and what they have seen.
