Keep a scenario in which two crashes hold all starts back

Cause: tasks that were lost twice start isolated, and an isolated run that lasts keeps all other starts away from its worker for up to 10 s.

Tried: eight jobs that last are lost with their worker twice, 5.6 s apart, on eight workers that are otherwise idle.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,7 +24,7 @@
 )
 
 func main() {
-	cases := map[string]func(*record, string, bool) int{"gang": playGang, "crashes": playCrashes, "silent": playSilent, "withdrawn": playWithdrawn, "starved": playStarved}
+	cases := map[string]func(*record, string, bool) int{"gang": playGang, "crashes": playCrashes, "silent": playSilent, "withdrawn": playWithdrawn, "starved": playStarved, "blocked": playBlocked}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "use: standin CASE FOLDER DIR")
 		os.Exit(exitNotRun)
