--- a/review/play.sh
+++ b/review/play.sh
@@ -30,6 +30,7 @@
 	[ -e "$settings" ] || exit 2
 	HEATHERHUB_CONFIG=$settings target/heatherhub serve >"${settings%.conf}.log" 2>&1 &
 	pids+=("$!")
+	disown "$!"
 done
 wait "$standin"
 code=$?
--- a/review/standin/crashes.go
+++ b/review/standin/crashes.go
@@ -9,14 +9,14 @@
 const (
 	fullJob    = "90c2b7714ae50d36"
 	crashedJob = "2be86f53d0a9147c"
-	// crashAge is the age of the runs at the crashes.
-	crashAge = 400 * time.Millisecond
-	// maxCrashes bounds the crashes of workers.
-	maxCrashes = 6
+	// flaps is the number of times that the two machines crash. They are down for downTime and then up for
+	// upTime, and 0.1 s in which the tasks start again.
+	flaps  = 3
+	upTime = 350 * time.Millisecond
 )
 
-// playCrashes has two of fourteen machines crash now and then, while the others are full. It judges the
-// state that is shown of the job that runs there, none of whose runs ends `failed`.
+// playCrashes has two of fourteen machines go down and up by turns, whatever runs there, while the others
+// are full. It judges the state that is shown of a job of which no run ends `failed`.
 func playCrashes(r *record, dir string, hasTrouble bool) int {
 	s, err := newSite(r, dir, 3, 14)
 	if s != nil {
@@ -35,34 +35,29 @@
 	if !s.submit(crashedJob, step{Count: 2, CPU: 9000, Memory: 2000, Estimated: 12000, Checkpointing: true}) {
 		return exitNotRun
 	}
-	state := ""
-	for crashes := 0; hasTrouble && crashes < maxCrashes && state != "failed"; {
-		var down []*worker
-		isDue := func() bool {
-			runs := s.running(crashedJob)
-			for _, run := range runs {
-				if time.Since(run.startedAt) < crashAge {
-					return false
-				}
-			}
-			return len(runs) > 0
-		}
-		if !await(5*time.Second, isDue) {
-			break
+	if !await(10*time.Second, func() bool { return len(s.running(crashedJob)) == 2 }) {
+		return exitNotRun
+	}
+	runs := s.running(crashedJob)
+	flapping := []*worker{runs[0].worker, runs[1].worker}
+	for flap := 0; hasTrouble && flap < flaps; flap++ {
+		if flap > 0 {
+			// Before the first crash the tasks were started at once, later 0.1 s after the machines are up.
+			time.Sleep(100 * time.Millisecond)
 		}
-		for _, run := range s.running(crashedJob) {
-			down = append(down, run.worker)
-			run.worker.crash()
-			crashes++
+		time.Sleep(upTime)
+		for _, k := range flapping {
+			k.crash()
 		}
-		time.Sleep(time.Second)
-		for _, k := range down {
-			if _, err := s.addWorker(k.index, k.address); err != nil {
+		time.Sleep(downTime)
+		for i, k := range flapping {
+			if flapping[i], err = s.addWorker(k.index, k.address); err != nil {
 				r.write("not run: %v", err)
 				return exitNotRun
 			}
 		}
 	}
+	state := ""
 	await(45*time.Second, func() bool {
 		time.Sleep(time.Second)
 		state = s.state(0, crashedJob)
