Keep a withdrawn job from starting when a lost write of it comes late

Cause: JobAPI.cancelOnce answered that there is no such job from a read alone. The write of the submission, whose answer was lost, still waited at the store, and its preconditions (no record of the job, the configuration unchanged) still held.

Ruled out: the outcomes that a host remembers of its own submissions. They would do for a DELETE at the same host only, and not after a restart of it.

Change: each submission also requires that the key fence/ID is as its host has read it, absent as a rule. A DELETE that finds no record writes that key, under the precondition that there is still none, before it says so. A late write then fails; a job that was accepted meanwhile is found and cancelled. A retry of the submission that arrives after the DELETE finds the fence and is accepted as a cancelled job, with its cancel in the same transaction: a POST of an accepted and cancelled job is answered in the same way. The fences are attached to leases of 5 minutes, so the store removes them.

--- a/process/record/record.go
+++ b/process/record/record.go
@@ -16,11 +16,13 @@
 //   - shard/owner/SHARD: a host that takes over the shard, if the key is absent. The
 //     key is deleted when the host's lease ends.
 //   - fleet/SHARD: the owner, if the owner's key is unchanged.
-//   - job/ID: any host, if the key is absent and the configuration is unchanged.
+//   - job/ID: any host, if the key is absent and the configuration and fence/ID are unchanged.
 //     Later the owner, to move waiting work to another shard, if the owner's key and
 //     the record are unchanged and job/ID/cancel is absent. If runs of the job have ended,
 //     also if progress/ID and the key of the other shard's owner are unchanged.
-//   - job/ID/cancel: any host, if the job's record is unchanged.
+//   - job/ID/cancel: any host, if the job's record is unchanged, or with the record of a job that
+//     was cancelled before.
+//   - fence/ID: any host, if job/ID is absent. The key is deleted when its lease ends.
 //   - progress/ID: the owner, if the owner's key and the record are unchanged.
 //   - load/SHARD and learnt/SHARD: the owner, if the owner's key is unchanged.
 package record
@@ -44,6 +46,7 @@
 	LoadPrefix         = "load/"
 	InterferencePrefix = "learnt/"
 	HostPrefix         = "host/"
+	FencePrefix        = "fence/"
 	cancelSuffix       = "/cancel"
 )
 
@@ -69,6 +72,9 @@
 // CancelKey returns the key whose presence means that a job is cancelled.
 func CancelKey(id heatherhub.JobID) string { return JobPrefix + string(id) + cancelSuffix }
 
+// FenceKey returns the key of a job's Fence.
+func FenceKey(id heatherhub.JobID) string { return FencePrefix + string(id) }
+
 // ProgressKey returns the key of a job's progress.
 func ProgressKey(id heatherhub.JobID) string { return ProgressPrefix + string(id) }
 
@@ -88,6 +94,14 @@
 	Nonce string `msgpack:"nonce" json:"nonce"`
 }
 
+// Fence invalidates the submissions of a job whose answers were lost: each submission requires
+// the revision of the fence that its host has read, or that there is none.
+type Fence struct {
+	// IsCancelled means that the job was cancelled while it had no record. A later submission
+	// of it is accepted as a cancelled job.
+	IsCancelled bool `msgpack:"c,omitempty" json:"cancelled,omitempty"`
+}
+
 // Fleet lists the workers on which runs of the shard may be active.
 type Fleet struct {
 	Workers []FleetWorker `msgpack:"w" json:"workers"`
--- /dev/null
+++ b/request/intake/fence.go
@@ -0,0 +1,200 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/connection/ledger"
+	"heatherhub.example/heatherhub/process/record"
+)
+
+const (
+	// fenceTTL is the time to live of the leases of fences. Late writes take effect within
+	// seconds, and callers repeat a submission within its deadlines.
+	fenceTTL = 5 * time.Minute
+	// maxFenceLeaseAge is the age up to which a lease is used for new fences.
+	maxFenceLeaseAge = 2 * time.Minute
+	// maxFenceAttempts bounds the attempts to write a fence whose lease has ended.
+	maxFenceAttempts = 2
+)
+
+// fences writes the fences of jobs (see record.Fence). It is safe for concurrent use.
+type fences struct {
+	store ledger.Store
+	clock Clock
+
+	mu    sync.Mutex
+	lease ledger.LeaseID
+	// leaseUntil is the steady time up to which lease is used for new fences.
+	leaseUntil time.Duration
+}
+
+// write replaces the fence of a job. It returns a *ledger.ConflictError if the job has a record.
+func (f *fences) write(ctx context.Context, id heatherhub.JobID, fence record.Fence) error {
+	value, err := record.Encode(fence)
+	if err != nil {
+		return err
+	}
+	for range maxFenceAttempts {
+		lease, err := f.currentLease(ctx)
+		if err != nil {
+			return err
+		}
+		_, err = f.store.Commit(ctx, ledger.Txn{
+			Preconditions: []ledger.Precondition{{Key: record.JobKey(id)}},
+			Puts:          []ledger.Put{{Key: record.FenceKey(id), Value: value, Lease: lease}},
+		})
+		if heatherhub.CodeOf(err) != heatherhub.CodeNotFound {
+			return err
+		}
+		f.dropLease(lease)
+	}
+	return heatherhub.ErrUnavailable.New("the leases of fences end at once: try again later")
+}
+
+// currentLease returns a lease for a new fence. It returns heatherhub.ErrUnavailable if there is
+// none.
+func (f *fences) currentLease(ctx context.Context) (ledger.LeaseID, error) {
+	now := f.clock.Now().Steady
+	f.mu.Lock()
+	lease := f.lease
+	if now >= f.leaseUntil {
+		lease = 0
+	}
+	f.mu.Unlock()
+	if lease != 0 {
+		return lease, nil
+	}
+	lease, _, err := f.store.GrantLease(ctx, fenceTTL)
+	if err != nil {
+		return 0, heatherhub.ErrUnavailable.Wrap(err, "no lease from the store: try again later")
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lease, f.leaseUntil = lease, now+maxFenceLeaseAge
+	return lease, nil
+}
+
+// dropLease forgets a lease that has ended, unless another one has replaced it.
+func (f *fences) dropLease(lease ledger.LeaseID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lease == lease {
+		f.lease = 0
+	}
+}
+
+// submission is a job to be written.
+type submission struct {
+	id    heatherhub.JobID
+	value []byte
+	// tableKey and tableRevision are the key and the revision of the configuration that the
+	// submission relies on.
+	tableKey      string
+	tableRevision ledger.Revision
+}
+
+// txn returns the transaction that writes the job if it has no record and the configuration and the
+// fence are unchanged. A job that was cancelled is written with its cancel.
+func (s *submission) txn(fence ledger.Item) (ledger.Txn, error) {
+	txn := ledger.Txn{
+		Preconditions: []ledger.Precondition{
+			{Key: record.JobKey(s.id)}, {Key: record.FenceKey(s.id), Revision: fence.Revision}, {Key: s.tableKey, Revision: s.tableRevision},
+		},
+		Puts:             []ledger.Put{{Key: record.JobKey(s.id), Value: s.value}},
+		MaxConflictBytes: maxConflictBytes,
+	}
+	if fence.Revision == 0 {
+		return txn, nil
+	}
+	var f record.Fence
+	if err := heatherhub.Unmarshal(fence.Value, &f); err != nil {
+		return txn, heatherhub.ErrUnavailable.Wrap(err, "the fence of job %s is unreadable: try again later", s.id)
+	}
+	if f.IsCancelled {
+		txn.Puts = append(txn.Puts, ledger.Put{Key: record.CancelKey(s.id), Value: []byte{}})
+	}
+	return txn, nil
+}
+
+// maxCommitAttempts bounds the attempts to write a job: one, one after a lost reply, and two whose fence
+// has changed meanwhile.
+const maxCommitAttempts = 4
+
+// errMayBeAccepted returns heatherhub.ErrUnknown for a submission that may take effect.
+func errMayBeAccepted(cause error) error {
+	const message = "the job may have been accepted: send it again with the same id"
+	if cause == nil {
+		return heatherhub.ErrUnknown.New(message)
+	}
+	return heatherhub.ErrUnknown.Wrap(cause, message)
+}
+
+// commit writes a job. If the reply is lost, a second attempt finds out whether the first one took
+// effect, because the job's key then exists. If the job has a fence, the next attempt requires its
+// revision.
+func (a *JobAPI) commit(ctx context.Context, s submission) error {
+	var fence ledger.Item
+	// isOpen means that an earlier attempt may still take effect.
+	isOpen := false
+	for range maxCommitAttempts {
+		txn, err := s.txn(fence)
+		if err == nil {
+			_, err = a.commitOnce(ctx, txn)
+		}
+		var conflict *ledger.ConflictError
+		switch {
+		case heatherhub.IsUnknown(err) && !isOpen && ctx.Err() == nil:
+			isOpen = true
+			continue
+		case errors.As(err, &conflict):
+		case err != nil && (isOpen || heatherhub.IsUnknown(err)):
+			return errMayBeAccepted(err)
+		default:
+			return err
+		}
+		job, found, err := a.readConflict(ctx, conflict, s.id)
+		switch {
+		case err != nil:
+			return errMayBeAccepted(err)
+		case job.Revision > 0:
+			return nil
+		case found.Revision != fence.Revision:
+			// The fence has invalidated the earlier attempts.
+			fence, isOpen = found, false
+		case isOpen:
+			return errMayBeAccepted(nil)
+		default:
+			return ErrTableChanged.New("the configuration has changed: look up the queue again")
+		}
+	}
+	if isOpen {
+		return errMayBeAccepted(nil)
+	}
+	return heatherhub.ErrUnavailable.New("job %s is being cancelled or refused at the same time: try again", s.id)
+}
+
+// readConflict returns the record and the fence of a job after a failed precondition. It reads them
+// if the conflict lacks its items.
+func (a *JobAPI) readConflict(ctx context.Context, c *ledger.ConflictError, id heatherhub.JobID) (job, fence ledger.Item, err error) {
+	if !c.IsIncomplete {
+		return c.Find(record.JobKey(id)), c.Find(record.FenceKey(id)), nil
+	}
+	// A job that is written between the reads is found by the next attempt.
+	if job, err = a.cfg.Store.Get(ctx, record.JobKey(id)); err != nil || job.Revision > 0 {
+		return job, fence, err
+	}
+	fence, err = a.cfg.Store.Get(ctx, record.FenceKey(id))
+	return job, fence, err
+}
+
+func (a *JobAPI) commitOnce(ctx context.Context, txn ledger.Txn) (ledger.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	rev, err := a.cfg.Store.Commit(ctx, txn)
+	a.recordStoreResult(err)
+	return rev, err
+}
--- /dev/null
+++ b/request/intake/fence_test.go
@@ -0,0 +1,140 @@
+package intake_test
+
+import (
+	"context"
+	"maps"
+	"testing"
+	"time"
+
+	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/connection/ledger"
+	"heatherhub.example/heatherhub/process/record"
+	"heatherhub.example/heatherhub/request/intake"
+)
+
+// lateStore is a store that several hosts share. While holdsWrites is set, commits get no answer, and
+// take effect in releaseWrites if their preconditions still hold.
+type lateStore struct {
+	ledger.Store
+	revision    ledger.Revision
+	items       map[string]ledger.Item
+	leases      map[ledger.LeaseID]bool
+	holdsWrites bool
+	held        []ledger.Txn
+	// beforeCommit, if set, is called once, before the next commit.
+	beforeCommit func()
+}
+
+func newLateStore() *lateStore {
+	return &lateStore{revision: 5, items: map[string]ledger.Item{tableKey: {Key: tableKey, Revision: 5}}, leases: make(map[ledger.LeaseID]bool)}
+}
+
+func (s *lateStore) Get(_ context.Context, key string) (ledger.Item, error) {
+	return s.items[key], nil
+}
+
+func (s *lateStore) GrantLease(_ context.Context, ttl time.Duration) (ledger.LeaseID, time.Duration, error) {
+	id := ledger.LeaseID(len(s.leases) + 1)
+	s.leases[id] = true
+	return id, ttl, nil
+}
+
+// endLeases ends all leases and deletes the keys attached to them.
+func (s *lateStore) endLeases() {
+	clear(s.leases)
+	s.leases[0] = true
+	maps.DeleteFunc(s.items, func(_ string, it ledger.Item) bool { return it.Lease > 0 })
+}
+
+func (s *lateStore) Commit(_ context.Context, txn ledger.Txn) (ledger.Revision, error) {
+	if f := s.beforeCommit; f != nil {
+		s.beforeCommit = nil
+		f()
+	}
+	if s.holdsWrites {
+		s.held = append(s.held, txn)
+		return 0, heatherhub.ErrUnknown.New("no reply")
+	}
+	return s.apply(txn)
+}
+
+func (s *lateStore) apply(txn ledger.Txn) (ledger.Revision, error) {
+	conflict := &ledger.ConflictError{}
+	isSatisfied := true
+	for _, r := range txn.Preconditions {
+		it := s.items[r.Key]
+		if it.Revision > 0 {
+			conflict.Items = append(conflict.Items, it)
+		}
+		isSatisfied = isSatisfied && it.Revision == r.Revision
+	}
+	if !isSatisfied {
+		return 0, conflict
+	}
+	for _, p := range txn.Puts {
+		if p.Lease > 0 && !s.leases[p.Lease] {
+			return 0, heatherhub.ErrNotFound.New("lease %d has ended", p.Lease)
+		}
+	}
+	s.revision++
+	for _, p := range txn.Puts {
+		s.items[p.Key] = ledger.Item{Key: p.Key, Value: p.Value, Revision: s.revision, Lease: p.Lease}
+	}
+	return s.revision, nil
+}
+
+// releaseWrites carries out the held commits.
+func (s *lateStore) releaseWrites() {
+	s.holdsWrites = false
+	for _, txn := range s.held {
+		_, _ = s.apply(txn)
+	}
+	s.held = nil
+}
+
+// startsTasks reports whether the owner of the job's shard would start its tasks.
+func (s *lateStore) startsTasks(id heatherhub.JobID) bool {
+	return s.items[record.JobKey(id)].Revision > 0 && s.items[record.CancelKey(id)].Revision == 0
+}
+
+// TestWithdrawnJobStaysWithdrawn guards against a job that starts after its cancel was answered with "no
+// such job", since a submission whose answer was lost takes effect later, or a retry of it arrives.
+func TestWithdrawnJobStaysWithdrawn(t *testing.T) {
+	flow := newWorkflow()
+	for name, isOtherHost := range map[string]bool{"cancelled at the same host": false, "cancelled at another host": true} {
+		t.Run(name, func(t *testing.T) {
+			s, clock := newLateStore(), &testClock{now: time.Minute}
+			first := newHostAPI(s, clock, nil)
+			second := first
+			if isOtherHost {
+				second = newHostAPI(s, clock, nil)
+			}
+			s.holdsWrites = true
+			if err := first.Submit(t.Context(), newWorkflow(), table); !heatherhub.IsUnknown(err) {
+				t.Fatalf("got error %v, want an unknown outcome", err)
+			}
+			held := s.held
+			s.held, s.holdsWrites = nil, false
+			for range 2 {
+				if err := second.Cancel(t.Context(), flow.ID); heatherhub.CodeOf(err) != heatherhub.CodeNotFound {
+					t.Fatalf("got error %v, want no such job", err)
+				}
+			}
+			s.held = held
+			s.releaseWrites()
+			if s.startsTasks(flow.ID) {
+				t.Error("got the job's tasks started by the late write, want none after the cancel")
+			}
+			for name, api := range map[string]*intake.JobAPI{"first": first, "second": second} {
+				clock.now += time.Second
+				if err := api.Submit(t.Context(), newWorkflow(), table); err != nil {
+					t.Errorf("%s host: got error %v for a retry of the submission, want it accepted as a cancelled job", name, err)
+				}
+			}
+			s.endLeases()
+			if s.items[record.JobKey(flow.ID)].Revision == 0 || s.startsTasks(flow.ID) {
+				t.Error("got no cancelled job after a retry of the submission")
+			}
+		})
+	}
+}
--- a/request/intake/intake_test.go
+++ b/request/intake/intake_test.go
@@ -45,6 +45,10 @@
 	return s.items[key], s.getErr
 }
 
+func (s *scriptedStore) GrantLease(_ context.Context, ttl time.Duration) (ledger.LeaseID, time.Duration, error) {
+	return 1, ttl, nil
+}
+
 // apply checks the preconditions of a transaction and writes its puts with revision 9.
 func (s *scriptedStore) apply(txn ledger.Txn) (ledger.Revision, error) {
 	conflict := &ledger.ConflictError{}
@@ -83,6 +87,11 @@
 
 func newAdmittingAPI(s *scriptedStore, clock *testClock, admission *intake.Admission) *intake.JobAPI {
 	s.items = map[string]ledger.Item{tableKey: {Key: tableKey, Revision: 5}}
+	return newHostAPI(s, clock, admission)
+}
+
+// newHostAPI returns an API over a store, with one shard.
+func newHostAPI(s ledger.Store, clock *testClock, admission *intake.Admission) *intake.JobAPI {
 	view := &owner.View{
 		Layout: record.Layout{Shards: []record.ShardSize{{Shard: heatherhub.ShardID{Domain: record.SiteDomain}, CPU: 1000}}},
 		Owners: map[heatherhub.ShardID]record.Owner{},
--- a/request/intake/jobs.go
+++ b/request/intake/jobs.go
@@ -62,6 +62,7 @@
 	// has succeeded or MarkStoreAvailable was called since.
 	lastFailureAt atomic.Int64
 	inFlight      inFlight
+	fences        fences
 }
 
 // Timeouts and intervals for an unresponsive store.
@@ -123,7 +124,7 @@
 
 // New returns a JobAPI that assumes that the store is available.
 func New(cfg Config) *JobAPI {
-	return &JobAPI{cfg: cfg}
+	return &JobAPI{cfg: cfg, fences: fences{store: cfg.Store, clock: cfg.Clock}}
 }
 
 // ErrTableChanged means that the configuration was replaced after the caller read
@@ -179,7 +180,7 @@
 func (a *JobAPI) submit(ctx context.Context, flow *heatherhub.Workflow, table *queues.Table) error {
 	isStored, err := a.checkStore(ctx, flow.ID)
 	if err != nil && !a.inFlight.isOnly(a.cfg.Clock.Now().Steady, flow.ID) {
-		err = heatherhub.ErrUnknown.Wrap(err, "the job may have been accepted: send it again with the same id")
+		err = errMayBeAccepted(err)
 	}
 	if err != nil {
 		a.cfg.Log.Info("job refused", zap.String("job", string(flow.ID)), zap.String("why", "store silent"))
@@ -203,15 +204,8 @@
 	if err != nil {
 		return err
 	}
-	key := record.JobKey(flow.ID)
-	txn := ledger.Txn{
-		Preconditions: []ledger.Precondition{{Key: key}, {Key: a.cfg.TableKey, Revision: table.Revision}},
-		Puts:          []ledger.Put{{Key: key, Value: value}},
-
-		MaxConflictBytes: maxConflictBytes,
-	}
 	started := time.Now()
-	err = a.commit(ctx, txn, key)
+	err = a.commit(ctx, submission{id: flow.ID, value: value, tableKey: a.cfg.TableKey, tableRevision: table.Revision})
 	a.cfg.Log.Info("job submitted", zap.String("job", string(flow.ID)), zap.String("queue", string(flow.Queue)),
 		zap.Stringer("shard", shard), zap.Uint64("version", uint64(table.Version)),
 		zap.Duration("took", time.Since(started)), zap.String("outcome", outcomeOf(err)), zap.Error(err))
@@ -239,7 +233,7 @@
 		zap.Bool("accepted", it.Revision > 0), zap.Error(err))
 	switch {
 	case err != nil:
-		return false, heatherhub.ErrUnknown.Wrap(err, "the job may have been accepted: send it again with the same id")
+		return false, errMayBeAccepted(err)
 	case it.Revision > 0:
 		return true, nil
 	case !a.inFlight.isOnly(a.cfg.Clock.Now().Steady, flow.ID):
@@ -249,52 +243,13 @@
 	}
 }
 
-// commit writes a job. If the reply is lost, a second attempt finds out whether the
-// first one took effect, because the job's key then exists.
-func (a *JobAPI) commit(ctx context.Context, txn ledger.Txn, key string) error {
-	_, err := a.commitOnce(ctx, txn)
-	isUnknown := heatherhub.IsUnknown(err)
-	if isUnknown && ctx.Err() == nil {
-		_, err = a.commitOnce(ctx, txn)
-	}
-	var conflict *ledger.ConflictError
-	if errors.As(err, &conflict) && conflict.IsIncomplete {
-		it, getErr := a.cfg.Store.Get(ctx, key)
-		if getErr != nil {
-			return heatherhub.ErrUnknown.Wrap(getErr, "the job may have been accepted: send it again with the same id")
-		}
-		conflict = &ledger.ConflictError{Items: []ledger.Item{it}}
-		err = conflict
-	}
-	switch {
-	case errors.As(err, &conflict) && conflict.Find(key).Revision > 0:
-		return nil
-	case errors.As(err, &conflict):
-		if isUnknown {
-			return heatherhub.ErrUnknown.New("the job may have been accepted: send it again with the same id")
-		}
-		return ErrTableChanged.New("the configuration has changed: look up the queue again")
-	case err != nil && isUnknown:
-		return heatherhub.ErrUnknown.Wrap(err, "the job may have been accepted: send it again with the same id")
-	default:
-		return err
-	}
-}
-
-func (a *JobAPI) commitOnce(ctx context.Context, txn ledger.Txn) (ledger.Revision, error) {
-	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
-	defer cancel()
-	rev, err := a.cfg.Store.Commit(ctx, txn)
-	a.recordStoreResult(err)
-	return rev, err
-}
-
 // maxCancelAttempts bounds the attempts to cancel a job that moves between shards.
 const maxCancelAttempts = 4
 
 // Cancel writes the cancel of a job to the store. It returns heatherhub.ErrNotFound
-// if the job does not exist, and heatherhub.ErrUnavailable if every attempt
-// conflicted with a change of the job's record; nothing was written then.
+// if the job does not exist; no submission of it starts any task then. It returns
+// heatherhub.ErrUnavailable if the store was not reached or every attempt conflicted with a
+// change of the job's record; nothing was written then.
 func (a *JobAPI) Cancel(ctx context.Context, id heatherhub.JobID) error {
 	var err error
 	for range maxCancelAttempts {
@@ -303,8 +258,8 @@
 		if !errors.As(err, &conflict) {
 			break
 		}
-		// The job moved to another shard between the read and the write.
-		err = heatherhub.ErrUnavailable.New("job %s was moving to another shard: try again", id)
+		// The job was accepted or moved to another shard between the read and the write.
+		err = heatherhub.ErrUnavailable.New("job %s has changed at the same time: try again", id)
 	}
 	a.cfg.Log.Info("job cancelled", zap.String("job", string(id)), zap.String("outcome", outcomeOf(err)), zap.Error(err))
 	return err
@@ -316,6 +271,10 @@
 		return err
 	}
 	if it.Revision == 0 {
+		// A submission without an answer, at any host, must not take effect after this one.
+		if err := a.fences.write(ctx, id, record.Fence{IsCancelled: true}); err != nil {
+			return err
+		}
 		return heatherhub.ErrNotFound.New("there is no job %s", id)
 	}
 	_, err = a.cfg.Store.Commit(ctx, ledger.Txn{
