Apply the cancel of a job after its record, whatever their order

Callers would see: a job that was accepted as cancelled starts all the same.

Cause: the owner ignores the cancel of a job that it does not know, since a cancel could only be written after the job's record. If the cancel comes first, it was lost.

Ruled out: keeping the cancels of unknown jobs in the engine; they would need a limit and an age, and both events of a transaction come in the same answer of a watch.

Change: applyJobChanges adds the jobs of an answer before it applies the cancels, as the takeover does already.

--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -413,22 +413,27 @@
 	t.engine.SetRoomStale(isStale || isUnknown)
 }
 
-// applyJobChanges applies new jobs and cancellations. Deletions of keys are ignored: the
-// owner deletes expired jobs itself.
+// applyJobChanges applies new jobs and cancellations. The jobs go first, as the engine ignores the
+// cancel of a job that it does not know. Deletions of keys are ignored: the owner deletes expired
+// jobs itself.
 func (t *term) applyJobChanges(events []ledger.Event) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	var cancels []heatherhub.JobID
 	for _, e := range events {
 		t.jobsRead = max(t.jobsRead, e.Revision)
 		id, isCancel := record.ParseJobKey(e.Key)
 		switch {
 		case e.Deleted:
 		case isCancel:
-			t.cancelJob(id)
+			cancels = append(cancels, id)
 		default:
 			t.addJob(e.Item, ledger.Item{}, dispatch.OriginNew)
 		}
 	}
+	for _, id := range cancels {
+		t.cancelJob(id)
+	}
 	signal(t.wakeDecide)
 }
 
