Invalidate the open writes of a job before it is refused

Callers would see: a POST gets no answer or 504, its retry at another host gets 429 or 503, which says that the job was not accepted and never runs, and seconds later its tasks start.

A host that refuses a job by the estimate of its end, or since its pool is evacuated, reads that the job has no record. It knows the open writes of its own submissions only, and those for 5 s, while the store may carry out a write 6 s late.

Ruled out: asking the other hosts, as one that was killed does not answer; and a 504 instead of the refusal, which would have callers wait that can be told at once.

Change: a refusal writes the fence of the job instead of reading its record, which takes one call as before. The next submission of the job requires the revision of the fence. An attempt whose first write got no answer and that finds a new fence is refused itself, as that fence may be of a refusal elsewhere. A refusal leaves the fence of a cancelled job as it is.

Tests: TestRefusalIsTrue and TestJobsOfEvacuatedPoolAreRefused counted all writes, to show that a refused job is not written. They now look for the job's record, which shows the same, since a refusal writes the fence.

Measured: TestRefusedJobStaysRefused failed before ("got the refused job accepted by the late write") and passes.

--- a/request/intake/admission_test.go
+++ b/request/intake/admission_test.go
@@ -173,8 +173,8 @@
 	s := &scriptedStore{}
 	api := newAdmittingAPI(s, clock, newAdmission(clock, map[heatherhub.ShardID]record.Load{north: full, south: full}))
 	err := api.Submit(t.Context(), newBatch("new"), table)
-	if !heatherhub.DidNotRun(err) || heatherhub.RetryAfter(err) < time.Second || s.calls > 0 {
-		t.Errorf("got error %v after %d writes, want a refusal without a write", err, s.calls)
+	if it := s.items[record.JobKey("new")]; !heatherhub.DidNotRun(err) || heatherhub.RetryAfter(err) < time.Second || it.Revision > 0 {
+		t.Errorf("got error %v, job at revision %d, want a refusal without a write of the job", err, it.Revision)
 	}
 	s.items[record.JobKey("old")] = ledger.Item{Key: record.JobKey("old"), Revision: 7}
 	if err := api.Submit(t.Context(), newBatch("old"), table); err != nil {
--- a/request/intake/fence.go
+++ b/request/intake/fence.go
@@ -17,8 +17,10 @@
 	fenceTTL = 5 * time.Minute
 	// maxFenceLeaseAge is the age up to which a lease is used for new fences.
 	maxFenceLeaseAge = 2 * time.Minute
-	// maxFenceAttempts bounds the attempts to write a fence whose lease has ended.
-	maxFenceAttempts = 2
+	// maxLeaseAttempts bounds the attempts to write a fence whose lease has ended.
+	maxLeaseAttempts = 2
+	// maxFenceAttempts bounds the attempts to write a fence that others write as well.
+	maxFenceAttempts = 3
 )
 
 // fences writes the fences of jobs (see record.Fence). It is safe for concurrent use.
@@ -32,19 +34,57 @@
 	leaseUntil time.Duration
 }
 
-// write replaces the fence of a job. It returns a *ledger.ConflictError if the job has a record.
-func (f *fences) write(ctx context.Context, id heatherhub.JobID, fence record.Fence) error {
+// cancel fences a job as cancelled. It returns a *ledger.ConflictError if the job has a record.
+func (f *fences) cancel(ctx context.Context, id heatherhub.JobID) error {
+	return f.write(ctx, id, record.Fence{IsCancelled: true})
+}
+
+// refuse invalidates the submissions of a job, unless it is fenced as cancelled. It reports true if
+// the job has a record.
+func (f *fences) refuse(ctx context.Context, id heatherhub.JobID) (isAccepted bool, err error) {
+	var current ledger.Item
+	for range maxFenceAttempts {
+		err = f.write(ctx, id, record.Fence{}, ledger.Precondition{Key: record.FenceKey(id), Revision: current.Revision})
+		var conflict *ledger.ConflictError
+		if !errors.As(err, &conflict) {
+			return false, err
+		}
+		if conflict.Find(record.JobKey(id)).Revision > 0 {
+			return true, nil
+		}
+		current = conflict.Find(record.FenceKey(id))
+		if isCancelled, err := isCancelled(current); err != nil || isCancelled {
+			return false, err
+		}
+	}
+	return false, err
+}
+
+// isCancelled reports whether a fence says that its job was cancelled. The item may be absent.
+func isCancelled(it ledger.Item) (bool, error) {
+	if it.Revision == 0 {
+		return false, nil
+	}
+	var fence record.Fence
+	if err := heatherhub.Unmarshal(it.Value, &fence); err != nil {
+		return false, heatherhub.ErrUnavailable.Wrap(err, "%s is unreadable: try again later", it.Key)
+	}
+	return fence.IsCancelled, nil
+}
+
+// write replaces the fence of a job if the job has no record and the preconditions hold.
+func (f *fences) write(ctx context.Context, id heatherhub.JobID, fence record.Fence, preconditions ...ledger.Precondition) error {
 	value, err := record.Encode(fence)
 	if err != nil {
 		return err
 	}
-	for range maxFenceAttempts {
+	for range maxLeaseAttempts {
 		lease, err := f.currentLease(ctx)
 		if err != nil {
 			return err
 		}
 		_, err = f.store.Commit(ctx, ledger.Txn{
-			Preconditions: []ledger.Precondition{{Key: record.JobKey(id)}},
+			Preconditions: append([]ledger.Precondition{{Key: record.JobKey(id)}}, preconditions...),
 			Puts:          []ledger.Put{{Key: record.FenceKey(id), Value: value, Lease: lease}},
 		})
 		if heatherhub.CodeOf(err) != heatherhub.CodeNotFound {
@@ -107,17 +147,11 @@
 		Puts:             []ledger.Put{{Key: record.JobKey(s.id), Value: s.value}},
 		MaxConflictBytes: maxConflictBytes,
 	}
-	if fence.Revision == 0 {
-		return txn, nil
-	}
-	var f record.Fence
-	if err := heatherhub.Unmarshal(fence.Value, &f); err != nil {
-		return txn, heatherhub.ErrUnavailable.Wrap(err, "the fence of job %s is unreadable: try again later", s.id)
-	}
-	if f.IsCancelled {
+	isCancelled, err := isCancelled(fence)
+	if isCancelled {
 		txn.Puts = append(txn.Puts, ledger.Put{Key: record.CancelKey(s.id), Value: []byte{}})
 	}
-	return txn, nil
+	return txn, err
 }
 
 // maxCommitAttempts bounds the attempts to write a job: one, one after a lost reply, and two whose fence
@@ -162,19 +196,18 @@
 			return errMayBeAccepted(err)
 		case job.Revision > 0:
 			return nil
+		case found.Revision != fence.Revision && isOpen:
+			// The fence has invalidated the earlier attempt, so a refusal elsewhere stands.
+			return heatherhub.WithRetryAfter(heatherhub.ErrUnavailable.New("job %s was refused or cancelled at the same time: try again", s.id), outageRetryAfter)
 		case found.Revision != fence.Revision:
-			// The fence has invalidated the earlier attempts.
-			fence, isOpen = found, false
+			fence = found
 		case isOpen:
 			return errMayBeAccepted(nil)
 		default:
 			return ErrTableChanged.New("the configuration has changed: look up the queue again")
 		}
 	}
-	if isOpen {
-		return errMayBeAccepted(nil)
-	}
-	return heatherhub.ErrUnavailable.New("job %s is being cancelled or refused at the same time: try again", s.id)
+	return errMayBeAccepted(nil)
 }
 
 // readConflict returns the record and the fence of a job after a failed precondition. It reads them
--- a/request/intake/fence_test.go
+++ b/request/intake/fence_test.go
@@ -138,3 +138,86 @@
 		})
 	}
 }
+
+// TestRefusedJobStaysRefused guards against a job that runs after a host has refused it, since a
+// submission at another host, whose answer was lost, takes effect later. The caller may submit it again.
+func TestRefusedJobStaysRefused(t *testing.T) {
+	clock := &testClock{now: time.Minute}
+	full := waitingLoad(clock, time.Minute, 0)
+	admission := newAdmission(clock, map[heatherhub.ShardID]record.Load{north: full, south: full})
+	s := newLateStore()
+	first, busy := newHostAPI(s, clock, nil), newHostAPI(s, clock, admission)
+	for round := range 2 {
+		s.holdsWrites = true
+		if err := first.Submit(t.Context(), newBatch("j"), table); !heatherhub.IsUnknown(err) {
+			t.Fatalf("got error %v, want an unknown outcome", err)
+		}
+		held := s.held
+		s.held, s.holdsWrites = nil, false
+		if err := busy.Submit(t.Context(), newBatch("j"), table); !heatherhub.DidNotRun(err) {
+			t.Fatalf("got error %v, want a refusal", err)
+		}
+		s.held = held
+		s.releaseWrites()
+		if s.startsTasks("j") {
+			t.Fatalf("round %d: got the refused job accepted by the late write", round)
+		}
+		clock.now += time.Second
+	}
+	var held []ledger.Txn
+	s.beforeCommit = func() {
+		s.holdsWrites = true
+		s.beforeCommit = func() {
+			held, s.held, s.holdsWrites = s.held, nil, false
+			_ = busy.Submit(t.Context(), newBatch("j"), table)
+		}
+	}
+	err := first.Submit(t.Context(), newBatch("j"), table)
+	s.held = held
+	s.releaseWrites()
+	if !heatherhub.DidNotRun(err) || s.startsTasks("j") {
+		t.Errorf("got error %v, tasks started %v for a job that is refused elsewhere during a second attempt, want a refusal", err, s.startsTasks("j"))
+	}
+	clock.now += time.Second
+	if err := first.Submit(t.Context(), newBatch("j"), table); err != nil || !s.startsTasks("j") {
+		t.Errorf("got error %v for a submission after the refusals, want it accepted", err)
+	}
+	if err := busy.Submit(t.Context(), newBatch("j"), table); err != nil {
+		t.Errorf("got error %v for the accepted job at the busy host, want it reported as accepted", err)
+	}
+}
+
+// TestRefusalDoesNotUndoCancel guards against a refused submission that takes the cancel of its job
+// away, so that the next one would start its tasks.
+func TestRefusalDoesNotUndoCancel(t *testing.T) {
+	clock := &testClock{now: time.Minute}
+	full := waitingLoad(clock, time.Minute, 0)
+	s := newLateStore()
+	free := newHostAPI(s, clock, nil)
+	busy := newHostAPI(s, clock, newAdmission(clock, map[heatherhub.ShardID]record.Load{north: full, south: full}))
+	if err := free.Cancel(t.Context(), "j"); heatherhub.CodeOf(err) != heatherhub.CodeNotFound {
+		t.Fatalf("got error %v, want no such job", err)
+	}
+	if err := busy.Submit(t.Context(), newBatch("j"), table); !heatherhub.DidNotRun(err) {
+		t.Errorf("got error %v, want a refusal", err)
+	}
+	if err := free.Submit(t.Context(), newBatch("j"), table); err != nil || s.startsTasks("j") {
+		t.Errorf("got error %v, tasks started %v, want the job accepted as a cancelled one", err, s.startsTasks("j"))
+	}
+}
+
+// TestFenceOutlivesItsLease guards against an answer that there is no such job after a fence that was
+// not written, since the host's lease had ended.
+func TestFenceOutlivesItsLease(t *testing.T) {
+	s := newLateStore()
+	api := newHostAPI(s, &testClock{now: time.Minute}, nil)
+	for _, id := range []heatherhub.JobID{"a", "b"} {
+		if err := api.Cancel(t.Context(), id); heatherhub.CodeOf(err) != heatherhub.CodeNotFound {
+			t.Errorf("got error %v, want no such job", err)
+		}
+		if s.items[record.FenceKey(id)].Lease == 0 {
+			t.Errorf("job %s: got no fence with a lease", id)
+		}
+		s.endLeases()
+	}
+}
--- a/request/intake/intake_test.go
+++ b/request/intake/intake_test.go
@@ -429,8 +429,8 @@
 		if (c.want == "") != (err == nil) || (err != nil && heatherhub.CodeOf(err) != c.want) {
 			t.Errorf("%s: got error %v, want code %q", name, err, c.want)
 		}
-		if err != nil && (s.calls > 0 || heatherhub.RetryAfter(err) <= 0) {
-			t.Errorf("%s: got %d writes and retry after %s, want none and a delay", name, s.calls, heatherhub.RetryAfter(err))
+		if it := s.items[record.JobKey(flow.ID)]; err != nil && (it.Revision > 0 || heatherhub.RetryAfter(err) <= 0) {
+			t.Errorf("%s: got the job at revision %d and retry after %s, want no job and a delay", name, it.Revision, heatherhub.RetryAfter(err))
 		}
 	}
 }
--- a/request/intake/jobs.go
+++ b/request/intake/jobs.go
@@ -151,9 +151,9 @@
 	return err
 }
 
-// refuseLate returns an error for a job that would end too late, unless it was or may still be
-// accepted through another submission. The store is asked about each refused job, as the job
-// may have been accepted by another host. If it does not answer, the write of the job settles
+// refuseLate returns an error for a job that would end too late, unless it was accepted through
+// another submission or this host has another one of it. Each refused job is fenced, as another host
+// may have accepted it or may still do so. If the store does not answer, the write of the job settles
 // the matter.
 func (a *JobAPI) refuseLate(ctx context.Context, flow *heatherhub.Workflow) error {
 	if a.cfg.Admission == nil || !a.inFlight.isOnly(a.cfg.Clock.Now().Steady, flow.ID) {
@@ -165,13 +165,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
-	it, err := a.cfg.Store.Get(ctx, record.JobKey(flow.ID))
+	isAccepted, err := a.fences.refuse(ctx, flow.ID)
 	a.recordStoreResult(err)
 	if err != nil {
-		a.cfg.Log.Info("job not looked up", zap.String("job", string(flow.ID)), zap.Error(err))
+		a.cfg.Log.Info("job not fenced", zap.String("job", string(flow.ID)), zap.Error(err))
 		return nil
 	}
-	if it.Revision > 0 || !a.inFlight.isOnly(a.cfg.Clock.Now().Steady, flow.ID) {
+	if isAccepted || !a.inFlight.isOnly(a.cfg.Clock.Now().Steady, flow.ID) {
 		return nil
 	}
 	return a.cfg.Admission.Refused(flow, r)
@@ -214,8 +214,8 @@
 
 // checkPool returns heatherhub.ErrUnavailable if no worker may take the tasks of the job because of
 // evacuations. It reports true if the job was accepted before: a caller that has missed the answer
-// sends it again, and must not be told that it has not run. If another submission of the job may
-// still take effect, the write of the job settles the matter.
+// sends it again, and must not be told that it has not run. A refused job is fenced. If this host has
+// another submission of the job, the write of the job settles the matter.
 func (a *JobAPI) checkPool(ctx context.Context, flow *heatherhub.Workflow, table *queues.Table) (bool, error) {
 	q := table.Queue(flow.Queue)
 	if q == nil {
@@ -227,14 +227,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
-	it, err := a.cfg.Store.Get(ctx, record.JobKey(flow.ID))
+	isAccepted, err := a.fences.refuse(ctx, flow.ID)
 	a.recordStoreResult(err)
 	a.cfg.Log.Info("job refused", zap.String("job", string(flow.ID)), zap.String("queue", string(flow.Queue)), zap.String("why", "pool evacuated"),
-		zap.Bool("accepted", it.Revision > 0), zap.Error(err))
+		zap.Bool("accepted", isAccepted), zap.Error(err))
 	switch {
 	case err != nil:
 		return false, errMayBeAccepted(err)
-	case it.Revision > 0:
+	case isAccepted:
 		return true, nil
 	case !a.inFlight.isOnly(a.cfg.Clock.Now().Steady, flow.ID):
 		return false, nil
@@ -272,7 +272,7 @@
 	}
 	if it.Revision == 0 {
 		// A submission without an answer, at any host, must not take effect after this one.
-		if err := a.fences.write(ctx, id, record.Fence{IsCancelled: true}); err != nil {
+		if err := a.fences.cancel(ctx, id); err != nil {
 			return err
 		}
 		return heatherhub.ErrNotFound.New("there is no job %s", id)
