Do not say that there is no such job while its write is open

Callers would see: a POST gets 504, a GET of the job at the same host gets 410, which says that no such job exists, and seconds later the job runs. A caller that submits the work under another id has it done twice.

Cause: JobAPI.State reads the record alone. The host knows that the outcome of its own submission is open, and did not look. It also forgot that after 5 s, while the store may carry out a write up to 6 s late.

Change: as long as a submission of the job at this host is under way or without an answer, for 10 s, a GET that finds no record gets 503 with Retry-After. A DELETE that has fenced the job settles the matter, as does an accepted submission.

At another host a GET still gets 410: a read cannot invalidate the open write, and must not, since a retry of the submission is welcome.

--- a/request/intake/fence_test.go
+++ b/request/intake/fence_test.go
@@ -221,3 +221,34 @@
 		s.endLeases()
 	}
 }
+
+// TestOpenSubmissionIsNotReportedAsMissing guards against "no such job" for a job whose submission at the
+// same host got no answer and takes effect later: its caller would submit the work under another id.
+func TestOpenSubmissionIsNotReportedAsMissing(t *testing.T) {
+	for name, isCancelled := range map[string]bool{"not cancelled": false, "cancelled": true} {
+		s, clock := newLateStore(), &testClock{now: time.Minute}
+		api, id := newHostAPI(s, clock, nil), newWorkflow().ID
+		s.holdsWrites = true
+		if err := api.Submit(t.Context(), newWorkflow(), table); !heatherhub.IsUnknown(err) {
+			t.Fatalf("got error %v, want an unknown outcome", err)
+		}
+		clock.now += 6 * time.Second
+		if state, err := api.State(t.Context(), id); heatherhub.CodeOf(err) != heatherhub.CodeUnavailable || heatherhub.RetryAfter(err) == 0 {
+			t.Errorf("%s: got state %q, error %v while the write is open, want a later retry", name, state, err)
+		}
+		if !isCancelled {
+			s.releaseWrites()
+			if state, err := api.State(t.Context(), id); err != nil || state != heatherhub.WorkflowQueued {
+				t.Errorf("got state %q, error %v after the late write, want %q", state, err, heatherhub.WorkflowQueued)
+			}
+			continue
+		}
+		s.holdsWrites = false
+		if err := api.Cancel(t.Context(), id); heatherhub.CodeOf(err) != heatherhub.CodeNotFound {
+			t.Errorf("got error %v, want no such job", err)
+		}
+		if _, err := api.State(t.Context(), id); heatherhub.CodeOf(err) != heatherhub.CodeNotFound {
+			t.Errorf("got error %v after the cancel, want no such job", err)
+		}
+	}
+}
--- a/request/intake/inflight.go
+++ b/request/intake/inflight.go
@@ -7,12 +7,13 @@
 	"heatherhub.example/heatherhub"
 )
 
-// A refused job must not run, so a job is not refused while another submission of it by this
-// host may still take effect.
+// While a submission of a job by this host may still take effect, the job is not refused, and it is
+// not said that there is no such job.
 
 const (
-	// unknownTime is how long a write without an answer may still take effect.
-	unknownTime = 5 * time.Second
+	// unknownTime is how long a write without an answer may still take effect. The platform
+	// delays writes by several seconds.
+	unknownTime = 10 * time.Second
 	// maxUnknown bounds the jobs with an unknown outcome that are remembered.
 	maxUnknown = 4096
 )
@@ -57,6 +58,9 @@
 			delete(f.active, id)
 		}
 	}
+	if err == nil {
+		delete(f.unknown, id)
+	}
 	if heatherhub.CodeOf(err) != heatherhub.CodeUnknown {
 		return
 	}
@@ -74,6 +78,20 @@
 	f.overflowUntil = now + unknownTime
 }
 
+// settle forgets that the outcome of a job's submission was unknown.
+func (f *inFlight) settle(id heatherhub.JobID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.unknown, id)
+}
+
+// isOpen reports whether a submission of a job may still take effect.
+func (f *inFlight) isOpen(now time.Duration, id heatherhub.JobID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.active[id] != nil || now < f.unknown[id] || now < f.overflowUntil
+}
+
 // isOnly reports whether the submission that runs is the only one that may take effect. If too
 // many outcomes are unknown, none is.
 func (f *inFlight) isOnly(now time.Duration, id heatherhub.JobID) bool {
--- a/request/intake/jobs.go
+++ b/request/intake/jobs.go
@@ -275,6 +275,7 @@
 		if err := a.fences.cancel(ctx, id); err != nil {
 			return err
 		}
+		a.inFlight.settle(id)
 		return heatherhub.ErrNotFound.New("there is no job %s", id)
 	}
 	_, err = a.cfg.Store.Commit(ctx, ledger.Txn{
@@ -286,7 +287,8 @@
 
 // State returns the state of a job. It asks this host's shards, then the other
 // owners, then the store. It returns heatherhub.ErrNotFound if the job does not
-// exist.
+// exist, and heatherhub.ErrUnavailable while a submission of it by this host may still
+// take effect.
 func (a *JobAPI) State(ctx context.Context, id heatherhub.JobID) (heatherhub.WorkflowState, error) {
 	if s, ok := a.cfg.LocalState(id); ok {
 		return s, nil
@@ -308,10 +310,14 @@
 		}
 		return heatherhub.WorkflowRunning, nil
 	}
+	isOpen := a.inFlight.isOpen(a.cfg.Clock.Now().Steady, id)
 	it, err = a.cfg.Store.Get(ctx, record.JobKey(id))
 	if err != nil {
 		return "", err
 	}
+	if it.Revision == 0 && isOpen {
+		return "", heatherhub.WithRetryAfter(heatherhub.ErrUnavailable.New("it is not known yet whether job %s was accepted: try again", id), outageRetryAfter)
+	}
 	if it.Revision == 0 {
 		return "", heatherhub.ErrNotFound.New("there is no job %s", id)
 	}
