Follow the host list when one of its entries is no valid host

Workers that join later are not used, and those that leave stay listed.

Cause: hostlist.Host checks itself when it is decoded, and the client decoded all hosts of an answer at once, so one odd entry (an unknown role, deeply nested, with a number too large, with a port out of range) made the whole answer invalid.

Ruled out: the list of the users' platform. Its entries are the values of keys, which are decoded one by one. The stand-in refuses such entries, so no test had met one.

Change: Changes decodes each entry by itself. What is no valid host is left out and logged, with at most 300 bytes of the error, as that may quote the entry. An entry is at most 10,000 bytes, so it cannot exceed the depth of 10,000 at which the decoder gives a whole document up.

--- a/command/entry/run.go
+++ b/command/entry/run.go
@@ -65,7 +65,7 @@
 	platform, err := entry.ConnectHTTP(entry.HTTPConfig{
 		Store: s.Store, HostList: s.HostList, Domain: s.Domain,
 		EntryHosts: s.EntryHosts, StoreReadRate: s.StoreReads, StoreWriteRate: s.StoreWrites,
-		Clock: clock, Registerer: registry,
+		Clock: clock, Registerer: registry, Log: log,
 	})
 	if err != nil {
 		return nil, err
--- a/connection/hostlist/client.go
+++ b/connection/hostlist/client.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"maps"
 	"net/http"
 	"net/url"
@@ -10,6 +12,8 @@
 	"strings"
 	"sync/atomic"
 
+	"go.uber.org/zap"
+
 	"heatherhub.example/heatherhub"
 	"heatherhub.example/heatherhub/connection/platform"
 )
@@ -36,12 +40,50 @@
 	IsWhole bool     `json:"isWhole,omitempty"`
 	Hosts   []Host   `json:"hosts,omitempty"`
 	Removed []string `json:"removed,omitempty"`
+	// Rejected has the errors of the received entries that are invalid. They are not in Hosts.
+	Rejected []error `json:"-"`
+}
+
+// UnmarshalJSON decodes changes. An entry that is invalid does not affect the others, as any program
+// may write to the list.
+func (c *Changes) UnmarshalJSON(data []byte) error {
+	var v struct {
+		ListID   string            `json:"list"`
+		Revision uint64            `json:"revision"`
+		IsWhole  bool              `json:"isWhole"`
+		Hosts    []json.RawMessage `json:"hosts"`
+		Removed  []string          `json:"removed"`
+	}
+	if err := json.Unmarshal(data, &v); err != nil {
+		return err
+	}
+	next := Changes{ListID: v.ListID, Revision: v.Revision, IsWhole: v.IsWhole, Removed: v.Removed}
+	for _, raw := range v.Hosts {
+		var h Host
+		if err := json.Unmarshal(raw, &h); err != nil {
+			next.Rejected = append(next.Rejected, err)
+			continue
+		}
+		next.Hosts = append(next.Hosts, h)
+	}
+	*c = next
+	return nil
+}
+
+// ClientConfig holds the settings of a Client.
+type ClientConfig struct {
+	Platform platform.Config
+	Log      *zap.Logger
 }
 
+// maxErrorBytes bounds the logged error of an entry, which may quote the entry.
+const maxErrorBytes = 300
+
 // Client is a List that uses the HTTP protocol. It reads the complete list once and
 // only changes after that. It is safe for concurrent use.
 type Client struct {
 	http *platform.Client
+	log  *zap.Logger
 	// last is the last known state. The state that it points to is immutable.
 	last atomic.Pointer[state]
 }
@@ -57,8 +99,8 @@
 var _ List = (*Client)(nil)
 
 // NewClient returns a client. It connects on the first request.
-func NewClient(cfg platform.Config) *Client {
-	return &Client{http: platform.NewClient(cfg)}
+func NewClient(cfg ClientConfig) *Client {
+	return &Client{http: platform.NewClient(cfg.Platform), log: cfg.Log}
 }
 
 // Close closes idle connections.
@@ -78,6 +120,9 @@
 	if err := c.http.Call(ctx, platform.JSON, http.MethodGet, path, nil, &changes); err != nil {
 		return nil, heatherhub.ErrUnavailable.Wrap(err, "cannot read the host list: keep using the last known list")
 	}
+	for _, err := range changes.Rejected {
+		c.log.Warn("host ignored", zap.String("error", fmt.Sprintf("%.*s", maxErrorBytes, err.Error())))
+	}
 	next, err := last.apply(&changes)
 	if err != nil {
 		c.last.Store(nil)
--- a/process/demo/cluster.go
+++ b/process/demo/cluster.go
@@ -116,6 +116,7 @@
 	url := "http://" + c.platform.Address()
 	platform, err := entry.ConnectHTTP(entry.HTTPConfig{
 		Store: url, HostList: url, Domain: domain, EntryHosts: c.site.EntryHosts, Registerer: registry,
+		Log: c.log.With(zap.String("host", string(h.id))),
 	})
 	if err != nil {
 		return entry.Config{}, err
--- a/process/entry/platform.go
+++ b/process/entry/platform.go
@@ -5,6 +5,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
 	"heatherhub.example/heatherhub"
@@ -33,6 +34,7 @@
 	StoreReadRate, StoreWriteRate rate.Limit
 	Clock                         clockwork.Clock
 	Registerer                    prometheus.Registerer
+	Log                           *zap.Logger
 }
 
 // ConnectHTTP returns the clients of a platform that is reached over HTTP. It opens
@@ -46,7 +48,7 @@
 	if err != nil {
 		return Platform{}, err
 	}
-	list := hostlist.NewClient(cfg.platformConfig("hostList", listAddress))
+	list := hostlist.NewClient(hostlist.ClientConfig{Platform: cfg.platformConfig("hostList", listAddress), Log: cfg.Log})
 	return Platform{
 		Store: store.NewLimiter(cfg.limiterConfig(storeAddress)),
 		Hosts: list,
--- a/process/standin/standin_test.go
+++ b/process/standin/standin_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
 
 	"heatherhub.example/heatherhub"
 	"heatherhub.example/heatherhub/connection/hostlist"
@@ -62,7 +63,7 @@
 		Address: s.Address(), Domain: "mechelen",
 		PingAfter: 50 * time.Millisecond, PingTimeout: 50 * time.Millisecond,
 	}
-	out := &site{t: t, standin: s, cfg: p, store: store.NewClient(p), list: hostlist.NewClient(p)}
+	out := &site{t: t, standin: s, cfg: p, store: store.NewClient(p), list: hostlist.NewClient(hostlist.ClientConfig{Platform: p, Log: zap.NewNop()})}
 	out.workers = worker.NewClient(worker.ClientConfig{Platform: p})
 	out.hosts, err = out.list.Hosts(t.Context())
 	if err != nil {
@@ -280,7 +281,7 @@
 	traffic := &platform.Traffic{}
 	cfg := s.cfg
 	cfg.Traffic = traffic
-	list := hostlist.NewClient(cfg)
+	list := hostlist.NewClient(hostlist.ClientConfig{Platform: cfg, Log: zap.NewNop()})
 	defer list.Close()
 	read := func() ([]hostlist.Host, int64) {
 		before := traffic.Received()
