Reject worker entries that are decoded and do harm later

Operators would see, after another program has left an odd entry among those of the workers or over one of them: runs that are stopped since their worker seems to leave at once; all jobs drawn to one shard; loads or fleets that the store rejects as too large; log lines as large as the entry; starts that wait for a worker at an address that nobody can have; and a worker that is never used again.

Cause: the decoder took each number that fits its type. - drain_remaining_ms and cold_remaining_ms overflow as durations: ms became -0.55 ms, so a worker that drains for long would be emptied at once. - Capacities up to 2^63-1 overflow in the sums of a shard, and count in its load. - Zone, service, labels and racks had no bound, and go into layouts, loads and fleets. - Port 0, 0.0.0.0 and IPv6 addresses, which agents are never called at, name a worker that joins the stored fleet and never answers. - A start (`born`) in the far future was taken, and from then on the worker's own entries without one were rejected as those of another program. - Fields that heatherhub does not use were not looked at: an entry whose `slots` or `sequence` is no number is not that of a worker. - An entry without a zone got a failure domain without a name. - The logged errors quoted numbers and states of the entry in full, and the deletion of a key shorter than its prefix would have ended the process.

Ruled out: nesting. The store hands entries on as base64, and the decoder gives a value up at a depth of 10,000 without using the stack for it; a case with 200,000 passes.

Resources.Check now has an upper bound as well, so a caller's job cannot overflow the sums either.

Not changed: a plausible start under the key of a worker that states none still makes the decoder reject that worker's entries, as TestEntryThatLosesItsIncarnation asks.

--- a/connection/agent/worker.go
+++ b/connection/agent/worker.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"net/netip"
 	"slices"
 	"time"
 
@@ -30,13 +29,30 @@
 	return slices.Contains(w.Labels, label)
 }
 
+// Bounds of a registration.
+const (
+	// MaxRemaining bounds DrainRemaining and ColdRemaining.
+	MaxRemaining = 24 * time.Hour
+	maxLabels    = 64
+)
+
 // Check returns the first error of the registration as heatherhub.ErrInvalid.
 func (w *Worker) Check() error {
-	if w.ID == "" {
+	switch {
+	case w.ID == "":
 		return heatherhub.ErrInvalid.New("worker id is empty: set an id")
+	case len(w.Labels) > maxLabels:
+		return heatherhub.ErrInvalid.New("worker %s has %d labels: use at most %d", w.ID, len(w.Labels), maxLabels)
+	case w.DrainRemaining < 0 || w.DrainRemaining > MaxRemaining || w.ColdRemaining < 0 || w.ColdRemaining > MaxRemaining:
+		return heatherhub.ErrInvalid.New("worker %s drains for %s and is cold for %s: use 0 to %s", w.ID, w.DrainRemaining, w.ColdRemaining, MaxRemaining)
+	}
+	for _, name := range append([]string{string(w.Pool), string(w.Domain), string(w.Rack)}, w.Labels...) {
+		if len(name) > heatherhub.MaxNameLength {
+			return heatherhub.ErrInvalid.New("worker %s has a pool, domain or label of %d bytes: use at most %d", w.ID, len(name), heatherhub.MaxNameLength)
+		}
 	}
-	if _, err := netip.ParseAddrPort(w.Address); err != nil {
-		return heatherhub.ErrInvalid.New("worker %s: invalid address %q: use an IP address and a port, for example 10.0.0.9:7100", w.ID, w.Address)
+	if err := heatherhub.CheckAddress("worker "+string(w.ID), w.Address); err != nil {
+		return err
 	}
-	return w.Capacity.Check()
+	return w.Capacity.CheckHost()
 }
--- a/connection/hostlist/check.go
+++ b/connection/hostlist/check.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
-	"net/netip"
 
 	"heatherhub.example/heatherhub"
 )
 
+// maxConcurrency bounds the requests and connections of one worker.
+const maxConcurrency = 1_000_000
+
 // Check returns the first invalid field of a host as heatherhub.ErrInvalid.
 func (h *Host) Check() error {
 	if err := heatherhub.CheckName("host id", h.ID); err != nil {
@@ -16,10 +18,10 @@
 	if err := heatherhub.CheckName(field+": domain", h.Domain); err != nil {
 		return err
 	}
-	if _, err := netip.ParseAddrPort(h.Address); err != nil {
-		return heatherhub.ErrInvalid.New("%s: address %q is not an IP address and a port: use for example 10.0.0.9:7100", field, h.Address)
+	if err := heatherhub.CheckAddress(field, h.Address); err != nil {
+		return err
 	}
-	if err := h.Capacity.Check(); err != nil {
+	if err := h.Capacity.CheckHost(); err != nil {
 		return err
 	}
 	return h.checkRoleAndState(field)
@@ -28,11 +30,13 @@
 func (h *Host) checkRoleAndState(field string) error {
 	switch {
 	case h.Role != RoleWorker && h.Role != RoleEntry:
-		return heatherhub.ErrInvalid.New("%s: role %q is neither worker nor entry", field, h.Role)
+		return heatherhub.ErrInvalid.New("%s: role %.40q is neither worker nor entry", field, h.Role)
 	case h.State != StateLive && h.State != StateLeaving:
-		return heatherhub.ErrInvalid.New("%s: state %q is neither live nor leaving", field, h.State)
-	case h.Slots < 0 || h.Connections < 0:
-		return heatherhub.ErrInvalid.New("%s: slots and connections must be 0 or more", field)
+		return heatherhub.ErrInvalid.New("%s: state %.40q is neither live nor leaving", field, h.State)
+	case h.Slots < 0 || h.Connections < 0 || h.Slots > maxConcurrency || h.Connections > maxConcurrency:
+		return heatherhub.ErrInvalid.New("%s: slots and connections must be 0 to %d", field, maxConcurrency)
+	case len(h.Rack) > heatherhub.MaxNameLength:
+		return heatherhub.ErrInvalid.New("%s: the rack has %d bytes: use at most %d", field, len(h.Rack), heatherhub.MaxNameLength)
 	}
 	return nil
 }
--- a/connection/hostlist/client_test.go
+++ b/connection/hostlist/client_test.go
@@ -23,12 +23,17 @@
 		return strings.Replace(strings.Replace(validHost, `"w1"`, `"w2"`, 1), old, text, 1)
 	}
 	return map[string]string{
-		"no host":           `7`,
-		"unknown role":      replace(`"worker"`, `"printer"`),
-		"wrong type":        replace(`"live"`, `["live"]`),
-		"deeply nested":     replace(`"live"`, strings.Repeat("[", 4000)+strings.Repeat("]", 4000)),
-		"number too large":  replace("1000", "1"+strings.Repeat("0", 4000)),
-		"port out of range": replace("7100", "71000"),
+		"no host":             `7`,
+		"unknown role":        replace(`"worker"`, `"printer"`),
+		"wrong type":          replace(`"live"`, `["live"]`),
+		"deeply nested":       replace(`"live"`, strings.Repeat("[", 4000)+strings.Repeat("]", 4000)),
+		"number too large":    replace("1000", "1"+strings.Repeat("0", 4000)),
+		"amount too large":    replace("1000", "9223372036854775807"),
+		"port out of range":   replace("7100", "71000"),
+		"port zero":           replace("7100", "0"),
+		"unspecified address": replace("10.0.0.9", "0.0.0.0"),
+		"slots out of range":  replace(`"slots":4`, `"slots":9223372036854775807`),
+		"rack too long":       replace(`"slots":4`, `"rack":"`+strings.Repeat("r", 4000)+`"`),
 	}
 }
 
--- a/ids.go
+++ b/ids.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"regexp"
 	"strconv"
 	"strings"
@@ -155,6 +156,15 @@
 	return nil
 }
 
+// CheckAddress returns ErrInvalid unless an address is the IP address of a single host and a port.
+func CheckAddress(field, address string) error {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil || a.Port() == 0 || a.Addr().Zone() != "" || a.Addr().IsUnspecified() || a.Addr().IsMulticast() {
+		return ErrInvalid.New("%s: invalid address %.60q: use the IP address of a host and a port, for example 10.0.0.9:7100", field, address)
+	}
+	return nil
+}
+
 // ServiceTaskID returns the task ID of one replica of a service in a shard.
 func ServiceTaskID(w WorkloadID, s ShardID, replica int) TaskID {
 	return TaskID(fmt.Sprintf("svc:%s:%s:%d", w, s, replica))
--- a/process/owner/fleet.go
+++ b/process/owner/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -206,7 +207,7 @@
 			t.applyWorkerEntry(e.Item)
 			continue
 		}
-		for _, w := range t.incarnations[heatherhub.WorkerName(e.Key[len(t.host.cfg.WorkerPrefix):])] {
+		for _, w := range t.incarnations[heatherhub.WorkerName(strings.TrimPrefix(e.Key, t.host.cfg.WorkerPrefix))] {
 			t.logUnlisted(w)
 			w.markUnlisted()
 		}
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -319,7 +320,7 @@
 func (t *term) loadJobs(s takeoverState) {
 	progress := make(map[heatherhub.JobID]ledger.Item, len(s.progress.Items))
 	for _, it := range s.progress.Items {
-		progress[heatherhub.JobID(it.Key[len(record.ProgressPrefix):])] = it
+		progress[heatherhub.JobID(strings.TrimPrefix(it.Key, record.ProgressPrefix))] = it
 	}
 	var cancels []heatherhub.JobID
 	for _, it := range s.jobs.Items {
--- a/units.go
+++ b/units.go
@@ -55,14 +55,39 @@
 	return fmt.Sprintf("%dm cpu, %d MB, %d accelerators", r.CPU, r.Memory, r.Accelerators)
 }
 
-// Check returns ErrInvalid if any resource is negative.
+// Bounds of an amount of resources. Sums over all workers and all tasks of a site do not overflow.
+const (
+	maxCPU          MilliCPU     = 1e10
+	maxMemory       Megabytes    = 1e12
+	maxAccelerators Accelerators = 1e9
+)
+
+// Bounds of the capacity of one host, above those of any machine.
+const (
+	maxHostCPU          MilliCPU     = 1e8
+	maxHostMemory       Megabytes    = 1e9
+	maxHostAccelerators Accelerators = 1e5
+)
+
+// Check returns ErrInvalid if any resource is negative or exceeds any plausible amount.
 func (r Resources) Check() error {
-	if r.CPU < 0 || r.Memory < 0 || r.Accelerators < 0 {
+	switch {
+	case r.CPU < 0 || r.Memory < 0 || r.Accelerators < 0:
 		return ErrInvalid.New("resources %s are negative: use 0 or more", r)
+	case r.CPU > maxCPU || r.Memory > maxMemory || r.Accelerators > maxAccelerators:
+		return ErrInvalid.New("resources %s are too large: use at most %s", r, Resources{maxCPU, maxMemory, maxAccelerators})
 	}
 	return nil
 }
 
+// CheckHost is Check for the capacity of one host.
+func (r Resources) CheckHost() error {
+	if r.CPU > maxHostCPU || r.Memory > maxHostMemory || r.Accelerators > maxHostAccelerators {
+		return ErrInvalid.New("capacity %s is too large: use at most %s", r, Resources{maxHostCPU, maxHostMemory, maxHostAccelerators})
+	}
+	return r.Check()
+}
+
 // DecodeMsgpack decodes and validates an amount.
 func (r *Resources) DecodeMsgpack(d *msgpack.Decoder) error {
 	type wire Resources
