Write fences under leases that last for minutes

Cause: a host used one lease for the fences of two minutes, whatever time to live the store had granted. Under a lease that the store shortens, a fence could end seconds after it was written, before the late write that it is to stop.

Change: a lease is used as long as it has three minutes left, counted from before it was requested; otherwise the fence gets a new one.

Measured: TestFenceLastsForMinutes failed before ("leases of at most 1m0s: got 2 ..., want 4") and passes.

--- a/request/intake/fence.go
+++ b/request/intake/fence.go
@@ -12,11 +12,11 @@
 )
 
 const (
-	// fenceTTL is the time to live of the leases of fences. Late writes take effect within
-	// seconds, and callers repeat a submission within its deadlines.
-	fenceTTL = 5 * time.Minute
-	// maxFenceLeaseAge is the age up to which a lease is used for new fences.
-	maxFenceLeaseAge = 2 * time.Minute
+	// fenceTTL is the time to live of the leases of fences, and minFenceTTL what a lease must have
+	// left for a new fence. Late writes take effect within seconds, and callers repeat a submission
+	// within its deadlines.
+	fenceTTL    = 5 * time.Minute
+	minFenceTTL = 3 * time.Minute
 	// maxLeaseAttempts bounds the attempts to write a fence whose lease has ended.
 	maxLeaseAttempts = 2
 	// maxFenceAttempts bounds the attempts to write a fence that others write as well.
@@ -53,15 +53,15 @@
 			return true, nil
 		}
 		current = conflict.Find(record.FenceKey(id))
-		if isCancelled, err := isCancelled(current); err != nil || isCancelled {
+		if isCancelled, err := isCancelFence(current); err != nil || isCancelled {
 			return false, err
 		}
 	}
 	return false, err
 }
 
-// isCancelled reports whether a fence says that its job was cancelled. The item may be absent.
-func isCancelled(it ledger.Item) (bool, error) {
+// isCancelFence reports whether a fence says that its job was cancelled. The item may be absent.
+func isCancelFence(it ledger.Item) (bool, error) {
 	if it.Revision == 0 {
 		return false, nil
 	}
@@ -108,13 +108,13 @@
 	if lease != 0 {
 		return lease, nil
 	}
-	lease, _, err := f.store.GrantLease(ctx, fenceTTL)
+	lease, granted, err := f.store.GrantLease(ctx, fenceTTL)
 	if err != nil {
 		return 0, heatherhub.ErrUnavailable.Wrap(err, "no lease from the store: try again later")
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.lease, f.leaseUntil = lease, now+maxFenceLeaseAge
+	f.lease, f.leaseUntil = lease, now+granted-minFenceTTL
 	return lease, nil
 }
 
@@ -147,7 +147,7 @@
 		Puts:             []ledger.Put{{Key: record.JobKey(s.id), Value: s.value}},
 		MaxConflictBytes: maxConflictBytes,
 	}
-	isCancelled, err := isCancelled(fence)
+	isCancelled, err := isCancelFence(fence)
 	if isCancelled {
 		txn.Puts = append(txn.Puts, ledger.Put{Key: record.CancelKey(s.id), Value: []byte{}})
 	}
--- a/request/intake/fence_test.go
+++ b/request/intake/fence_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"strconv"
 	"testing"
 	"time"
 
@@ -16,9 +17,11 @@
 // take effect in releaseWrites if their preconditions still hold.
 type lateStore struct {
 	ledger.Store
-	revision    ledger.Revision
-	items       map[string]ledger.Item
-	leases      map[ledger.LeaseID]bool
+	revision ledger.Revision
+	items    map[string]ledger.Item
+	leases   map[ledger.LeaseID]bool
+	// maxTTL, if set, is the longest time to live that the store grants.
+	maxTTL      time.Duration
 	holdsWrites bool
 	held        []ledger.Txn
 	// beforeCommit, if set, is called once, before the next commit.
@@ -36,6 +39,9 @@
 func (s *lateStore) GrantLease(_ context.Context, ttl time.Duration) (ledger.LeaseID, time.Duration, error) {
 	id := ledger.LeaseID(len(s.leases) + 1)
 	s.leases[id] = true
+	if s.maxTTL > 0 {
+		ttl = min(ttl, s.maxTTL)
+	}
 	return id, ttl, nil
 }
 
@@ -252,3 +258,22 @@
 		}
 	}
 }
+
+// TestFenceLastsForMinutes guards against a fence that is removed seconds after it was written, since the
+// lease that it shares with earlier ones is nearly over.
+func TestFenceLastsForMinutes(t *testing.T) {
+	for maxTTL, want := range map[time.Duration]int{0: 2, time.Minute: 4} {
+		s, clock := newLateStore(), &testClock{now: time.Minute}
+		s.maxTTL = maxTTL
+		api := newHostAPI(s, clock, nil)
+		for i := range 4 {
+			if err := api.Cancel(t.Context(), heatherhub.JobID("j"+strconv.Itoa(i))); heatherhub.CodeOf(err) != heatherhub.CodeNotFound {
+				t.Errorf("got error %v, want no such job", err)
+			}
+			clock.now += 90 * time.Second
+		}
+		if got := len(s.leases); got != want {
+			t.Errorf("leases of at most %s: got %d for fences over 270 s, want %d", maxTTL, got, want)
+		}
+	}
+}
