Do not wait at a takeover for a worker that has never answered

Operators would see: another program leaves an entry that looks like a worker's, at an address where nobody answers. Each change of the owner then stops all starts of the shard for about 10 s; tasks that last stay down beside free room (LOST).

Cause: a worker joins the stored fleet before it is first polled, and a new owner holds all inherited tasks back until the leases of each worker of that fleet that it cannot reach are over. Nothing said that no task had ever been started there.

Ruled out: leaving such a worker out of the stored fleet. It has to join before it is polled, as the revision of that write is its token. Nor does its entry tell: the decoder cannot know who listens at an address.

Change: the stored fleet says of a worker that it is unused until it has answered and the fleet was written again. The engine learns of the worker, and so starts tasks there, only after that write; a list that is being written counts as if it stood. A new owner does not wait for unused workers. A worker that joins costs one more write, together with the others that join at that time. Majorities count all workers of the fleet as before. A version that does not know the mark waits as before.

--- a/process/owner/fleet.go
+++ b/process/owner/fleet.go
@@ -29,6 +29,10 @@
 	// restarted holds workers that have started again, and stay in the list until the next
 	// incarnation has told what it runs.
 	restarted map[heatherhub.WorkerID]struct{}
+	// reached holds the workers that have answered an owner, and used those of them of which the
+	// stored list says so. A task starts only on a used worker, so the next owner waits for no
+	// other.
+	reached, used members
 	// closed holds, for workers that leave, the tasks that may run there according to the
 	// record of the previous owner.
 	closed   map[heatherhub.WorkerID][]heatherhub.StepTask
@@ -57,6 +61,7 @@
 	return fleet{
 		workers: make(map[heatherhub.WorkerID]string), tokens: make(map[heatherhub.WorkerID]agent.Token),
 		restarted: make(map[heatherhub.WorkerID]struct{}), closed: make(map[heatherhub.WorkerID][]heatherhub.StepTask),
+		reached: make(members), used: make(members),
 	}
 }
 
@@ -115,7 +120,12 @@
 	}
 	var list record.Fleet
 	for id, address := range t.fleet.workers {
-		list.Workers = append(list.Workers, t.fleetWorker(id, address))
+		w := t.fleetWorker(id, address)
+		if w.IsUnused {
+			// From now on the stored list may say so.
+			delete(t.fleet.used, id)
+		}
+		list.Workers = append(list.Workers, w)
 	}
 	generation, revision := t.fleet.generation, t.fleet.revision
 	if t.fleet.sentGeneration != generation {
@@ -150,6 +160,7 @@
 	t.fleet.revision, t.fleet.writtenGeneration = rev, generation
 	t.fleet.stored = []members{membersOf(list)}
 	t.fleet.updateTokens(agent.Token(rev))
+	t.fleet.updateUsed(list)
 	return t.fleet.writtenGeneration == t.fleet.generation
 }
 
@@ -166,6 +177,30 @@
 	f.tokens = tokens
 }
 
+// updateUsed derives the used workers from the stored list.
+func (f *fleet) updateUsed(list record.Fleet) {
+	f.used = make(members, len(list.Workers))
+	for _, w := range list.Workers {
+		if !w.IsUnused {
+			f.used[w.ID] = struct{}{}
+		}
+	}
+}
+
+// isUsed reports whether the stored list says that tasks may run on a worker.
+func (f *fleet) isUsed(id heatherhub.WorkerID) bool {
+	_, ok := f.used[id]
+	return ok
+}
+
+// markReached records that a worker has answered.
+func (f *fleet) markReached(id heatherhub.WorkerID) {
+	if _, ok := f.reached[id]; !ok {
+		f.reached[id] = struct{}{}
+		f.generation++
+	}
+}
+
 // fleetWorker returns the entry of a worker in the stored list. A worker is closed only if it
 // has announced that it leaves: one without an entry may come back. The caller holds t.mu.
 func (t *term) fleetWorker(id heatherhub.WorkerID, address string) record.FleetWorker {
@@ -176,6 +211,8 @@
 	if !w.IsClosed {
 		w.Tasks, w.IsClosed = t.fleet.closed[id]
 	}
+	_, isReached := t.fleet.reached[id]
+	w.IsUnused = !isReached
 	return w
 }
 
@@ -347,6 +384,8 @@
 	if _, ok := t.fleet.workers[id]; ok {
 		delete(t.fleet.workers, id)
 		delete(t.fleet.closed, id)
+		delete(t.fleet.reached, id)
+		delete(t.fleet.used, id)
 		t.fleet.generation++
 	}
 }
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -284,8 +284,13 @@
 	t.syncPolicies()
 	t.fleet.revision = s.fleet.Revision
 	t.inherit(membersOf(inherited), t.now().Steady)
+	t.fleet.updateUsed(inherited)
 	for _, w := range inherited.Workers {
 		t.fleet.workers[w.ID] = w.Address
+		if w.IsUnused {
+			continue
+		}
+		t.fleet.reached[w.ID] = struct{}{}
 		if !w.IsClosed {
 			t.engine.MarkUnresolved(w.ID)
 			continue
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -253,10 +253,24 @@
 			w.handleLeaseExpiry(err)
 			continue
 		}
+		if !w.admit() {
+			ledger.Sleep(w.ctx, pollRetryDelay)
+			continue
+		}
 		w.awaitDurableEnds()
 	}
 }
 
+// admit has the stored fleet say that tasks may run on a worker that has answered. It reports whether
+// the fleet says so.
+func (w *workerLoop) admit() bool {
+	t := w.term
+	t.mu.Lock()
+	isUsed := t.fleet.isUsed(w.id)
+	t.mu.Unlock()
+	return isUsed || t.writeFleet(w.ctx)
+}
+
 // join waits until the stored fleet has the worker. It reports false if the worker is dropped
 // before.
 func (w *workerLoop) join() bool {
@@ -393,6 +407,10 @@
 	}
 	t.endFormerIncarnations(now, w, sentAt)
 	w.answeredAt = now.Steady
+	t.fleet.markReached(w.id)
+	if !t.fleet.isUsed(w.id) {
+		return
+	}
 	if w.isUp {
 		t.engine.Report(now, sentAt, w.id, r)
 	} else {
--- a/process/record/record.go
+++ b/process/record/record.go
@@ -115,6 +115,8 @@
 	// then all that may still run there.
 	IsClosed bool                  `msgpack:"c,omitempty" json:"closed,omitempty"`
 	Tasks    []heatherhub.StepTask `msgpack:"t,omitempty" json:"tasks,omitempty"`
+	// IsUnused means that no owner has started a task on the worker yet, as it has not answered.
+	IsUnused bool `msgpack:"u,omitempty" json:"unused,omitempty"`
 }
 
 // Encode encodes a value for the store. It returns ErrInvalid if that fails.
