Keep an odd incarnation from shadowing a worker that has none

Operators would see: a worker gets no task any more from one host, for as long as that host runs (`worker ignored`: "has no incarnation, and former ones had").

Cause: an entry without a start, under the key of a worker that has stated one, is rejected as that of another program. One entry of another program with a plausible start, written over that of a worker which states none, turned this rule against the worker.

Ruled out: to go by the first entry that was seen; TestEntryThatLosesItsIncarnation has entries of one key change from none to one. To accept entries again after a while; the watch need not bring the worker's entry a second time.

Change: the decoder learns from the lists of runs of a worker, which come from the worker itself. While an agent of a worker exists whose lists state no start, entries with one under its key are rejected. A list cannot mislead about a worker whose entry has a start.

--- a/command/serve/serve.go
+++ b/command/serve/serve.go
@@ -27,7 +27,6 @@
 
 	"heatherhub.example/heatherhub"
 	"heatherhub.example/heatherhub/command/factory"
-	"heatherhub.example/heatherhub/connection/agent"
 	"heatherhub.example/heatherhub/connection/ledger"
 	"heatherhub.example/heatherhub/connection/peer"
 	"heatherhub.example/heatherhub/platform"
@@ -141,8 +140,7 @@
 	}
 	h.owner = owner.New(owner.Config{
 		Self: s.Host, Domain: s.Domain, Cores: s.Cores, Address: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPeerPort)), Store: h.store,
-		Dial:         func(id heatherhub.WorkerID, address string) agent.Agent { return platform.NewAgent(id, address) },
-		WorkerPrefix: platform.WorkerPrefix, DecodeWorker: decoder.Decode,
+		Dial: decoder.Dial, WorkerPrefix: platform.WorkerPrefix, DecodeWorker: decoder.Decode,
 		Tables: &h.tables, Evacuated: &h.evacuated, Clock: h.clock, Log: log, Registry: h.registry, Limits: limits,
 	})
 	queueCounter := intake.NewQueueCounter(intake.QueueCounterConfig{Store: h.store, View: h.owner.View, Clock: h.clock, Log: log, Registry: registry})
