--- a/review/scene/cases.go
+++ b/review/scene/cases.go
@@ -5,12 +5,15 @@
 import (
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
+
+	"github.com/sourcegraph/conc"
 )
 
 func init() {
 	cases["starved-gang"] = starvedGang
-	cases["gang-checkpoint"] = gangCheckpoint
+	cases["silent"] = silent
 	cases["crashes"] = crashes
 	cases["after-twice"] = afterTwice
 	cases["cancelled"] = cancelled
@@ -53,31 +56,6 @@
 	return alone > 0, nil
 }
 
-// gangCheckpoint: a worker with a member of a gang is emptied and taken away.
-func gangCheckpoint(s *scene) (bool, error) {
-	if err := s.begin(6, 8000, 3); err != nil {
-		return false, err
-	}
-	const gang = "00000000000000c2"
-	if err := s.submit(gang, job{Spec: "gang", Steps: []step{{Count: 4, CPU: 6000, Memory: 1000, Estimated: 12000, Gang: true, Checkpointing: true, Duration: 12 * time.Second}}}); err != nil {
-		return false, err
-	}
-	time.Sleep(3 * time.Second)
-	calmSince := time.Now()
-	if s.hasTrouble {
-		if w := s.workerOf(gang); w != nil {
-			s.log("disruption: worker %s drains and leaves", w.id)
-			w.drain()
-			time.Sleep(drainTime + 500*time.Millisecond)
-		}
-		calmSince = time.Now()
-	}
-	state := s.awaitFinal(gang, 45*time.Second)
-	alone := s.endsOf(gang, "alone", calmSince.Add(contact))
-	s.log("the gang is %s; %d runs ended alone later than %s after the worker had left; %d runs had members with different checkpoints", state, alone, contact, s.mixedRuns(gang))
-	return alone > 0, nil
-}
-
 // workerOf returns a worker that runs a task of a job.
 func (s *scene) workerOf(id string) *worker {
 	s.fleet.mu.Lock()
@@ -92,23 +70,6 @@
 	return nil
 }
 
-// mixedRuns counts the runs of a gang whose members were started with different checkpoints.
-func (s *scene) mixedRuns(id string) int {
-	s.fleet.mu.Lock()
-	defer s.fleet.mu.Unlock()
-	first, mixed := make(map[uint64]string), make(map[uint64]bool)
-	for _, e := range s.starts {
-		if !strings.HasPrefix(e.task, id) {
-			continue
-		}
-		if c, ok := first[e.run]; ok && c != e.checkpoint {
-			mixed[e.run] = true
-		}
-		first[e.run] = e.checkpoint
-	}
-	return len(mixed)
-}
-
 // Crashes come crashAge after a run has begun, at most maxCrashes of them.
 const (
 	crashAge   = 300 * time.Millisecond
@@ -209,3 +170,53 @@
 	s.log("the job is %q; runs: %v", state, w != nil)
 	return w != nil, nil
 }
+
+// silent: the open connections between the machines and the store go silent, and a route is dropped.
+func silent(s *scene) (bool, error) {
+	if err := s.begin(6, 8000, 3); err != nil {
+		return false, err
+	}
+	const id = "00000000000000a2"
+	if err := s.submit(id, job{Spec: "watch", Steps: []step{{Count: 2, CPU: 1000, Memory: 1000, LongRunning: true, Estimated: 500}}}); err != nil {
+		return false, err
+	}
+	// The usual traffic: clients ask how many jobs wait.
+	var calls conc.WaitGroup
+	for _, h := range s.hosts {
+		for range 16 {
+			calls.Go(func() { s.request(h, http.MethodGet, prefix, nil) })
+		}
+	}
+	calls.Wait()
+	time.Sleep(4400 * time.Millisecond)
+	silentAt := time.Now()
+	if s.hasTrouble {
+		for _, h := range s.hosts {
+			s.log("disruption: %d open connections between %s and the store go silent", h.quiet.silence(), h.name)
+		}
+	}
+	time.Sleep(900 * time.Millisecond)
+	if err := s.store.Put("op/config", config(8, true)); err != nil {
+		return false, err
+	}
+	acknowledgedAt := time.Now()
+	s.log("operator: version 8, without the route, is acknowledged")
+	// A machine is in touch contact_ms after the disruption, and the bound is config_apply_ms.
+	time.Sleep(max(time.Until(silentAt.Add(contact+50*time.Millisecond)), time.Until(acknowledgedAt.Add(2050*time.Millisecond))))
+	var served atomic.Int64
+	for _, h := range s.hosts {
+		calls.Go(func() {
+			for time.Since(silentAt) < contact+2*time.Second {
+				sentAt := time.Now()
+				if status, _ := s.request(h, http.MethodGet, prefix+id, nil); status == http.StatusOK {
+					served.Add(1)
+					s.log("a call to %s, sent %d ms after the silence began and %d ms after the acknowledgement, is served as if the route were there", h.name, sentAt.Sub(silentAt).Milliseconds(), sentAt.Sub(acknowledgedAt).Milliseconds())
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+	}
+	calls.Wait()
+	s.log("%d calls on the dropped route were served", served.Load())
+	return served.Load() > 0, nil
+}
--- a/review/scene/scene.go
+++ b/review/scene/scene.go
@@ -66,6 +66,7 @@
 type host struct {
 	name, ip string
 	gate     *gate
+	quiet    *quietListener
 }
 
 // scene is one play of a case.
@@ -106,6 +107,9 @@
 	s.log("worker %s ends %s run %d: %s, saved %q", w.id, r.task, r.number, how, r.saved)
 }
 
+// storeDelay is the time that the store of the site takes for an answer.
+const storeDelay = 4 * time.Millisecond
+
 // gate passes the calls of one host on to the store.
 type gate struct {
 	scene *scene
@@ -133,6 +137,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	r.Body = io.NopCloser(bytes.NewReader(body))
+	time.Sleep(storeDelay)
 	g.mu.Lock()
 	isBusy, lateKey, lateFor := g.isBusy, g.lateKey, g.lateFor
 	g.mu.Unlock()
@@ -207,7 +212,8 @@
 		if err != nil {
 			return err
 		}
-		s.group.Go(func() { _ = (&http.Server{Handler: h.gate}).Serve(l) })
+		h.quiet = &quietListener{Listener: l}
+		s.group.Go(func() { _ = (&http.Server{Handler: h.gate}).Serve(h.quiet) })
 		if err := os.WriteFile(filepath.Join(s.dir, h.name+".conf"), []byte(s.settings(h, l.Addr().String())), 0o600); err != nil {
 			return err
 		}
@@ -237,16 +243,20 @@
 
 const routeHost, prefix = "claims.example", "/letters/"
 
-// config is the operator's configuration.
-func config() map[string]any {
-	return map[string]any{
-		"version": 7, "limits": map[string]any{"max_body_bytes": 262144},
+// config is a version of the operator's configuration, without its only route if isDropped is set.
+func config(version int, isDropped bool) map[string]any {
+	c := map[string]any{
+		"version": version, "limits": map[string]any{"max_body_bytes": 262144},
 		"services": []any{map[string]any{"name": "claimdesk", "enforces_capacity": false}},
 		"routes": []any{map[string]any{
 			"name": "letter-batch", "host": routeHost, "prefix": prefix, "service": "claimdesk", "timeout_ms": 3000, "priority": 2, "max_attempts": 3,
 			"stretch": 2.0, "target_duration_ms": 1000,
 		}},
 	}
+	if isDropped {
+		c["routes"] = []any{}
+	}
+	return c
 }
 
 // request sends a client's request to a host and returns the status, or 0 without an answer.
@@ -321,7 +331,7 @@
 	s.store = standin.NewStore()
 	s.fleet = &fleet{scene: s, gangs: make(map[string]*gang)}
 	s.jobs = make(map[string]*job)
-	if err := s.store.Put("op/config", config()); err != nil {
+	if err := s.store.Put("op/config", config(7, false)); err != nil {
 		return err
 	}
 	for i := range workers {
