--- a/review/scene/play.sh
+++ b/review/scene/play.sh
@@ -10,16 +10,17 @@
 	exit 2
 fi
 dir=$(mktemp -d) || exit 2
-pids=""
+hosts=""
 finish() {
-	[ -n "$pids" ] && kill -9 $pids 2>/dev/null
+	[ -n "$hosts" ] && kill -9 $hosts 2>/dev/null
+	kill $scene 2>/dev/null
 	wait 2>/dev/null
 	rm -rf "$dir"
 }
 trap 'finish; exit 2' INT TERM
-target/review/scene -case "$2" -trouble=$trouble -dir "$dir" -record "review/$1/record.txt" &
+# A case takes 112 seconds at most.
+timeout -k 2 112 target/review/scene -case "$2" -trouble=$trouble -dir "$dir" -record "review/$1/record.txt" &
 scene=$!
-pids=$scene
 n=0
 while [ ! -e "$dir/ready" ]; do
 	n=$((n + 1))
@@ -31,17 +32,10 @@
 done
 for settings in "$dir"/*.conf; do
 	HEATHERHUB_CONFIG=$settings target/heatherhub serve >"$settings.log" 2>&1 &
-	pids="$pids $!"
+	hosts="$hosts $!"
 done
-# The case takes 112 seconds at most.
-(
-	sleep 112
-	kill $scene 2>/dev/null
-) &
-watchdog=$!
 wait $scene
 code=$?
-kill $watchdog 2>/dev/null
 finish
 case $code in
 0 | 1) exit $code ;;
