Log why a start without an answer counts as over, and a second run that is found

Cause: the logs named starts without an answer, but neither the evidence by which they counted as over later nor a run of the same task that a worker lists afterwards. Change: the events "unanswered start over" with its reason and "second run found" with the run beside it.

--- a/process/dispatch/event.go
+++ b/process/dispatch/event.go
@@ -18,6 +18,10 @@
 	EventRunEnded Event = "run ended"
 	// EventStartUnanswered: a start order got no reply; its resources stay reserved.
 	EventStartUnanswered Event = "start unanswered"
+	// EventUnansweredStartOver: a start that got no reply counts as over, for the given reason.
+	EventUnansweredStartOver Event = "unanswered start over"
+	// EventSecondRunFound: a worker lists a run of a task that is done or has another run.
+	EventSecondRunFound Event = "second run found"
 	// EventStartRefused: a start order was refused or not sent; the task is pending
 	// again.
 	EventStartRefused Event = "start refused"
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -178,10 +178,25 @@
 	if t.isDone || t.isRemote || j.isOver() || (len(t.attempts) > 0 && !t.step.spec.Speculative) {
 		a.stop = stopPending
 	}
+	if a.stop == stopPending && !j.isOver() {
+		e.recordTaskEvent(EventSecondRunFound, a, secondRunReason(t))
+	}
 	e.attach(a)
 	j.begin()
 }
 
+// secondRunReason tells why a run that a worker lists is not wanted.
+func secondRunReason(t *task) string {
+	switch {
+	case t.isDone:
+		return "task done"
+	case t.isRemote:
+		return "task in another shard"
+	default:
+		return "task runs on " + string(t.attempts[0].node.worker.ID)
+	}
+}
+
 // findTask returns a task of a job that this shard knows, or nil.
 func (e *Engine) findTask(id heatherhub.StepTask) *task {
 	j := e.jobs[id.Job]
@@ -392,6 +407,9 @@
 		case a.stop == stopConfirmed && sentAt > a.stopSince:
 			// The agent confirmed the stop and lists no run: the start never arrived,
 			// or will be refused if it arrives later.
+			if a.state == unconfirmed {
+				e.recordTaskEvent(EventUnansweredStartOver, a, "refused")
+			}
 			e.release(a)
 			e.requeue(now, a)
 		case a.state == unconfirmed && sentAt > a.stateSince && a.stop == noStop:
--- a/process/dispatch/restart.go
+++ b/process/dispatch/restart.go
@@ -146,6 +146,9 @@
 func (e *Engine) endLostRun(now Moment, a *attempt, reason string) {
 	e.Stats.Lost++
 	e.recordLostRun(now, a, reason)
+	if a.state == unconfirmed {
+		e.recordTaskEvent(EventUnansweredStartOver, a, reason)
+	}
 	if a.state != running {
 		a.task.step.occ.job.mayHaveBegun = true
 	}
