Show that starts of a former life run beside others or after an end

Cause: a start that got no answer may be carried out 2 to 12 s after it was sent, and by the worker's next incarnation, which has seen no token and no stop and counts the lease from the arrival.

--- /dev/null
+++ b/process/owner/former_life_test.go
@@ -0,0 +1,82 @@
+package owner_test
+
+import (
+	"testing"
+	"time"
+
+	"heatherhub.example/heatherhub"
+)
+
+// heldStarts is a case of starts that get no answer and are carried out late, by whichever
+// incarnation of the worker there is then. Times count from the submission of the job.
+type heldStarts struct {
+	lateBy time.Duration
+	// killAt is the time at which the owner is killed, or zero.
+	killAt time.Duration
+	// restartsAt are the times at which two workers start again under their IDs, 0.3 s each. The last
+	// incarnations are cut off from all hosts until 9 s after their start.
+	restartsAt []time.Duration
+	step       heatherhub.Step
+}
+
+func (h *heldStarts) play(site *simSite) {
+	const down, silence, settled = 300 * time.Millisecond, 9 * time.Second, 45 * time.Second
+	time.Sleep(15 * time.Second)
+	site.delaysCallsInNetwork.Store(true)
+	site.mu.Lock()
+	site.fixedDelay = h.lateBy
+	site.mu.Unlock()
+	site.setDelayedShare(1)
+	workers := site.livingWorkers()[:2]
+	site.submit("held", h.step)
+	site.after(250*time.Millisecond, func() { site.setDelayedShare(0) })
+	if h.killAt > 0 {
+		site.after(h.killAt, func() { site.kill(site.currentOwner()) })
+	}
+	for i, at := range h.restartsAt {
+		isLast := i == len(h.restartsAt)-1
+		for k := range workers {
+			site.after(at, func() { workers[k].leave(false) })
+			site.after(at+down, func() {
+				next := site.startUnregistered(workers[k], func(m *fakeWorker) {
+					if isLast {
+						m.cutOffs++
+					}
+				})
+				workers[k] = next
+				site.register(next)
+				if isLast {
+					site.after(silence, func() { next.addCutOffs(-1) })
+				}
+			})
+		}
+	}
+	time.Sleep(settled)
+}
+
+// TestStartOfFormerLifeRunsOnce guards against a second run of a task whose start got no answer and
+// was carried out by a later incarnation of the worker.
+func TestStartOfFormerLifeRunsOnce(t *testing.T) {
+	const long, short = 9 * time.Second, time.Second
+	for name, tt := range map[string]heldStarts{
+		"cut off at once":       {lateBy: 3 * time.Second, restartsAt: []time.Duration{400 * time.Millisecond}},
+		"as late as can be":     {lateBy: 11900 * time.Millisecond, restartsAt: []time.Duration{400 * time.Millisecond}},
+		"after a refusal":       {lateBy: 7 * time.Second, restartsAt: []time.Duration{5 * time.Second}},
+		"after two refusals":    {lateBy: 9 * time.Second, restartsAt: []time.Duration{400 * time.Millisecond, 7 * time.Second}},
+		"under a new owner":     {lateBy: 7 * time.Second, killAt: 1800 * time.Millisecond, restartsAt: []time.Duration{5 * time.Second}},
+		"cut off, new owner":    {lateBy: 9 * time.Second, killAt: 1800 * time.Millisecond, restartsAt: []time.Duration{1900 * time.Millisecond}},
+		"new owner, two lives":  {lateBy: 11 * time.Second, killAt: 1800 * time.Millisecond, restartsAt: []time.Duration{2 * time.Second, 8 * time.Second}},
+		"shortly after restart": {lateBy: 2 * time.Second, restartsAt: []time.Duration{1500 * time.Millisecond}},
+	} {
+		for kind, step := range map[string]heatherhub.Step{
+			"long": newStep(12, long), "short": newStep(12, short), "lasting": newLongRunningStep(12),
+		} {
+			t.Run(name+", "+kind, func(t *testing.T) {
+				testOnSite(t, 2, func(site *simSite) {
+					tt.step = step
+					tt.play(site)
+				})
+			})
+		}
+	}
+}
