Show that a start in flight at a change of the owner runs beside another run

TestStartInFlightAtChangeOfOwnerRunsOnce fails: the next owner does not know of a start that was sent less than about 0.2 s before the former one was killed or handed the shard over, and a later incarnation of the worker carries it out.

--- a/process/owner/former_life_test.go
+++ b/process/owner/former_life_test.go
@@ -11,8 +11,10 @@
 // incarnation of the worker there is then. Times count from the submission of the job.
 type heldStarts struct {
 	lateBy time.Duration
-	// killAt is the time at which the owner is killed, or zero.
-	killAt time.Duration
+	// heldFor is how long starts are held; zero means 250 ms.
+	heldFor time.Duration
+	// killAt is the time at which the owner is killed, or zero, handOverAt that at which it is ended.
+	killAt, handOverAt time.Duration
 	// restartsAt are the times at which two workers start again under their IDs, 0.3 s each. The last
 	// incarnations are cut off from all hosts until 9 s after their start.
 	restartsAt []time.Duration
@@ -29,10 +31,17 @@
 	site.setDelayedShare(1)
 	workers := site.livingWorkers()[:2]
 	site.submit("held", h.step)
-	site.after(250*time.Millisecond, func() { site.setDelayedShare(0) })
+	heldFor := h.heldFor
+	if heldFor == 0 {
+		heldFor = 250 * time.Millisecond
+	}
+	site.after(heldFor, func() { site.setDelayedShare(0) })
 	if h.killAt > 0 {
 		site.after(h.killAt, func() { site.kill(site.currentOwner()) })
 	}
+	if h.handOverAt > 0 {
+		site.after(h.handOverAt, func() { site.handOver(site.currentOwner()) })
+	}
 	for i, at := range h.restartsAt {
 		isLast := i == len(h.restartsAt)-1
 		for k := range workers {
@@ -80,3 +89,26 @@
 		}
 	}
 }
+
+// handOver ends a host in a planned way.
+func (site *simSite) handOver(id heatherhub.HostID) {
+	site.mu.Lock()
+	defer site.mu.Unlock()
+	site.cancelHosts[id]()
+}
+
+// TestStartInFlightAtChangeOfOwnerRunsOnce guards against a second run of a task whose start was under way
+// when the owner ended: the next owner has to know of it.
+func TestStartInFlightAtChangeOfOwnerRunsOnce(t *testing.T) {
+	for name, tt := range map[string]heldStarts{
+		"handed over": {lateBy: 9 * time.Second, heldFor: 90 * time.Millisecond, handOverAt: 100 * time.Millisecond, restartsAt: []time.Duration{5 * time.Second}},
+		"killed":      {lateBy: 9 * time.Second, killAt: 100 * time.Millisecond, restartsAt: []time.Duration{5 * time.Second}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			testOnSite(t, 2, func(site *simSite) {
+				tt.step = newStep(12, 15*time.Second)
+				tt.play(site)
+			})
+		})
+	}
+}
