Show that a late poll for a former life hides the end of a run

TestLateAcknowledgementOfFormerLifeHidesNoEnd fails: a poll with the last_seen of the former life makes the next one forget the end of a run that a late start began there, and the task starts again.

--- a/process/owner/worker_test.go
+++ b/process/owner/worker_test.go
@@ -365,6 +365,11 @@
 		return agent.Report{}, err
 	}
 	p = a.site.injectPollFault(a.worker, p)
+	if delay := time.Duration(a.site.pollDelay.Load()); delay > 0 {
+		a.site.after(delay, func() { a.receiver(m).pollOnce(p) })
+		ledger.Sleep(ctx, callTimeout)
+		return agent.Report{}, a.site.unansweredError()
+	}
 	if a.resetCall(m, pollCall, func(m *fakeWorker) { m.pollOnce(p) }) {
 		if a.site.reportResetAsReplaced.Load() {
 			return agent.Report{}, agent.ErrWorkerReplaced.New("another instance responds")
--- a/process/owner/world_test.go
+++ b/process/owner/world_test.go
@@ -72,6 +72,8 @@
 	delayedShare float64
 	// fixedDelay, if set, is how late delayed orders are.
 	fixedDelay time.Duration
+	// pollDelay, if not zero, is how late polls are carried out, in nanoseconds. They get no answer.
+	pollDelay atomic.Int64
 	// acknowledgeEarly injects a fault: ended runs are acknowledged before they are durable.
 	acknowledgeEarly atomic.Bool
 	// ignoreTokens injects a fault: workers accept orders with any token.
