Show that a next owner does not know of an open start of another shard's job

TestNextOwnerKnowsOpenStartOfGuest fails: no shard writes an open start of a guest task, so the next owner starts the task elsewhere while a later incarnation of the worker may carry the open start out.

--- a/process/dispatch/unanswered_test.go
+++ b/process/dispatch/unanswered_test.go
@@ -56,3 +56,58 @@
 		b.commit()
 	}
 }
+
+// addFlow adds a job as a shard reads it from the store.
+func (b *simulation) addFlow(flow *heatherhub.Workflow, p dispatch.Progress, origin dispatch.JobOrigin) {
+	b.workflows[flow.ID] = flow
+	b.e.AddJob(b.now, dispatch.JobRecord{Workflow: flow, RecordRevision: 1, Progress: p, Origin: origin})
+}
+
+// lasting returns a step with one long-running task.
+func lasting() heatherhub.Step {
+	s := tasks(1, 1000, time.Second)
+	s.LongRunning = true
+	return s
+}
+
+// TestNextOwnerKnowsOpenStartOfGuest guards against a second run of a task of another shard's job: its start
+// got no answer here, and only the shard of the job writes its progress.
+func TestNextOwnerKnowsOpenStartOfGuest(t *testing.T) {
+	flow := &heatherhub.Workflow{
+		ID: "guest", Queue: queue, Steps: []heatherhub.Step{lasting()}, Shard: otherShard, TaskShards: map[int]heatherhub.ShardID{0: {}},
+	}
+	former := newSimulation(t, dispatch.Policy{}, 0)
+	worker := former.addIncarnation("w", 10_000)
+	former.answerNoStart()
+	former.addFlow(flow, dispatch.Progress{}, dispatch.OriginNew)
+	former.decide()
+	// The worker refuses the start, and its next incarnation would not.
+	for range 5 {
+		former.now.Steady += 100 * time.Millisecond
+		former.e.Report(former.now, former.now.Steady, worker, &agent.Report{Clock: 1})
+		former.outcome = func(o dispatch.Order) dispatch.Outcome {
+			if o.Kind == dispatch.StartTask {
+				return dispatch.RefusedUnhealthy
+			}
+			return dispatch.Confirmed
+		}
+		former.decide()
+	}
+	changes := former.e.TakeChanges(10)
+	if former.e.AwaitsNextIncarnation(worker) {
+		t.Fatal("the fleet keeps the worker, so a next owner waits for it")
+	}
+	var p dispatch.Progress
+	if len(changes) > 0 {
+		p = changes[0].Progress
+	}
+	next := newSimulation(t, dispatch.Policy{}, 0)
+	next.e.MarkUnresolved(worker)
+	next.addFlow(flow, p, dispatch.OriginPreviousOwner)
+	next.addIncarnation("w", 500)
+	next.addIncarnation("beside", 10_000)
+	next.advance(time.Second)
+	if got := len(next.started); got != 0 {
+		t.Errorf("got %d starts beside the worker whose next incarnation may carry a start out, want none", got)
+	}
+}
