--- a/process/dispatch/unanswered_test.go
+++ b/process/dispatch/unanswered_test.go
@@ -111,3 +111,42 @@
 		t.Errorf("got %d starts beside the worker whose next incarnation may carry a start out, want none", got)
 	}
 }
+
+// TestLastingTaskStartsBesideRoom measures how long a long-running task with an open start waits although
+// workers have room.
+func TestLastingTaskStartsBesideRoom(t *testing.T) {
+	const limit = 7 * time.Second
+	for name, lose := range map[string]func(b *simulation, id heatherhub.WorkerID){
+		"worker drains":    func(b *simulation, _ heatherhub.WorkerID) { b.drain(0, time.Minute) },
+		"worker unhealthy": func(*simulation, heatherhub.WorkerID) {},
+		"lease expired": func(b *simulation, id heatherhub.WorkerID) {
+			b.e.WorkerUnresponsive(b.now, id)
+			b.now.Steady += 6500 * time.Millisecond
+			b.e.WorkerGone(b.now, id, false)
+			b.workers = b.workers[1:]
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newSimulation(t, dispatch.Policy{}, 0)
+			id := b.addIncarnation("w", 10_000)
+			b.answerNoStart()
+			b.add("lasting", lasting())
+			b.decide()
+			sentAt := b.now.Steady
+			b.addIncarnation("beside", 10_000)
+			b.outcome = func(o dispatch.Order) dispatch.Outcome {
+				if o.Kind == dispatch.StartTask && o.Worker == id {
+					return dispatch.RefusedUnhealthy
+				}
+				return dispatch.Confirmed
+			}
+			lose(b, id)
+			for len(b.started) == 0 && b.now.Steady-sentAt < time.Minute {
+				b.step(100 * time.Millisecond)
+			}
+			if got := b.now.Steady - sentAt; got > limit {
+				t.Errorf("got a start %v after the one without an answer, want at most %v", got, limit)
+			}
+		})
+	}
+}
