--- a/process/dispatch/unanswered_test.go
+++ b/process/dispatch/unanswered_test.go
@@ -150,3 +150,26 @@
 		})
 	}
 }
+
+// TestFillersStartBesideOpenStart guards against a filler job of which nothing runs since one of its tasks has
+// an open start.
+func TestFillersStartBesideOpenStart(t *testing.T) {
+	b := newSimulation(t, dispatch.Policy{}, 0)
+	id := b.addIncarnation("w", 10_000)
+	b.answerNoStart()
+	// Too large for the spare processors of any worker.
+	s := tasks(2, 12_000, time.Second)
+	s.Filler, s.Image = true, "filler"
+	b.add("fillers", s)
+	for b.e.Stats.Unanswered == 0 && b.now.Steady < time.Minute {
+		b.step(100 * time.Millisecond)
+	}
+	sentAt := b.now.Steady
+	b.outcome = nil
+	for len(b.started) == 0 && b.now.Steady-sentAt < time.Minute {
+		b.step(100 * time.Millisecond)
+	}
+	if got, limit := b.now.Steady-sentAt, 3*time.Second; got > limit {
+		t.Errorf("got a start of the job %v after the one without an answer on %s, want at most %v", got, id, limit)
+	}
+}
