Show that a long-running task that starts again in place may have two runs on one worker

TestStartsInPlaceRunOnce fails: the second start gets no answer either, both have the token of the former life, and the next one carries both out.

--- a/process/owner/worker_test.go
+++ b/process/owner/worker_test.go
@@ -170,6 +170,11 @@
 	if s.Run <= m.maxRuns[s.Task] {
 		return m.clock(), &agent.RefusedError{Reason: agent.ReasonStaleRun, Clock: m.clock()}
 	}
+	if r := m.running[s.Task]; r != nil && m.site.auditsOneWorker.Load() {
+		m.site.mu.Lock()
+		m.site.addViolation("task %v starts on %s as run %d while run %d is there", s.Task, m.entry.ID, s.Run, r.run)
+		m.site.mu.Unlock()
+	}
 	m.running[s.Task] = &fakeRun{run: s.Run, startedAt: time.Now(), endsAt: time.Now().Add(m.site.runTime(s.Task))}
 	m.site.recordStart(m, s.Task, s.Run, s.Token, isLate)
 	m.site.crashAfterStart(m, s.Task, s.Run)
@@ -352,6 +357,13 @@
 }
 
 func (a *hostAgent) Stop(ctx context.Context, s agent.Stop) (agent.Clock, error) {
+	if a.site.delaysStartsOnly.Load() {
+		m, err := a.reach(ctx)
+		if err != nil {
+			return 0, err
+		}
+		return m.stop(s)
+	}
 	return a.order(ctx, func(m *fakeWorker, _ bool) (agent.Clock, error) { return m.stop(s) })
 }
 
--- a/process/owner/world_test.go
+++ b/process/owner/world_test.go
@@ -72,6 +72,10 @@
 	delayedShare float64
 	// fixedDelay, if set, is how late delayed orders are.
 	fixedDelay time.Duration
+	// delaysStartsOnly has other orders carried out at once.
+	delaysStartsOnly atomic.Bool
+	// auditsOneWorker has a second run of a task on one worker count as a violation.
+	auditsOneWorker atomic.Bool
 	// pollDelay, if not zero, is how late polls are carried out, in nanoseconds. They get no answer.
 	pollDelay atomic.Int64
 	// acknowledgeEarly injects a fault: ended runs are acknowledged before they are durable.
