--- a/process/owner/random_test.go
+++ b/process/owner/random_test.go
@@ -106,6 +106,23 @@
 	}
 }
 
+// TestRandomFaultsWithPollsDelayedInNetwork is TestRandomFaultsWithCallsDelayedInNetwork with polls that
+// arrive late as well.
+func TestRandomFaultsWithPollsDelayedInNetwork(t *testing.T) {
+	for i := range *episodes {
+		seed := *episodeSeed + uint64(i)
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := newWorkerFaultEpisode(t, seed, newFaultCounts(), allWorkerFaultKinds)
+				e.delaysCallsInNetwork.Store(true)
+				e.delaysPolls.Store(true)
+				e.injectFaults()
+				e.healAndCheck()
+			})
+		})
+	}
+}
+
 // TestSeedsThatFailed runs episodes in which the audit once reported a false violation:
 // with seeds 5060 and 5616 a worker reports the end of a task after its lease expired and
 // the task was started elsewhere, which is allowed.
--- a/process/owner/worker_test.go
+++ b/process/owner/worker_test.go
@@ -377,7 +377,7 @@
 		return agent.Report{}, err
 	}
 	p = a.site.injectPollFault(a.worker, p)
-	if delay := time.Duration(a.site.pollDelay.Load()); delay > 0 {
+	if delay, isLate := a.site.latePoll(); isLate {
 		a.site.after(delay, func() { a.receiver(m).pollOnce(p) })
 		ledger.Sleep(ctx, callTimeout)
 		return agent.Report{}, a.site.unansweredError()
@@ -418,3 +418,12 @@
 }
 
 func (a *hostAgent) Close() {}
+
+// latePoll draws whether the next poll is delayed, and by how much.
+func (site *simSite) latePoll() (time.Duration, bool) {
+	if site.delaysPolls.Load() {
+		return site.orderDelay()
+	}
+	delay := time.Duration(site.pollDelay.Load())
+	return delay, delay > 0
+}
--- a/process/owner/world_test.go
+++ b/process/owner/world_test.go
@@ -76,6 +76,8 @@
 	delaysStartsOnly atomic.Bool
 	// auditsOneWorker has a second run of a task on one worker count as a violation.
 	auditsOneWorker atomic.Bool
+	// delaysPolls has polls carried out late like orders.
+	delaysPolls atomic.Bool
 	// pollDelay, if not zero, is how late polls are carried out, in nanoseconds. They get no answer.
 	pollDelay atomic.Int64
 	// acknowledgeEarly injects a fault: ended runs are acknowledged before they are durable.
