Show that a start before an outage of the store runs beside another run

TestStartDuringStoreOutageRunsOnce fails: the owner cannot record the start that got no answer, loses the shard to the outage, and the next owner, here the same host, does not know of the start. No host is killed.

--- a/process/owner/former_life_test.go
+++ b/process/owner/former_life_test.go
@@ -112,3 +112,14 @@
 		})
 	}
 }
+
+// TestStartDuringStoreOutageRunsOnce guards against a second run of a task whose start got no answer while
+// the store was down, so that the owner could not record it before another one took over.
+func TestStartDuringStoreOutageRunsOnce(t *testing.T) {
+	testOnSite(t, 2, func(site *simSite) {
+		h := heldStarts{lateBy: 11 * time.Second, restartsAt: []time.Duration{7 * time.Second}, step: newStep(12, 15*time.Second)}
+		site.after(15*time.Second+60*time.Millisecond, func() { site.store.setDown(true) })
+		site.after(18*time.Second, func() { site.store.setDown(false) })
+		h.play(site)
+	})
+}
