--- a/process/dispatch/unanswered_test.go
+++ b/process/dispatch/unanswered_test.go
@@ -45,11 +45,6 @@
 	return b.now.Steady - from
 }
 
-func lasting(step heatherhub.Step) heatherhub.Step {
-	step.LongRunning = true
-	return step
-}
-
 // TestRefusedStartIsNotTakenForOver guards against a second start of a task elsewhere while the next
 // incarnation of the worker may carry the first one out.
 func TestRefusedStartIsNotTakenForOver(t *testing.T) {
@@ -64,7 +59,7 @@
 // while its start may still be carried out.
 func TestLongRunningTaskStartsAgainWhereItsStartIsRefused(t *testing.T) {
 	b := newIncarnations(t, 4)
-	start := b.leaveUnanswered("held", lasting(tasks(1, 1000, time.Second)))
+	start := b.leaveUnanswered("held", lasting())
 	if got, limit := b.startAfter(20*time.Second), 2*time.Second; got > limit {
 		t.Errorf("got the second start after %s, want at most %s", got, limit)
 	}
--- a/process/owner/world_test.go
+++ b/process/owner/world_test.go
@@ -72,6 +72,14 @@
 	delayedShare float64
 	// fixedDelay, if set, is how late delayed orders are.
 	fixedDelay time.Duration
+	// delaysStartsOnly has other orders carried out at once.
+	delaysStartsOnly atomic.Bool
+	// auditsOneWorker has a second run of a task on one worker count as a violation.
+	auditsOneWorker atomic.Bool
+	// delaysPolls has polls carried out late like orders.
+	delaysPolls atomic.Bool
+	// pollDelay, if not zero, is how late polls are carried out, in nanoseconds. They get no answer.
+	pollDelay atomic.Int64
 	// acknowledgeEarly injects a fault: ended runs are acknowledged before they are durable.
 	acknowledgeEarly atomic.Bool
 	// ignoreTokens injects a fault: workers accept orders with any token.
