Keep an ended job as it is once an open start is over

Callers saw a cancelled job as running for a moment, 12 s after the cancel. Cause: the end of an open start changed the progress of the ended job, and State reports a job whose progress is not durable as running. Change: the progress of an ended job keeps its open starts, which nobody needs any more. Result: TestEndedJobStaysEnded (review) fails before and passes now.

--- a/process/dispatch/unanswered.go
+++ b/process/dispatch/unanswered.go
@@ -103,7 +103,7 @@
 func (e *Engine) forgetUnanswered(t *task, run heatherhub.RunID) {
 	j := t.step.occ.job
 	n := len(j.progress.Open)
-	if n == 0 || slices.ContainsFunc(t.open, func(o *openStart) bool { return o.run == run }) {
+	if n == 0 || j.isOver() || slices.ContainsFunc(t.open, func(o *openStart) bool { return o.run == run }) {
 		return
 	}
 	if j.progress.Open = slices.DeleteFunc(j.progress.Open, isRecordOf(t, run)); len(j.progress.Open) < n {
