Start a filler beside an open start of its job

Callers waited 12 s for a filler job of which nothing ran. Cause: open starts counted as attempts of the job, so it did not count as starved, and only the first pending task was looked at. The bound on waits for a rack was off for the same reason. Change: starvation and waits for a rack look at attempts alone, and the first task that may start is taken.

--- a/process/dispatch/locate.go
+++ b/process/dispatch/locate.go
@@ -38,7 +38,7 @@
 // have been set while the job had runs; once it has none, maxLocationWait applies as well.
 func (s *stepRun) waitsByChoice(now time.Duration) bool {
 	w := &s.wait
-	return w.isOpen && now < w.deadline && (s.occ.job.openAttempts > 0 || now < w.since+maxLocationWait)
+	return w.isOpen && now < w.deadline && (s.occ.job.hasAttempt() || now < w.since+maxLocationWait)
 }
 
 // prefersRack reports whether the tasks of a step are faster in one rack. Long-running tasks never
@@ -156,7 +156,7 @@
 	case s.mayHaveWaited:
 		q.Since = min(o.from, now.Steady)
 	}
-	if o.job.openAttempts == 0 {
+	if !o.job.hasAttempt() {
 		q.Limit = max(q.Since+maxLocationWait, 1)
 	}
 	return q
--- a/process/dispatch/order.go
+++ b/process/dispatch/order.go
@@ -218,11 +218,12 @@
 			// Another step of the job was started in this loop.
 			continue
 		}
-		t := s.pending[0]
-		if t.needsIsolation() {
+		at := slices.IndexFunc(s.pending, func(t *task) bool { return e.isStartable(now.Steady, t) })
+		if at < 0 || s.pending[at].needsIsolation() {
 			continue
 		}
-		if n := e.leastInterference(now, s, t); n != nil && e.isStartable(now.Steady, t) {
+		t := s.pending[at]
+		if n := e.leastInterference(now, s, t); n != nil {
 			e.nextRun++
 			e.start(now, t, n, e.nextRun)
 			e.recordStarts(now, s, 1, n.worker.ID)
@@ -233,7 +234,7 @@
 // isStarved reports whether a filler job has no running task and has waited for
 // StarvedAfter.
 func (e *Engine) isStarved(now Moment, s *stepRun) bool {
-	return s.spec.Filler && len(s.pending) > 0 && !s.waitsByChoice(now.Steady) && s.occ.job.openAttempts == 0 && now.Steady-s.readySince >= e.cfg.StarvedAfter
+	return s.spec.Filler && len(s.pending) > 0 && !s.waitsByChoice(now.Steady) && !s.occ.job.hasAttempt() && now.Steady-s.readySince >= e.cfg.StarvedAfter
 }
 
 // StarvationLoadLimit is the fraction of reserved processors up to which every filler
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -226,6 +226,8 @@
 	mayBeReported bool
 	// openAttempts counts the attempts and open starts that are not known to be over.
 	openAttempts int
+	// openStarts counts the open starts among openAttempts.
+	openStarts int
 	// expectedStart is the steady time at which the forecast expected the first start, or zero
 	// if it was not expected or has been seen.
 	expectedStart time.Duration
@@ -268,6 +270,11 @@
 	return j.state == heatherhub.WorkflowQueued && j.workflow.Schedule == nil && !j.isOwnedElsewhere
 }
 
+// hasAttempt reports whether an attempt of the job is not known to be over, open starts aside.
+func (j *job) hasAttempt() bool {
+	return j.openAttempts > j.openStarts
+}
+
 // begin records that a run of the job is known to have begun.
 func (j *job) begin() {
 	if j.state == heatherhub.WorkflowQueued {
--- a/process/dispatch/unanswered.go
+++ b/process/dispatch/unanswered.go
@@ -68,7 +68,9 @@
 	name := o.worker.Name()
 	e.open[name] = append(e.open[name], o)
 	o.task.open = append(o.task.open, o)
-	o.task.step.occ.job.openAttempts++
+	j := o.task.step.occ.job
+	j.openAttempts++
+	j.openStarts++
 }
 
 // recordUnanswered adds a start without an answer to the progress of its job, so that a next owner
@@ -226,6 +228,7 @@
 	}
 	o.task.open = slices.DeleteFunc(o.task.open, isSame)
 	j.openAttempts--
+	j.openStarts--
 	e.forgetUnanswered(o.task, o.run)
 }
 
