Acknowledge each end to a worker once

Callers could see a task start again after it had ended. Cause: each poll repeated the highest end that the worker may forget. A poll that got no answer may be carried out by the worker's next incarnation, which numbers its ends from 1 and then forgot the end of a run that nobody had read. Change: a poll acknowledges only what no answered poll has acknowledged. A poll that acknowledges new ends and is itself the one that arrives late can still do it.

--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -90,6 +90,9 @@
 	// answered.
 	confirmedAt time.Duration
 
+	// forgottenUpTo is the highest end of which the worker has an acknowledgement. Only pollLoop uses it.
+	forgottenUpTo uint64
+
 	// mu guards queue, clock, clockAt and leaseUntil.
 	mu    sync.Mutex
 	queue []timedOrder
@@ -343,9 +346,10 @@
 	isUp := w.isUp
 	isTargetMissed := t.engine.MissesLatencyTarget(w.id)
 	p := agent.Poll{Token: w.token}
-	// After a failed poll another incarnation may answer, which numbers its ends from 1.
-	if !w.isSilent.Load() {
-		p.AcknowledgedUpTo = t.engine.Acknowledged(w.id)
+	// After a failed poll another incarnation may answer, which numbers its ends from 1. It may also carry
+	// this poll out late, so an acknowledgement that the worker has is not repeated.
+	if upTo := t.engine.Acknowledged(w.id); !w.isSilent.Load() && upTo > w.forgottenUpTo {
+		p.AcknowledgedUpTo = upTo
 	}
 	t.mu.Unlock()
 	// The lease counts from the reading of the clock at which the owner may act. The process
@@ -371,6 +375,7 @@
 		return err
 	}
 	w.isSilent.Store(false)
+	w.forgottenUpTo = max(w.forgottenUpTo, p.AcknowledgedUpTo)
 	w.recordClock(now.Steady, r.Clock)
 	w.applyReport(now, sentAt, &r)
 	return nil
