Count open starts from the last call that may have been sent

Cause: three times were taken from too early a moment: the first list of a worker counted as asked for when it arrived, the lease of a lost worker from its first silence although queued orders are sent for up to 1 s more, and entries of starts that no longer matter stayed in the progress of a job for good. By reading (review). Change: the first list counts as asked for 1 s earlier, the lease from 1 s later, and such entries are dropped when the job is read.

--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -21,9 +21,15 @@
 		e.addNode(n)
 		e.resolveLapsed(now, addressOf(&w), w.ID)
 	}
-	e.Report(now, now.Steady, w.ID, r)
+	e.Report(now, now.Steady-maxFirstPollTime, w.ID, r)
 }
 
+// maxFirstPollTime is the longest time that the first poll of a worker takes, which does not wait.
+const maxFirstPollTime = time.Second
+
+// MaxOrderAge is how long after it was decided an order may be sent.
+const MaxOrderAge = time.Second
+
 // UpdateWorker replaces the entry of a known worker.
 func (e *Engine) UpdateWorker(w agent.Worker) {
 	if n := e.nodes[w.ID]; n != nil {
@@ -76,7 +82,8 @@
 		e.recordInheritedCrash(now, id, departure(isReplaced))
 		return
 	}
-	lostAt := n.lostAt(now.Steady)
+	// Orders that were queued when contact was lost are sent within MaxOrderAge.
+	lostAt := min(n.lostAt(now.Steady)+MaxOrderAge, now.Steady)
 	e.unrefuseAll(id.Name(), lostAt)
 	if isReplaced {
 		e.replaceOpen(now, id.Name(), addressOf(&n.worker))
--- a/process/dispatch/unanswered.go
+++ b/process/dispatch/unanswered.go
@@ -149,7 +149,9 @@
 // restoreOpen adds the open starts that a previous owner has recorded. They were sent before this
 // owner took over.
 func (e *Engine) restoreOpen(now Moment, j *job) {
-	for _, r := range j.progress.Open {
+	recorded := j.progress.Open
+	j.progress.Open = nil
+	for _, r := range recorded {
 		if r.Occurrence < 0 || r.Occurrence >= len(j.occurrences) {
 			continue
 		}
@@ -157,6 +159,7 @@
 		if t == nil || t.isRemote || t.isDone {
 			continue
 		}
+		j.progress.Open = append(j.progress.Open, r)
 		o := &openStart{task: t, run: r.Run, worker: r.Worker, address: r.Address, sentBy: now.Steady}
 		e.addOpen(o)
 		e.unrefuse(o, max(now.Steady, e.inheritUntil))
--- a/process/owner/authority.go
+++ b/process/owner/authority.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/process/dispatch"
 )
 
 // An owner that cannot reach the store cannot know whether it was replaced. At any moment it
@@ -150,6 +151,6 @@
 // inheritedRunsEnd returns the steady time by which runs of earlier owners have ended at a
 // worker that this owner has not reached.
 func (t *term) inheritedRunsEnd() time.Duration {
-	longest := max(t.host.cfg.WorkerLease, maxOrderAge+startValidity)
+	longest := max(t.host.cfg.WorkerLease, dispatch.MaxOrderAge+startValidity)
 	return t.formerStopsAt() + onSlowestClock(longest) + leaseSlack
 }
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -39,8 +39,6 @@
 	// slowStartTime is how long after a start was sent it is recorded that it has no answer. Workers
 	// normally respond within milliseconds.
 	slowStartTime = 150 * time.Millisecond
-	// maxOrderAge is the age above which a queued order is dropped as outdated.
-	maxOrderAge = time.Second
 	// maxClockDrift is the fraction by which the clock of a worker or of another host may run
 	// slower than the owner's.
 	maxClockDrift = 0.02
@@ -572,7 +570,7 @@
 	outcome := dispatch.Outdated
 	var clock agent.Clock
 	var err error
-	if now.Steady-o.decidedAt <= maxOrderAge {
+	if now.Steady-o.decidedAt <= dispatch.MaxOrderAge {
 		until, ok := w.grantStart(now.Steady, o.Order)
 		if !ok {
 			return
