End the wait of a next owner for an open start earlier

Cause: a next owner counted an open start as sent when it took over, and the leases as extended until the latest time at which the former owner could act, 10.2 s later, although a majority of the workers showed soon that it had stopped. A restart of an incarnation that had never answered also began the wait anew. Change: the record has the time of day, of which all but 10 s count; the end of the former owner is taken as it becomes known; and only an incarnation that has answered can have been given a lease.

--- a/process/dispatch/decide.go
+++ b/process/dispatch/decide.go
@@ -165,7 +165,7 @@
 		e.Stats.Unanswered++
 		e.recordTaskEvent(EventStartUnanswered, a, "no answer")
 		e.setState(now, a, unconfirmed)
-		e.recordUnanswered(a)
+		e.recordUnanswered(now, a)
 		a.node.markUnresponsive(now.Steady)
 		return
 	}
--- a/process/dispatch/progress.go
+++ b/process/dispatch/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -40,6 +41,8 @@
 	Run        heatherhub.RunID    `msgpack:"r" json:"run"`
 	Worker     heatherhub.WorkerID `msgpack:"w" json:"worker"`
 	Address    string              `msgpack:"a" json:"address"`
+	// At is the time of day at which the start was recorded.
+	At time.Time `msgpack:"at" json:"at"`
 }
 
 // DecodeMsgpack decodes a progress record and rejects an unknown state with ErrInvalid.
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -30,6 +30,12 @@
 // MaxOrderAge is how long after it was decided an order may be sent.
 const MaxOrderAge = time.Second
 
+// lastSentTo returns the latest time at which a call that renews leases may have been sent to a lost
+// worker. Orders that were queued when contact was lost are sent within MaxOrderAge.
+func (n *node) lastSentTo(now time.Duration) time.Duration {
+	return min(n.lostAt(now)+MaxOrderAge, now)
+}
+
 // UpdateWorker replaces the entry of a known worker.
 func (e *Engine) UpdateWorker(w agent.Worker) {
 	if n := e.nodes[w.ID]; n != nil {
@@ -82,8 +88,7 @@
 		e.recordInheritedCrash(now, id, departure(isReplaced))
 		return
 	}
-	// Orders that were queued when contact was lost are sent within MaxOrderAge.
-	lostAt := min(n.lostAt(now.Steady)+MaxOrderAge, now.Steady)
+	lostAt := n.lastSentTo(now.Steady)
 	e.unrefuseAll(id.Name(), lostAt)
 	if isReplaced {
 		e.replaceOpen(now, id.Name(), addressOf(&n.worker))
@@ -427,7 +432,7 @@
 			// The agent confirmed the stop and lists no run: the start never arrived,
 			// or will be refused if it arrives later.
 			if a.state == unconfirmed {
-				e.recordRefusedStart(a)
+				e.recordRefusedStart(now, a)
 			}
 			e.release(a)
 			e.requeue(now, a)
--- a/process/dispatch/restart.go
+++ b/process/dispatch/restart.go
@@ -22,12 +22,14 @@
 		e.unresolved[id] = u
 	}
 	n := e.nodes[id]
-	e.unrefuseAll(id.Name(), now.Steady)
 	if n == nil {
+		e.unrefuseAll(id.Name(), 0)
 		e.resolveReplaced(now, id)
 		e.recordInheritedCrash(now, id, crashed)
 		return
 	}
+	lostAt := n.lastSentTo(now.Steady)
+	e.unrefuseAll(id.Name(), lostAt)
 	e.dropNode(n)
 	if !n.isLeaving {
 		e.recordCrash(now, n, crashed)
@@ -38,10 +40,10 @@
 		case a.isKnownTaken() && hasIncarnation:
 			e.endLostRun(now, a, "worker restarted")
 		case hasIncarnation:
-			e.endUnlisted(now, a, now.Steady, "worker restarted")
+			e.endUnlisted(now, a, lostAt, "worker restarted")
 		default:
 			// The runs may go on under the ID that the worker states now.
-			e.unrefuse(e.keepOpen(a, e.sentBy(now, a)), now.Steady)
+			e.unrefuse(e.keepOpen(now, a, e.sentBy(now, a)), now.Steady)
 			e.endLostRun(now, a, "worker restarted")
 		}
 	}
@@ -51,7 +53,7 @@
 // call that may extend a lease there was sent by sentBy.
 func (e *Engine) endUnlisted(now Moment, a *attempt, sentBy time.Duration, reason string) {
 	if mayBeOpen(a) {
-		e.unrefuse(e.keepOpen(a, e.sentBy(now, a)), sentBy)
+		e.unrefuse(e.keepOpen(now, a, e.sentBy(now, a)), sentBy)
 	}
 	e.endLostRun(now, a, reason)
 }
--- a/process/dispatch/unanswered.go
+++ b/process/dispatch/unanswered.go
@@ -35,6 +35,9 @@
 	sentBy time.Duration
 	// recordedBy is the change of its job's progress that has the start.
 	recordedBy uint64
+	// isInherited means that a previous owner has sent the start. It may have extended leases for as
+	// long as it acted.
+	isInherited bool
 	// refusedBy is the incarnation that is known to refuse the start, or empty.
 	refusedBy heatherhub.WorkerID
 	// expiresAt is the steady time by which a run that the start has begun is over. It is used
@@ -55,11 +58,11 @@
 }
 
 // keepOpen adds the open start of an attempt that is released next.
-func (e *Engine) keepOpen(a *attempt, sentBy time.Duration) *openStart {
+func (e *Engine) keepOpen(now Moment, a *attempt, sentBy time.Duration) *openStart {
 	w := &a.node.worker
 	o := &openStart{task: a.task, run: a.run, worker: w.ID, address: addressOf(w), sentBy: sentBy}
 	e.addOpen(o)
-	e.recordUnanswered(a)
+	e.recordUnanswered(now, a)
 	o.recordedBy = o.task.step.occ.job.changed
 	return o
 }
@@ -75,7 +78,7 @@
 
 // recordUnanswered adds a start without an answer to the progress of its job, so that a next owner
 // knows that it is open.
-func (e *Engine) recordUnanswered(a *attempt) {
+func (e *Engine) recordUnanswered(now Moment, a *attempt) {
 	if !mayBeOpen(a) {
 		return
 	}
@@ -84,20 +87,20 @@
 		return
 	}
 	j.progress.Open = append(j.progress.Open, OpenStart{
-		Occurrence: t.step.occ.index, Task: t.flatIndex(), Run: a.run, Worker: w.ID, Address: addressOf(w),
+		Occurrence: t.step.occ.index, Task: t.flatIndex(), Run: a.run, Worker: w.ID, Address: addressOf(w), At: now.Wall,
 	})
 	e.markChanged(j)
 }
 
 // StartIsSlow records that a start order has had no answer for a while. If the owner is replaced before
 // the outcome is known, the next one has to know of the start.
-func (e *Engine) StartIsSlow(o Order) {
+func (e *Engine) StartIsSlow(now Moment, o Order) {
 	n := e.nodes[o.Worker]
 	if n == nil {
 		return
 	}
 	if a := n.attempts[attemptKey{o.Task, o.Run}]; a != nil && a.state == sent {
-		e.recordUnanswered(a)
+		e.recordUnanswered(now, a)
 	}
 }
 
@@ -118,11 +121,11 @@
 
 // RecordStartsUnderWay records the start orders that have no answer yet, for the owner that follows on a
 // planned end of this one.
-func (e *Engine) RecordStartsUnderWay() {
+func (e *Engine) RecordStartsUnderWay(now Moment) {
 	for _, n := range e.sortedNodes {
 		for _, a := range n.attemptsByRun() {
 			if a.state == sent {
-				e.recordUnanswered(a)
+				e.recordUnanswered(now, a)
 			}
 		}
 	}
@@ -146,6 +149,9 @@
 	}
 }
 
+// maxWallClockError is how far the times of day of two hosts may be apart.
+const maxWallClockError = 10 * time.Second
+
 // restoreOpen adds the open starts that a previous owner has recorded. They were sent before this
 // owner took over.
 func (e *Engine) restoreOpen(now Moment, j *job) {
@@ -160,9 +166,10 @@
 			continue
 		}
 		j.progress.Open = append(j.progress.Open, r)
-		o := &openStart{task: t, run: r.Run, worker: r.Worker, address: r.Address, sentBy: now.Steady}
+		age := min(max(now.Wall.Sub(r.At)-maxWallClockError, 0), e.cfg.LateCallTime)
+		o := &openStart{task: t, run: r.Run, worker: r.Worker, address: r.Address, sentBy: now.Steady - age, isInherited: true}
 		e.addOpen(o)
-		e.unrefuse(o, max(now.Steady, e.inheritUntil))
+		e.unrefuse(o, o.sentBy)
 	}
 }
 
@@ -203,12 +210,12 @@
 
 // recordRefusedStart records that the incarnation to which a start without an answer was sent refuses
 // it. The attempt is released next.
-func (e *Engine) recordRefusedStart(a *attempt) {
+func (e *Engine) recordRefusedStart(now Moment, a *attempt) {
 	if !mayBeOpen(a) {
 		e.recordTaskEvent(EventUnansweredStartOver, a, "refused")
 		return
 	}
-	o := e.keepOpen(a, a.stateSince)
+	o := e.keepOpen(now, a, e.sentBy(now, a))
 	o.refusedBy = a.node.worker.ID
 }
 
@@ -231,7 +238,11 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(e.open)) {
 		for _, o := range slices.Clone(e.open[name]) {
-			if o.refusedBy == "" && o.expiresAt <= by {
+			expiresAt := o.expiresAt
+			if o.isInherited {
+				expiresAt = max(expiresAt, e.inheritUntil+e.cfg.LateCallTime+e.cfg.LongestLease)
+			}
+			if o.refusedBy == "" && expiresAt <= by {
 				e.endOpen(now, o, "lease expired")
 			}
 		}
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -211,7 +211,7 @@
 	t.refreshClosedWorkers()
 	t.writeFleet(ctx)
 	t.mu.Lock()
-	t.engine.RecordStartsUnderWay()
+	t.engine.RecordStartsUnderWay(t.now())
 	t.mu.Unlock()
 	for ctx.Err() == nil {
 		if !t.commit(ctx) {
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -612,7 +612,7 @@
 		}
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		t.engine.StartIsSlow(o)
+		t.engine.StartIsSlow(t.now(), o)
 		if t.engine.HasChanges() {
 			signal(t.wakeCommit)
 		}
