Repeat the start of a long-running task under its number

Callers could see two runs of a long-running task on one worker. Cause: a start without an answer was stopped, and the task started again on the same worker with a new number. If that start got no answer either, the next incarnation carried both out. Change: the start is repeated with the same number, up to five times, and an incarnation that refuses an open start by its token gets that number again, so that it carries only one of them out. A copy whose outcome is not known stays open when the run ends.

--- a/process/dispatch/decide.go
+++ b/process/dispatch/decide.go
@@ -179,6 +179,7 @@
 	case NotSent:
 		a.node.markUnresponsive(now.Steady)
 	}
+	e.keepOpenCopy(now, a)
 	e.release(a)
 	e.requeue(now, a)
 }
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -101,7 +101,7 @@
 		if !isReplaced {
 			a.task.step.occ.job.mayBeReported = true
 		}
-		if isReplaced || a.isKnownTaken() {
+		if isReplaced || (a.isKnownTaken() && !e.hasOpenCopy(now.Steady, a)) {
 			e.endLostRun(now, a, "worker gone")
 		} else {
 			e.endUnlisted(now, a, lostAt, "worker gone")
@@ -307,10 +307,13 @@
 		} else {
 			e.measureLocation(now, a)
 		}
+		e.keepOpenCopy(now, a)
 		e.release(a)
 	}
 	if t != nil {
-		e.closeListed(t, end.Run)
+		if a == nil {
+			e.closeListed(t, end.Run)
+		}
 		e.withdrawLoss(t, n.worker.ID, end.Run)
 		if end.Kind == agent.EndDone || end.Kind == agent.EndFailed {
 			e.clearCrashes(t, end.Run)
@@ -433,9 +436,13 @@
 			// or will be refused if it arrives later.
 			if a.state == unconfirmed {
 				e.recordRefusedStart(now, a)
+			} else {
+				e.keepOpenCopy(now, a)
 			}
 			e.release(a)
 			e.requeue(now, a)
+		case a.state == unconfirmed && sentAt > a.stateSince && a.stop == noStop && e.mayRepeat(a):
+			e.repeatStart(now, a)
 		case a.state == unconfirmed && sentAt > a.stateSince && a.stop == noStop:
 			a.stop = stopPending
 		case a.state == running && sentAt > a.stateSince && a.stop == noStop:
--- a/process/dispatch/restart.go
+++ b/process/dispatch/restart.go
@@ -37,7 +37,7 @@
 	_, hasIncarnation := id.Incarnation()
 	for _, a := range n.attemptsByRun() {
 		switch {
-		case a.isKnownTaken() && hasIncarnation:
+		case a.isKnownTaken() && hasIncarnation && !e.hasOpenCopy(now.Steady, a):
 			e.endLostRun(now, a, "worker restarted")
 		case hasIncarnation:
 			e.endUnlisted(now, a, lostAt, "worker restarted")
@@ -61,10 +61,12 @@
 // sentBy returns a time by which the start of an attempt was sent. A call that was answered is not
 // carried out again, but another incarnation may have answered it.
 func (e *Engine) sentBy(now Moment, a *attempt) time.Duration {
-	switch a.state {
-	case running:
+	switch {
+	case e.hasOpenCopy(now.Steady, a) && a.state == running:
+		return a.lastUnanswered
+	case a.state == running:
 		return now.Steady - e.cfg.LateCallTime
-	case unconfirmed:
+	case a.state == unconfirmed:
 		return a.stateSince
 	default:
 		return now.Steady
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -398,6 +398,10 @@
 	state attemptState
 	// isListed means that the worker has listed the run in a report.
 	isListed bool
+	// repeats counts the repetitions of a start without an answer, and lastUnanswered is the time by which
+	// the last one of which the outcome is not known was sent; never if there is none.
+	repeats        int
+	lastUnanswered time.Duration
 	// isAnswered means that the incarnation to which the start was sent has confirmed it.
 	isAnswered bool
 	// listedAt is the steady time of the last report that lists the run.
--- a/process/dispatch/unanswered.go
+++ b/process/dispatch/unanswered.go
@@ -19,9 +19,9 @@
 //   - the longest lease of a run that began at the last moment has expired.
 //
 // Until then its task waits. A task that ends by itself may start nowhere, since a second run could
-// end before the open start is carried out. A long-running one may start again on an incarnation
-// that refuses the open start: if that is carried out later, the incarnation has ended, and the
-// second run with it. Workers without an incarnation have another ID after each restart, so they
+// end before the open start is carried out. The start of a long-running task is repeated under the same
+// number, and once an incarnation refuses it, the task may start again there: if the open start is
+// carried out later, the incarnation has ended, and the second run with it. Workers without an incarnation have another ID after each restart, so they
 // have no open starts.
 
 // openStart is a start without an answer that may still be carried out.
@@ -167,6 +167,9 @@
 		}
 		j.progress.Open = append(j.progress.Open, r)
 		age := min(max(now.Wall.Sub(r.At)-maxWallClockError, 0), e.cfg.LateCallTime)
+		if r.At.IsZero() {
+			age = 0
+		}
 		o := &openStart{task: t, run: r.Run, worker: r.Worker, address: r.Address, sentBy: now.Steady - age, isInherited: true}
 		e.addOpen(o)
 		e.unrefuse(o, o.sentBy)
@@ -208,6 +211,42 @@
 	}
 }
 
+// maxRepeats is how often a start without an answer is repeated. A worker that answers no start may
+// answer polls.
+const maxRepeats = 5
+
+// mayRepeat reports whether a start without an answer is sent again. The run has the same number, so
+// that an incarnation carries only one of the starts out.
+func (e *Engine) mayRepeat(a *attempt) bool {
+	s := a.task.step
+	return mayBeOpen(a) && s.spec.LongRunning && !s.spec.Gang && !s.occ.job.isOver() && a.repeats < maxRepeats && a.node.isInService() && !e.isRoomStale && !e.isAtStartLimit()
+}
+
+// repeatStart sends a start without an answer again.
+func (e *Engine) repeatStart(now Moment, a *attempt) {
+	a.repeats++
+	a.lastUnanswered = a.stateSince
+	a.state, a.stateSince = sent, now.Steady
+	e.pendingStarts++
+	e.Stats.Starts++
+	e.orders = append(e.orders, Order{
+		Worker: a.node.worker.ID, Kind: StartTask, Task: a.task.id(), Run: a.run,
+		Payload: a.task.step.occ.job.workflow.Payload, Checkpoint: a.task.checkpoint,
+	})
+}
+
+// hasOpenCopy reports whether a start of the attempt that was repeated may still be carried out.
+func (e *Engine) hasOpenCopy(now time.Duration, a *attempt) bool {
+	return a.repeats > 0 && now < a.lastUnanswered+e.cfg.LateCallTime
+}
+
+// keepOpenCopy keeps the open start of an attempt that has ended on an incarnation, which refuses it.
+func (e *Engine) keepOpenCopy(now Moment, a *attempt) {
+	if e.hasOpenCopy(now.Steady, a) {
+		e.keepOpen(now, a, a.lastUnanswered).refusedBy = a.node.worker.ID
+	}
+}
+
 // recordRefusedStart records that the incarnation to which a start without an answer was sent refuses
 // it. The attempt is released next.
 func (e *Engine) recordRefusedStart(now Moment, a *attempt) {
@@ -304,8 +343,14 @@
 			if !t.isPending || slices.ContainsFunc(t.open, isElsewhere) || !e.isStartableButOpen(now.Steady, t) || e.isAtStartLimit() || !e.isEligible(now, n, t.step, t) {
 				continue
 			}
-			e.nextRun++
-			e.start(now, t, n, e.nextRun)
+			// An incarnation to which the open starts were not sent has not stopped their runs. With the same
+			// number it carries only one of them out.
+			run := o.run
+			if o.worker == o.refusedBy || len(t.open) > 1 {
+				e.nextRun++
+				run = e.nextRun
+			}
+			e.start(now, t, n, run)
 			e.recordStarts(now, t.step, 1, n.worker.ID)
 		}
 	}
