Play starts that reach the next life of a worker in the soak

The soak restarts workers, but none of its calls was late by more than 2 s and no worker was cut off when it was back. A new kind of fault does the same at random, beside the others; it is not in allFaultKinds yet. With it, one step in 12 has a task of 4 to 8 s.

--- a/experiment/soak/callers_test.go
+++ b/experiment/soak/callers_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -25,6 +26,9 @@
 	callerCount = 3
 	// jobGap is the mean time between job submissions.
 	jobGap = 120 * time.Millisecond
+	// longTaskInterval is the mean number of steps from one with a task of several seconds to the
+	// next, in runs with workers that hold starts.
+	longTaskInterval = 12
 	// completionTimeout is how long jobs may take to end once the faults have ended.
 	completionTimeout = 30 * time.Second
 )
@@ -188,13 +192,22 @@
 	return r.StatusCode, data, err
 }
 
+// newJob returns a job with an unused ID.
+func (c *caller) newJob() *job {
+	return &job{id: heatherhub.JobID(fmt.Sprintf("%016x", c.site.opts.Seed<<32+uint64(c.index)<<24+uint64(len(c.jobs))))}
+}
+
 // submit submits a job. Unless it is accepted, it tries again with the same ID, at most
 // three times and each time at a random host.
 func (c *caller) submit(ctx context.Context) {
-	j := &job{id: heatherhub.JobID(fmt.Sprintf("%016x", c.site.opts.Seed<<32+uint64(c.index)<<24+uint64(len(c.jobs))))}
+	j := c.newJob()
 	j.isDeadly = c.site.takeDeadlyJob(j.id)
 	j.isLongRunning = !j.isDeadly && c.needsLongRunning()
-	steps := c.newSteps(j)
+	c.send(ctx, j, c.newSteps(j))
+}
+
+// send submits a job with the given steps, as submit does.
+func (c *caller) send(ctx context.Context, j *job, steps []heatherhub.Step) {
 	c.site.mu.Lock()
 	c.site.jobSteps[j.id] = steps
 	c.site.mu.Unlock()
@@ -247,6 +260,12 @@
 
 // newStep returns a random step that depends on the steps with the given indexes.
 func (c *caller) newStep(after ...int) heatherhub.Step {
+	if slices.Contains(c.site.opts.faultKinds, workerHoldsStarts) && c.rng.IntN(longTaskInterval) == 0 {
+		return heatherhub.Step{
+			Tasks: 1, Need: heatherhub.Resources{CPU: 1000, Memory: 10},
+			Estimate: time.Duration(4000+c.rng.IntN(4000)) * time.Millisecond, After: after,
+		}
+	}
 	return heatherhub.Step{
 		Tasks: 1 + c.rng.IntN(4), Need: heatherhub.Resources{CPU: 1000 + 500*heatherhub.MilliCPU(c.rng.IntN(3)), Memory: 10},
 		Estimate: time.Duration(100+c.rng.IntN(1500)) * time.Millisecond, After: after,
--- a/experiment/soak/doc.go
+++ b/experiment/soak/doc.go
@@ -2,7 +2,8 @@
 // the users' platform and injects faults from outside: kills, pauses, planned restarts,
 // broken and slow connections, a store that rejects calls or drops responses, lost keys
 // and change history, worker crashes, lapsed entries of living workers, reset calls to
-// workers, and workers that drain, work on and leave. An audit checks the guarantees during
+// workers, workers that drain, work on and leave, and workers that start again under their names
+// and carry out starts that their former incarnations received. An audit checks the guarantees during
 // the run, from the viewpoint of callers and workers. It is a test because the product's own
 // programs must not start other processes.
 //
--- a/experiment/soak/faults_test.go
+++ b/experiment/soak/faults_test.go
@@ -51,6 +51,7 @@
 	workerShrinks       faultKind = "worker shrinks and grows"
 	taskCrashes         faultKind = "task crashes each worker that starts it"
 	domainEvacuated     faultKind = "failure domain evacuated"
+	workerHoldsStarts   faultKind = "worker holds starts, starts again under its name and is cut off"
 )
 
 // allFaultKinds are all kinds of faults.
@@ -164,6 +165,8 @@
 		f.resetCalls(0, span)
 	case workerRestart:
 		f.restartWorkers()
+	case workerHoldsStarts:
+		f.holdStarts()
 	case workerShrinks:
 		f.shrinkWorkers(span)
 	case taskCrashes:
@@ -360,12 +363,103 @@
 				return err
 			}
 			time.Sleep(entryDelay)
-			f.waitForStore(0)
-			return m.registerAgain(w)
+			return f.registerAgain(m, w)
 		})
 	}
 }
 
+// Timing of workers that hold starts.
+const (
+	// minHoldTime and maxHoldTime bound the time for which a worker holds starts before it ends. It
+	// goes on until a start was held, but not beyond effectLimit.
+	minHoldTime = time.Second
+	maxHoldTime = 4 * time.Second
+	// restartAbsence is the time until it is back.
+	restartAbsence = 300 * time.Millisecond
+	// minCut and maxCut bound the time for which it is cut off then, and maxCutDelay the time
+	// until the cut begins.
+	minCut      = 5 * time.Second
+	maxCut      = 9 * time.Second
+	maxCutDelay = 500 * time.Millisecond
+)
+
+// holdStarts has some workers hold a share of their starts, end, start again under their names and
+// at their addresses, and be cut off at once or soon afterwards. Some of them write their entries
+// meanwhile, and the entries of some lapse.
+func (f *faults) holdStarts() {
+	for _, m := range f.someMachines() {
+		h := standin.StartHold{
+			Share: 0.3 + 0.7*f.rng.Float64(), Duration: maxHoldTime + effectLimit,
+			MinDelay: standin.MinHoldDelay, MaxDelay: standin.MaxHoldDelay, Rand: rand.New(rand.NewPCG(f.rng.Uint64(), 6)),
+		}
+		c := cut{
+			state: []proxyState{blocked, reset}[f.rng.IntN(2)], duration: f.between(minCut, maxCut),
+			writesEntry: f.rng.IntN(2) == 0, lapses: f.rng.IntN(2) == 0,
+		}
+		if f.rng.IntN(2) == 0 {
+			c.delay = f.between(0, maxCutDelay)
+		}
+		w := m.currentWorker()
+		before := w.HeldStarts()
+		w.HoldStarts(h)
+		f.after(f.between(minHoldTime, maxHoldTime), func() error {
+			waitUntil(context.Background(), time.Now().Add(effectLimit), func() bool { return w.HeldStarts() > before })
+			w.HoldStarts(standin.StartHold{})
+			if m.currentWorker() != w {
+				return nil
+			}
+			m.stop()
+			time.Sleep(restartAbsence)
+			return f.restartCutOff(m, w, c)
+		})
+	}
+}
+
+// cut is a cut of a worker's network.
+type cut struct {
+	state proxyState
+	// delay is the time from the worker's start to the cut.
+	delay, duration time.Duration
+	// writesEntry says that the worker writes its entry when it is back, lapses that its entry lapses
+	// in the cut.
+	writesEntry, lapses bool
+}
+
+// restartCutOff starts a worker that has crashed again, and cuts it off.
+func (f *faults) restartCutOff(m *machine, w *standin.Worker, c cut) error {
+	state := passing
+	if c.delay == 0 {
+		state = c.state
+	}
+	p := m.restart(w, state)
+	if p == nil {
+		return nil
+	}
+	if c.writesEntry {
+		f.after(0, func() error { return f.registerAgain(m, w) })
+	}
+	time.Sleep(c.delay)
+	p.setState(c.state)
+	f.after(c.duration, func() error {
+		p.setState(passing)
+		return f.registerAgain(m, w)
+	})
+	if !c.lapses {
+		return nil
+	}
+	time.Sleep(entryLimit)
+	restore := m.lapse()
+	time.Sleep(c.duration - entryLimit)
+	f.waitForStore(returnDelay)
+	return restore()
+}
+
+// registerAgain writes the entry of a worker that has started again once the store serves.
+func (f *faults) registerAgain(m *machine, w *standin.Worker) error {
+	f.waitForStore(0)
+	return m.registerAgain(w)
+}
+
 // shrinkWorkers has some workers shrink, and grow again after d.
 func (f *faults) shrinkWorkers(d time.Duration) {
 	for _, m := range f.someMachines() {
--- a/experiment/soak/machine_test.go
+++ b/experiment/soak/machine_test.go
@@ -30,7 +30,7 @@
 func (m *machine) startWorker() error {
 	s := m.site
 	w := &standin.Worker{
-		Name: s.newWorkerName(m.index), Domain: heatherhub.FailureDomain(domainOf(m.index)), CPU: workerCPU, TaskDemand: s.taskDemand, Audit: s.audit, AutoAcknowledge: s.opts.autoAcknowledge,
+		Name: s.newWorkerName(m.index), Domain: heatherhub.FailureDomain(domainOf(m.index)), CPU: workerCPU, TaskDemand: s.taskDemand, Audit: s.audit, AutoAcknowledge: s.opts.autoAcknowledge, MaxHold: maxHold,
 	}
 	w.OnStart = func(t heatherhub.StepTask) { m.crashIfDeadly(w, t) }
 	w.Init()
@@ -108,10 +108,24 @@
 		}
 		m.proxy.close()
 		m.proxy = next
+		w.Move()
 		return true, nil
 	}
 }
 
+// restart starts a worker that has crashed again under its name and at its address, behind a proxy
+// in the given state. It returns the proxy, or nil if the worker is no longer that of the machine.
+func (m *machine) restart(w *standin.Worker, state proxyState) *faultProxy {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.worker != w || m.hasLeft {
+		return nil
+	}
+	m.proxy.setState(state)
+	w.Restart()
+	return m.proxy
+}
+
 // resize changes the capacity of the worker and writes its entry, unless the entry has lapsed.
 func (m *machine) resize(cpu heatherhub.MilliCPU) error {
 	m.mu.Lock()
--- a/experiment/soak/soak_test.go
+++ b/experiment/soak/soak_test.go
@@ -50,6 +50,9 @@
 	// LongRunning is the number of accepted jobs with long-running tasks, ResetCalls that of
 	// calls to workers whose connection was reset.
 	LongRunning, ResetCalls int
+	// HeldStarts is the number of starts that workers held, InheritedStarts that of the runs which
+	// began on another incarnation than the one that received the start.
+	HeldStarts, InheritedStarts int
 	// DeadlyStarts has the number of starts of each task that crashes its workers.
 	DeadlyStarts []int
 	Faults       map[faultKind]int
@@ -190,11 +193,15 @@
 	n := c.total()
 	r := &result{
 		Seed: o.Seed, Accepted: n.Accepted, Refused: n.Refused, Unknown: n.Unknown, Cancelled: n.Cancelled,
-		Starts: s.audit.Starts(), LongRunning: c.longRunning(), ResetCalls: s.audit.ResetCalls(), Faults: f.counts, Broken: append(s.audit.Violations(), violations...),
+		Starts: s.audit.Starts(), LongRunning: c.longRunning(), ResetCalls: s.audit.ResetCalls(),
+		HeldStarts: s.audit.HeldStarts(), InheritedStarts: s.audit.InheritedStarts(), Faults: f.counts, Broken: append(s.audit.Violations(), violations...),
 	}
 	for _, t := range deadly {
 		r.DeadlyStarts = append(r.DeadlyStarts, s.audit.StartsOf(t))
 	}
+	if f.counts[workerHoldsStarts] > 0 && r.HeldStarts == 0 {
+		r.Broken = append(r.Broken, "the run was idle: no start was held")
+	}
 	if missing := f.missing(); len(missing) > 0 || r.Starts == 0 || r.Accepted == 0 || r.LongRunning == 0 || r.ResetCalls == 0 {
 		r.Broken = append(r.Broken, fmt.Sprintf("the run was idle: %d jobs accepted, %d of them long-running, %d starts, %d calls to workers reset, no fault of the kinds %q",
 			r.Accepted, r.LongRunning, r.Starts, r.ResetCalls, missing))
