--- a/experiment/soak/heldstart_test.go
+++ b/experiment/soak/heldstart_test.go
@@ -29,7 +29,10 @@
 	minDelay, maxDelay time.Duration
 	// endsAfter is the time from the first held start until the workers end.
 	endsAfter time.Duration
-	// cut is the time for which they are cut off when they are back.
+	// answersFor is the time for which they answer when they are back, until they end once more. They
+	// end only once if it is zero.
+	answersFor time.Duration
+	// cut is the time for which they are cut off when they are back for good.
 	cut time.Duration
 	// killsOwner kills the owner once a start was without an answer for unansweredFor.
 	killsOwner bool
@@ -90,18 +93,11 @@
 		m.currentWorker().HoldStarts(standin.StartHold{})
 	}
 	time.Sleep(h.endsAfter - unansweredFor)
-	for _, m := range machines {
-		m.stop()
-	}
-	time.Sleep(restartAbsence)
-	var proxies []*faultProxy
-	for _, m := range machines {
-		w := m.currentWorker()
-		proxies = append(proxies, m.restart(w, blocked))
-		if err := m.registerAgain(w); err != nil {
-			t.Error(err)
-		}
+	if h.answersFor > 0 {
+		restartAll(t, machines, passing)
+		time.Sleep(h.answersFor)
 	}
+	proxies := restartAll(t, machines, blocked)
 	time.Sleep(h.cut)
 	for _, p := range proxies {
 		p.setState(passing)
@@ -115,6 +111,23 @@
 	}
 }
 
+// restartAll has the workers end and start again, behind proxies in the given state, which it returns.
+func restartAll(t *testing.T, machines []*machine, state proxyState) []*faultProxy {
+	var proxies []*faultProxy
+	for _, m := range machines {
+		m.stop()
+	}
+	time.Sleep(restartAbsence)
+	for _, m := range machines {
+		w := m.currentWorker()
+		proxies = append(proxies, m.restart(w, state))
+		if err := m.registerAgain(w); err != nil {
+			t.Error(err)
+		}
+	}
+	return proxies
+}
+
 // killOwners kills the hosts that own shards. It returns an error if there is none.
 func (s *site) killOwners(ctx context.Context) error {
 	owners, err := platform.NewStore(s.storeProxies[0].currentTarget(), nil).Range(ctx, record.OwnerPrefix)
@@ -154,6 +167,13 @@
 	heldStarts{minDelay: 5 * time.Second, maxDelay: 9 * time.Second, endsAfter: 4 * time.Second, cut: 9 * time.Second}.play(t)
 }
 
+// TestStartHeldForFormerLifeRunsOnceAfterTwoRestarts guards against a second run if a later
+// incarnation has reported so, and the one after it carries the start out.
+func TestStartHeldForFormerLifeRunsOnceAfterTwoRestarts(t *testing.T) {
+	t.Parallel()
+	heldStarts{minDelay: 7 * time.Second, maxDelay: 10 * time.Second, endsAfter: unansweredFor, answersFor: 4 * time.Second, cut: 9 * time.Second}.play(t)
+}
+
 // TestStartHeldForFormerLifeRunsOnceAfterTakeover guards against a successor to which the former
 // incarnation has reported so, and that does not know of the start.
 func TestStartHeldForFormerLifeRunsOnceAfterTakeover(t *testing.T) {
