Have the soak play workers that hold starts

Cause: the new kind of fault was left out of the series while the product could not stand it. Change: it is in allFaultKinds.

--- a/experiment/soak/faults_test.go
+++ b/experiment/soak/faults_test.go
@@ -58,6 +58,7 @@
 var allFaultKinds = []faultKind{
 	hostKill, hostPause, hostRestart, storeConnection, workerConnection, storeUnavailable, storeHistoryLost, workerCrash,
 	entriesLapse, entriesLapseHeld, entriesLapseExpired, workerCallsReset, workerDrain, workerRestart, workerShrinks, taskCrashes, domainEvacuated,
+	workerHoldsStarts,
 }
 
 // faults injects random faults from outside the hosts. Faults may overlap; each ends after
