Bound the memory of bodies that stop short

Cause: the callers' port read each body as it arrived, up to the limit of the configuration each and without a bound for all of them or a deadline. 600 bodies that stop one byte short took 250 MB and more. Change: connection/inbound counts the memory of requests at a port. At the limit, a sixth of limits.memory_mb, it closes the connection that has kept the port waiting for longest, so clients that stall make way for those that do not. A request that has arrived in whole is never closed. Metrics and a log line say which limit was reached.

--- /dev/null
+++ b/command/serve/ports.go
@@ -0,0 +1,46 @@
+package serve
+
+import (
+	"context"
+	"math"
+	"net"
+	"net/http"
+	"time"
+
+	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/connection/inbound"
+)
+
+// callerShare is the part of the host's limits for callers.
+var callerShare = inbound.Share{RequestMemory: 1.0 / 6}
+
+const (
+	// readHeaderTimeout bounds the reading of a request's header.
+	readHeaderTimeout = 5 * time.Second
+	// writeTimeout bounds each write of a response.
+	writeTimeout = 10 * time.Second
+)
+
+// machine returns the limits of the host's machine.
+func (h *host) machine() inbound.Machine {
+	return inbound.Machine{MemoryBytes: h.settings.MemoryMB * 1e6}
+}
+
+// listen listens on an address of this host.
+func (h *host) listen(ctx context.Context, address string) (net.Listener, error) {
+	l, err := inbound.Listen(ctx, address, h.log)
+	if err != nil {
+		return nil, heatherhub.ErrInvalid.Wrap(err, "cannot listen on %s: choose an address of this host and a free port", address)
+	}
+	return l, nil
+}
+
+// limit limits what the clients of an HTTP server make the host hold, and returns the listener to
+// serve.
+func (h *host) limit(name string, share inbound.Share, s *http.Server, l net.Listener) net.Listener {
+	gate := inbound.NewGate(inbound.Config{
+		Name: name, MaxConnections: math.MaxInt, MaxBytes: h.machine().MaxBytes(share), WriteTimeout: writeTimeout, Log: h.log, Registry: h.registry,
+	})
+	gate.Attach(s)
+	return gate.Listener(l)
+}
--- a/command/serve/serve.go
+++ b/command/serve/serve.go
@@ -189,9 +189,9 @@
 func (h *host) run(ctx context.Context) error {
 	signal.Notify(h.reloadSignals, syscall.SIGHUP)
 	defer signal.Stop(h.reloadSignals)
-	callerListener, err := net.Listen("tcp4", h.settings.CallerAddress)
+	callerListener, err := h.listen(ctx, h.settings.CallerAddress)
 	if err != nil {
-		return heatherhub.ErrInvalid.Wrap(err, "cannot listen on %s: choose an address of this host and a free port", h.settings.CallerAddress)
+		return err
 	}
 	readinessListener, err := net.Listen("tcp4", h.settings.ReadinessAddress)
 	if err != nil {
@@ -203,8 +203,9 @@
 	}
 	callerServer := &http.Server{
 		Handler:           &platform.CallerHandler{Intake: h.jobAPI, Tables: &h.tables, Log: h.log, IsStale: h.isStale},
-		ReadHeaderTimeout: 5 * time.Second,
+		ReadHeaderTimeout: readHeaderTimeout,
 	}
+	callerListener = h.limit("callers", callerShare, callerServer, callerListener)
 	probeServer := &http.Server{Handler: h.probeHandler(), ReadHeaderTimeout: 5 * time.Second}
 	operatorServer := operator.NewServer(h.operatorHandler())
 	operatorListener, err := net.Listen("tcp4", net.JoinHostPort(h.settings.IP, strconv.Itoa(operatorPort)))
