Bound the memory of headers at the callers' port

Cause: a header could have 1 MB, the default of the library, and short lines take about 15 times their size once they are parsed. 600 headers of 70 kB took 460 to 660 MB. Change: a header has at most 8 kB (12 kB with the library's slack), and its bytes count 16 times towards the memory of requests from the first one on, so that headers without an end make way too.

--- a/command/serve/ports.go
+++ b/command/serve/ports.go
@@ -39,8 +39,10 @@
 // serve.
 func (h *host) limit(name string, share inbound.Share, s *http.Server, l net.Listener) net.Listener {
 	gate := inbound.NewGate(inbound.Config{
-		Name: name, MaxConnections: math.MaxInt, MaxBytes: h.machine().MaxBytes(share), WriteTimeout: writeTimeout, Log: h.log, Registry: h.registry,
+		Name: name, MaxConnections: math.MaxInt, MaxBytes: h.machine().MaxBytes(share), HeaderCost: inbound.HTTPHeaderCost,
+		WriteTimeout: writeTimeout, Log: h.log, Registry: h.registry,
 	})
+	s.MaxHeaderBytes = inbound.MaxHeaderBytes
 	gate.Attach(s)
 	return gate.Listener(l)
 }
