Bound the connections of callers

Cause: nothing bounded the callers' connections, so a crowd of silent ones used up the descriptors that the host needs for the store, workers and peers. Change: limits.file_descriptors is read, 200 of them are kept for files, and callers have half of the rest, or fewer if the memory is short.

--- a/command/serve/ports.go
+++ b/command/serve/ports.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"net"
 	"net/http"
 	"time"
@@ -12,7 +11,7 @@
 )
 
 // callerShare is the part of the host's limits for callers.
-var callerShare = inbound.Share{RequestMemory: 1.0 / 6}
+var callerShare = inbound.Share{Sockets: 1.0 / 2, ConnectionMemory: 1.0 / 4, RequestMemory: 1.0 / 6}
 
 const (
 	// readHeaderTimeout bounds the reading of a request's header.
@@ -23,7 +22,7 @@
 
 // machine returns the limits of the host's machine.
 func (h *host) machine() inbound.Machine {
-	return inbound.Machine{MemoryBytes: h.settings.MemoryMB * 1e6}
+	return inbound.Machine{MemoryBytes: h.settings.MemoryMB * 1e6, Sockets: h.settings.MaxSockets}
 }
 
 // listen listens on an address of this host.
@@ -39,7 +38,7 @@
 // serve.
 func (h *host) limit(name string, share inbound.Share, s *http.Server, l net.Listener) net.Listener {
 	gate := inbound.NewGate(inbound.Config{
-		Name: name, MaxConnections: math.MaxInt, MaxBytes: h.machine().MaxBytes(share), HeaderCost: inbound.HTTPHeaderCost,
+		Name: name, MaxConnections: h.machine().MaxConnections(share), MaxBytes: h.machine().MaxBytes(share), HeaderCost: inbound.HTTPHeaderCost,
 		WriteTimeout: writeTimeout, Log: h.log, Registry: h.registry,
 	})
 	s.MaxHeaderBytes = inbound.MaxHeaderBytes
--- a/connection/inbound/share.go
+++ b/connection/inbound/share.go
@@ -17,8 +17,11 @@
 	Sockets int
 }
 
-// minConnections is the smallest limit of connections.
-const minConnections = 8
+// Smallest limits of a port, in connections and bytes.
+const (
+	minConnections = 8
+	minBytes       = 1 << 20
+)
 
 // MaxConnections returns the largest number of connections of a port.
 func (m Machine) MaxConnections(s Share) int {
@@ -28,5 +31,5 @@
 
 // MaxBytes returns the memory for the requests of a port, in bytes.
 func (m Machine) MaxBytes(s Share) int64 {
-	return int64(s.RequestMemory * float64(m.MemoryBytes))
+	return max(int64(s.RequestMemory*float64(m.MemoryBytes)), minBytes)
 }
