Bound the decoded form of a job

Cause: the whole body was decoded before the number of steps was checked, so 262 kB of empty steps became 10 MB and more, for as many bodies as arrived at once. A list of predecessors that repeats one number took eight times its size and was kept with the job. Each byte of a body counts three times until the answer, which covers what is decoded of it, and requests of callers have a fifth of the memory.

--- a/command/serve/ports.go
+++ b/command/serve/ports.go
@@ -11,7 +11,7 @@
 )
 
 // callerShare is the part of the host's limits for callers.
-var callerShare = inbound.Share{Sockets: 1.0 / 2, ConnectionMemory: 1.0 / 4, RequestMemory: 1.0 / 6}
+var callerShare = inbound.Share{Sockets: 1.0 / 2, ConnectionMemory: 1.0 / 4, RequestMemory: 1.0 / 5}
 
 const (
 	// readHeaderTimeout bounds the reading of a request's header.
--- a/connection/inbound/inbound.go
+++ b/connection/inbound/inbound.go
@@ -42,9 +42,9 @@
 	ConnectionCost = 40 << 10
 	// requestCost is the memory of a request besides its header and its body, in bytes.
 	requestCost = 8 << 10
-	// bodyCost is the memory that a byte of a body takes while it is read, in bytes: its pieces and
-	// the copy that joins them.
-	bodyCost = 2
+	// bodyCost is the memory that a byte of a body takes while it is read and decoded, in bytes: its
+	// pages, the copy that joins them and what is decoded of it.
+	bodyCost = 3
 	// receiveBuffer and sendBuffer are the sizes of the buffers in the kernel that each connection
 	// gets, in bytes. Without them the kernel lets the buffers grow to megabytes.
 	receiveBuffer, sendBuffer = 16 << 10, 16 << 10
--- a/experiment/crowd/crowd_test.go
+++ b/experiment/crowd/crowd_test.go
@@ -268,6 +268,26 @@
 	}})
 }
 
+// TestBodiesOfManyPredecessors guards against lists that repeat the same number, which take many
+// times their size in memory and are kept with the job.
+func TestBodiesOfManyPredecessors(t *testing.T) {
+	const start, end = `{"steps":[{"count":1,"cpu":100,"estimated_ms":10},{"count":1,"cpu":100,"estimated_ms":10,"after":[0`, `]}]}`
+	body := []byte(start + strings.Repeat(",0", (maxBodyBytes-len(start)-len(end))/2) + end)
+	expectServedBeside(t, lowMemory, crowd{port: callerPort, clients: 200, send: func(w io.Writer, i int) error {
+		return sendParts(w, []byte(header(i, fmt.Sprintf("Content-Length: %d", len(body)), patient)+"\r\n"), body)
+	}})
+}
+
+// TestManyLargeJobs guards against jobs of legal size that a host accepts and keeps until it has no
+// memory left.
+func TestManyLargeJobs(t *testing.T) {
+	const start, end = `{"spec":"large","steps":[{"count":1,"cpu":100,"estimated_ms":10,"image":"`, `"}]}`
+	body := []byte(start + strings.Repeat("x", maxBodyBytes-len(start)-len(end)) + end)
+	expectServedBeside(t, lowMemory, crowd{port: callerPort, clients: 600, send: func(w io.Writer, i int) error {
+		return sendParts(w, []byte(header(i, withLength, patient)+"\r\n"), body)
+	}})
+}
+
 // sendLargeHeader sends a header of 900 kB without an end.
 func sendLargeHeader(w io.Writer, _ int) error {
 	return sendParts(w, []byte("GET /v1/readiness HTTP/1.1\r\nHost: host\r\n"), longHeader)
