Leave room for what the runtime does not count

Cause: the soft limit of the runtime was 0.7 of the memory on each host. The program and the C library, about 24 MB resident, and bytes in the kernel come on top, so on a small host garbage alone came close to its memory. Change: the limit is also at most the memory without 32 MB and an eighth. From 184 MB on 0.7 stays the smaller one.

--- a/command/serve/serve.go
+++ b/command/serve/serve.go
@@ -73,9 +73,14 @@
 
 // Settings of the garbage collector.
 const (
-	// memoryLimitRatio is the soft memory limit of the runtime, as a fraction of the
-	// host's memory.
-	memoryLimitRatio = 0.7
+	// memoryLimitRatio is the largest soft memory limit of the runtime, as a fraction of
+	// the host's memory, and minMemoryLimitRatio the smallest one.
+	memoryLimitRatio, minMemoryLimitRatio = 0.7, 0.25
+	// programMegabytes is the memory that the runtime does not count: the program and the
+	// C library. kernelRatio is the fraction of the host's memory for bytes that the kernel
+	// has received and the process has not read.
+	programMegabytes = 32
+	kernelRatio      = 1.0 / 8
 	// gcPercent is above the default of 100 to save processor time, as the heap is
 	// small.
 	gcPercent = 300
@@ -95,7 +100,7 @@
 		return err
 	}
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.MemoryMB) * 1e6))
+	debug.SetMemoryLimit(softMemoryLimit(s.MemoryMB))
 	h := newHost(s, log, o.AcceptLate)
 	h.settingsPath = o.SettingsFile
 	log.Info("host starts", zap.Int("pid", os.Getpid()), zap.Float64("cores", s.Cores), zap.Int64("memoryMb", s.MemoryMB))
@@ -104,6 +109,14 @@
 	return err
 }
 
+// softMemoryLimit returns the soft memory limit of the runtime, in bytes, for a host with the given
+// memory. It leaves room for what the runtime does not count.
+func softMemoryLimit(memoryMB int64) int64 {
+	total := float64(memoryMB)
+	limit := min(memoryLimitRatio*total, (1-kernelRatio)*total-programMegabytes)
+	return int64(max(limit, minMemoryLimitRatio*total) * 1e6)
+}
+
 // host holds the parts of one host process.
 type host struct {
 	settings      platform.Settings
