Bound the ports for readiness and operators

Cause: both ports took any number of connections, the readiness port headers of 1 MB without an end, and the operator port bodies of 8 MB each without a bound for all of them. Change: both have the limits of connection/inbound with small parts of the host's limits. A request at the readiness port has to arrive within 5 s. The tests now also ask beside each crowd and after it whether the host is ready, since it gets no new callers otherwise.

--- a/command/serve/ports.go
+++ b/command/serve/ports.go
@@ -10,12 +10,19 @@
 	"heatherhub.example/heatherhub/connection/inbound"
 )
 
-// callerShare is the part of the host's limits for callers.
-var callerShare = inbound.Share{Sockets: 1.0 / 2, ConnectionMemory: 1.0 / 4, RequestMemory: 1.0 / 5}
+// Parts of the host's limits for each port. What is left is for the host's own connections and state.
+var (
+	callerShare    = inbound.Share{Sockets: 1.0 / 2, ConnectionMemory: 1.0 / 4, RequestMemory: 1.0 / 5}
+	readinessShare = inbound.Share{Sockets: 1.0 / 32, ConnectionMemory: 1.0 / 64, RequestMemory: 1.0 / 64}
+	operatorShare  = inbound.Share{Sockets: 1.0 / 32, ConnectionMemory: 1.0 / 64, RequestMemory: 1.0 / 16}
+)
 
 const (
 	// readHeaderTimeout bounds the reading of a request's header.
 	readHeaderTimeout = 5 * time.Second
+	// probeIdleTimeout closes a connection for readiness checks that is not used. The platform
+	// checks once a second.
+	probeIdleTimeout = time.Minute
 	// writeTimeout bounds each write of a response.
 	writeTimeout = 10 * time.Second
 )
--- a/command/serve/serve.go
+++ b/command/serve/serve.go
@@ -206,9 +206,9 @@
 	if err != nil {
 		return err
 	}
-	readinessListener, err := net.Listen("tcp4", h.settings.ReadinessAddress)
+	readinessListener, err := h.listen(ctx, h.settings.ReadinessAddress)
 	if err != nil {
-		return heatherhub.ErrInvalid.Wrap(err, "cannot listen on %s: choose an address of this host and a free port", h.settings.ReadinessAddress)
+		return err
 	}
 	peerListener, err := net.Listen("tcp4", net.JoinHostPort(h.settings.IP, strconv.Itoa(h.settings.FirstPeerPort)))
 	if err != nil {
@@ -219,11 +219,14 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 	}
 	callerListener = h.limit("callers", callerShare, callerServer, callerListener)
-	probeServer := &http.Server{Handler: h.probeHandler(), ReadHeaderTimeout: 5 * time.Second}
+	probeServer := &http.Server{Handler: h.probeHandler(), ReadTimeout: readHeaderTimeout, IdleTimeout: probeIdleTimeout}
+	readinessListener = h.limit("readiness", readinessShare, probeServer, readinessListener)
 	operatorServer := operator.NewServer(h.operatorHandler())
-	operatorListener, err := net.Listen("tcp4", net.JoinHostPort(h.settings.IP, strconv.Itoa(operatorPort)))
+	operatorListener, err := h.listen(ctx, net.JoinHostPort(h.settings.IP, strconv.Itoa(operatorPort)))
 	if err != nil {
 		h.log.Warn("operators are not served", zap.Error(err))
+	} else {
+		operatorListener = h.limit("operators", operatorShare, operatorServer, operatorListener)
 	}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
--- a/experiment/crowd/host_test.go
+++ b/experiment/crowd/host_test.go
@@ -23,6 +23,7 @@
 	"github.com/sourcegraph/conc"
 
 	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/platform"
 	"heatherhub.example/heatherhub/platform/standin"
 )
 
@@ -282,7 +283,8 @@
 	}
 }
 
-// expectAnswer submits an ordinary job until it is accepted, each time on a new connection.
+// expectAnswer submits an ordinary job until it is accepted, and asks the host whether it is ready
+// until it says so, each time on a new connection.
 func (h *host) expectAnswer(when string) {
 	h.t.Helper()
 	h.jobs++
@@ -290,19 +292,36 @@
 	if err != nil {
 		h.t.Fatal(err)
 	}
+	h.expectStatusOK(when+", an ordinary request", func(c *http.Client) (int, error) { return h.submit(c, body) })
+	h.expectStatusOK(when+", the readiness check", h.checkReadiness)
+}
+
+// expectStatusOK sends a request until it is answered with 200.
+func (h *host) expectStatusOK(what string, send func(*http.Client) (int, error)) {
+	h.t.Helper()
 	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	last := ""
 	attempts := 0
 	for limit := time.Now().Add(answerTimeout); time.Now().Before(limit) && h.isRunning(); time.Sleep(100 * time.Millisecond) {
 		attempts++
-		status, err := h.submit(client, body)
+		status, err := send(client)
 		if err == nil && status == http.StatusOK {
-			h.t.Logf("%s: an ordinary request is answered at attempt %d", when, attempts)
+			h.t.Logf("%s: answered at attempt %d", what, attempts)
 			return
 		}
 		last = fmt.Sprintf("status %d, error %v", status, err)
 	}
-	h.t.Fatalf("%s: got no answer to an ordinary request in %d attempts, process lives %t, last: %s; want 200", when, attempts, h.isRunning(), last)
+	h.t.Fatalf("%s: got no answer in %d attempts, process lives %t, last: %s; want 200", what, attempts, h.isRunning(), last)
+}
+
+func (h *host) checkReadiness(client *http.Client) (int, error) {
+	r, err := client.Get("http://" + h.address(readinessPort) + platform.ReadinessPath)
+	if err != nil {
+		return 0, err
+	}
+	defer r.Body.Close()
+	_, err = io.Copy(io.Discard, r.Body)
+	return r.StatusCode, err
 }
 
 func (h *host) submit(client *http.Client, body []byte) (int, error) {
