Bound the port for other hosts

Cause: a frame got a buffer of its declared size, up to 4 MB, on each of 512 connections, also before the client had said who it is, and silent connections kept real hosts out for 20 s. Change: the port has a gate of connection/inbound. The first frame has at most 4 kB, buffers grow with what has arrived, and frames in receipt have an eighth of the memory. Connections that have not said hello, or are within a frame, make way; those of hosts that have said hello stay. The limit of 512 connections also follows the host's limits.

--- a/command/serve/ports.go
+++ b/command/serve/ports.go
@@ -8,6 +8,7 @@
 
 	"heatherhub.example/heatherhub"
 	"heatherhub.example/heatherhub/connection/inbound"
+	"heatherhub.example/heatherhub/connection/peer"
 )
 
 // Parts of the host's limits for each port. What is left is for the host's own connections and state.
@@ -15,6 +16,7 @@
 	callerShare    = inbound.Share{Sockets: 1.0 / 2, ConnectionMemory: 1.0 / 4, RequestMemory: 1.0 / 5}
 	readinessShare = inbound.Share{Sockets: 1.0 / 32, ConnectionMemory: 1.0 / 64, RequestMemory: 1.0 / 64}
 	operatorShare  = inbound.Share{Sockets: 1.0 / 32, ConnectionMemory: 1.0 / 64, RequestMemory: 1.0 / 16}
+	peerShare      = inbound.Share{Sockets: 1.0 / 6, ConnectionMemory: 1.0 / 16, RequestMemory: 1.0 / 8}
 )
 
 const (
@@ -41,6 +43,18 @@
 	return l, nil
 }
 
+// limitPeers limits what other hosts make this one hold, and returns the listener to serve.
+func (h *host) limitPeers(l net.Listener) net.Listener {
+	return inbound.NewGate(inbound.Config{
+		Name: "peers", MaxConnections: h.maxPeers(), MaxBytes: h.machine().MaxBytes(peerShare), Log: h.log, Registry: h.registry,
+	}).Listener(l)
+}
+
+// maxPeers returns the largest number of connections from other hosts.
+func (h *host) maxPeers() int {
+	return min(h.machine().MaxConnections(peerShare), peer.DefaultMaxConnections)
+}
+
 // limit limits what the clients of an HTTP server make the host hold, and returns the listener to
 // serve.
 func (h *host) limit(name string, share inbound.Share, s *http.Server, l net.Listener) net.Listener {
--- a/command/serve/serve.go
+++ b/command/serve/serve.go
@@ -165,7 +165,8 @@
 		admission.Observe(loads)
 	}
 	h.shards = intake.NewShardSelector(intake.ShardSelectorConfig{Store: h.store, View: h.owner.View, Random: rand.Float64, OnLoads: onLoads, Evacuated: &h.evacuated, RemoteFactor: s.RemoteFactor, Log: log})
-	h.peerServer = peer.NewServer(peer.ServerConfig{Self: s.Host, Log: log})
+	// The gate of the port closes connections first. The server forgets them a moment later.
+	h.peerServer = peer.NewServer(peer.ServerConfig{Self: s.Host, Log: log, MaxConnections: 2 * h.maxPeers()})
 	h.peerServer.Handle(peer.MethodWorkflowState, intake.StateHandler(h.owner.JobState))
 	h.peerServer.Handle(peer.MethodOverview, overview.Handler(h.owner.Overview))
 	h.stateClient = &intake.StateClient{Client: peer.NewClient(peer.ClientConfig{Self: s.Host, Log: log}), View: h.owner.View}
@@ -210,9 +211,9 @@
 	if err != nil {
 		return err
 	}
-	peerListener, err := net.Listen("tcp4", net.JoinHostPort(h.settings.IP, strconv.Itoa(h.settings.FirstPeerPort)))
+	peerListener, err := h.listen(ctx, net.JoinHostPort(h.settings.IP, strconv.Itoa(h.settings.FirstPeerPort)))
 	if err != nil {
-		return heatherhub.ErrInvalid.Wrap(err, "cannot listen on port %d: choose a free one", h.settings.FirstPeerPort)
+		return err
 	}
 	callerServer := &http.Server{
 		Handler:           &platform.CallerHandler{Intake: h.jobAPI, Tables: &h.tables, Log: h.log, IsStale: h.isStale},
@@ -237,7 +238,7 @@
 		group.Go(func() { h.serve(operatorServer, operatorListener) })
 	}
 	group.Go(func() {
-		if err := h.peerServer.Serve(peerListener); err != nil {
+		if err := h.peerServer.Serve(h.limitPeers(peerListener)); err != nil {
 			h.log.Error("peers are not served", zap.Error(err))
 		}
 	})
--- a/connection/inbound/conn.go
+++ b/connection/inbound/conn.go
@@ -7,7 +7,7 @@
 )
 
 // Conn is a connection that counts at a gate. A nil *Conn counts nowhere: its methods Begin,
-// Charge, Complete and Rest do nothing.
+// Charge, Complete, Keep and Rest do nothing.
 type Conn struct {
 	net.Conn
 	gate *Gate
@@ -137,6 +137,16 @@
 	}
 }
 
+// Keep says that the connection rests and is one of those that are not closed in favour of others. It
+// releases the memory of the request.
+func (c *Conn) Keep() {
+	if c == nil {
+		return
+	}
+	c.Rest()
+	c.Complete()
+}
+
 // Rest says that the request has been answered, and releases its memory.
 func (c *Conn) Rest() {
 	if c == nil {
--- a/connection/inbound/inbound.go
+++ b/connection/inbound/inbound.go
@@ -12,8 +12,8 @@
 //	l, err := inbound.Listen(ctx, address, log)
 //	err = server.Serve(gate.Listener(l))
 //
-// Servers of other protocols call Begin, Charge, Complete and Rest of the connections that they
-// accept.
+// Servers of other protocols call Begin, Charge, Complete, Keep and Rest of the connections that
+// they accept.
 package inbound
 
 import (
--- a/connection/peer/frame.go
+++ b/connection/peer/frame.go
@@ -22,6 +22,13 @@
 	MaxTraceEntries = 8
 	// prefixBytes is the size of a frame's big-endian length prefix.
 	prefixBytes = 4
+	// initialBytes is the largest buffer for a frame before any of it has arrived.
+	initialBytes = 64 << 10
+	// maxHelloBytes is the largest first frame of a connection.
+	maxHelloBytes = 4 << 10
+	// frameCost is the memory that a byte of a frame takes while it is read, in bytes: the buffer
+	// and its copy while it grows.
+	frameCost = 3
 )
 
 // FrameKind is the type of a frame.
@@ -140,12 +147,14 @@
 	if n > int64(limit) {
 		return Frame{}, heatherhub.ErrInvalid.New("frame has %d bytes, the limit is %d: send smaller frames", n, limit)
 	}
-	payload := make([]byte, n)
-	if _, err := io.ReadFull(r, payload); err != nil {
+	// What has not arrived takes no memory.
+	var payload bytes.Buffer
+	payload.Grow(int(min(n, initialBytes)) + bytes.MinRead)
+	if _, err := io.CopyN(&payload, r, n); err != nil {
 		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
 		}
 		return Frame{}, err
 	}
-	return DecodeFrame(payload)
+	return DecodeFrame(payload.Bytes())
 }
--- a/connection/peer/server.go
+++ b/connection/peer/server.go
@@ -92,7 +92,8 @@
 }
 
 // Serve accepts connections until the listener is closed. It returns nil after
-// Drain or Close.
+// Drain or Close. If the connections count at a gate, those that have not said hello and those
+// within a frame make way at its limits.
 func (s *Server) Serve(l net.Listener) error {
 	s.mu.Lock()
 	if s.closed || s.draining.Load() {
@@ -109,7 +110,7 @@
 			}
 			return heatherhub.ErrUnavailable.Wrap(err, "cannot accept peer connections: check the listen address")
 		}
-		s.accept(&countedConn{Conn: conn, metrics: s.cfg.Metrics})
+		s.accept(conn)
 	}
 }
 
--- a/connection/peer/serverconn.go
+++ b/connection/peer/serverconn.go
@@ -16,13 +16,16 @@
 	"go.uber.org/zap"
 
 	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/connection/inbound"
 )
 
 // serverConn is the server side of one connection.
 type serverConn struct {
 	server *Server
 	conn   net.Conn
-	w      *writer
+	// receipt counts the frames that are received at the gate of the port. It may be nil.
+	receipt *inbound.Conn
+	w       *writer
 	// from and lastNumber belong to the reading goroutine. from is the host of the
 	// hello frame, empty before it; lastNumber is the number of the last call.
 	from       heatherhub.HostID
@@ -36,12 +39,15 @@
 }
 
 func newServerConn(s *Server, conn net.Conn) *serverConn {
+	receipt, _ := conn.(*inbound.Conn)
+	conn = &countedConn{Conn: conn, metrics: s.cfg.Metrics}
 	if s.cfg.TLS != nil {
 		conn = tls.Server(conn, s.cfg.TLS)
 	}
 	return &serverConn{
 		server:       s,
 		conn:         conn,
+		receipt:      receipt,
 		w:            newWriter(conn),
 		cancels:      make(map[uint64]context.CancelFunc),
 		lastReceived: s.cfg.Clock.Now(),
@@ -101,7 +107,7 @@
 func (sc *serverConn) readLoop() error {
 	r := bufio.NewReader(sc.conn)
 	for {
-		f, err := ReadFrame(r, sc.server.cfg.MaxFrameBytes)
+		f, err := sc.readFrame(r)
 		if err != nil {
 			sc.sendProtocolError(err)
 			return err
@@ -113,9 +119,38 @@
 			sc.sendProtocolError(err)
 			return err
 		}
+		sc.receipt.Keep()
 	}
 }
 
+// readFrame reads a frame. From its first byte on it counts at the gate of the port.
+func (sc *serverConn) readFrame(r *bufio.Reader) (Frame, error) {
+	if _, err := r.Peek(1); err != nil {
+		return Frame{}, err
+	}
+	sc.receipt.Begin()
+	limit := sc.server.cfg.MaxFrameBytes
+	if sc.from == "" {
+		limit = min(limit, maxHelloBytes)
+	}
+	return ReadFrame(&chargedReader{r: r, receipt: sc.receipt}, limit)
+}
+
+// chargedReader counts the bytes that are read at the gate of a port.
+type chargedReader struct {
+	r       io.Reader
+	receipt *inbound.Conn
+}
+
+// Read reads and counts. It fails if the connection was closed in favour of others.
+func (c *chargedReader) Read(p []byte) (int, error) {
+	n, err := c.r.Read(p)
+	if chargeErr := c.receipt.Charge(int64(n) * frameCost); chargeErr != nil {
+		return 0, chargeErr
+	}
+	return n, err
+}
+
 // sendProtocolError tells the peer why its connection is closed if it sent an invalid
 // frame. Other errors are not sent.
 func (sc *serverConn) sendProtocolError(err error) {
--- a/experiment/crowd/crowd_test.go
+++ b/experiment/crowd/crowd_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"heatherhub.example/heatherhub/connection/peer"
 )
 
 // maxBodyBytes is the limit of a body in the configuration.
@@ -337,6 +339,19 @@
 	}})
 }
 
+// TestFramesAfterHelloThatStopShort guards against the same after a valid first frame.
+func TestFramesAfterHelloThatStopShort(t *testing.T) {
+	hello, err := peer.EncodeFrame(&peer.Frame{Kind: peer.FrameHello, From: "crowd"}, peer.DefaultMaxFrameBytes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const size = peer.DefaultMaxFrameBytes
+	frame := append(binary.BigEndian.AppendUint32(nil, size), make([]byte, size-1)...)
+	expectServedBeside(t, lowMemory, crowd{port: peerPort, clients: 100, send: func(w io.Writer, _ int) error {
+		return sendParts(w, hello, frame)
+	}})
+}
+
 // TestLargeBodyInPiecesIsServedInCalm checks that one client that sends the largest body slowly,
 // and within its deadline, is served.
 func TestLargeBodyInPiecesIsServedInCalm(t *testing.T) {
