Show that accepted jobs are not bounded in memory

Cause: a job has up to 262 kB in the names of images alone, and its owner holds it in full until it has ended. Clients that the users do not control may hand in any number of jobs that cannot run yet. The limit belongs to the owner of the jobs, not to the ports.

--- a/experiment/crowd/crowd_test.go
+++ b/experiment/crowd/crowd_test.go
@@ -290,6 +290,31 @@
 	}})
 }
 
+// TestLargeJobsThatWait guards against jobs of legal size that are accepted one after the other and
+// that a host keeps until they can run.
+func TestLargeJobsThatWait(t *testing.T) {
+	const (
+		jobs  = 600
+		start = `{"spec":"large","steps":[{"count":1,"cpu":8000,"estimated_ms":600000,"image":"`
+		end   = `"}]}`
+	)
+	h := startHost(t, lowMemory)
+	body := []byte(start + strings.Repeat("x", maxBodyBytes-len(start)-len(end)) + end)
+	client := &http.Client{Timeout: 5 * time.Second}
+	answers := make(map[string]int)
+	for range jobs {
+		h.jobs++
+		status, err := h.submit(client, body)
+		if err != nil {
+			status = 0
+		}
+		answers[fmt.Sprint(status)]++
+	}
+	t.Logf("answers by status, 0 for none: %v", answers)
+	h.expectAnswer("after the jobs")
+	h.expectWithinLimits()
+}
+
 // sendLargeHeader sends a header of 900 kB without an end.
 func sendLargeHeader(w io.Writer, _ int) error {
 	return sendParts(w, []byte("GET /v1/readiness HTTP/1.1\r\nHost: host\r\n"), longHeader)
