--- a/experiment/crowd/crowd_test.go
+++ b/experiment/crowd/crowd_test.go
@@ -108,7 +108,12 @@
 // crowd and after it, and stays within the limits.
 func expectServedBeside(t *testing.T, l limits, c crowd) {
 	t.Helper()
-	h := startHost(t, l)
+	expectHostServesBeside(t, startHost(t, l), c)
+}
+
+// expectHostServesBeside is expectServedBeside for a host that runs.
+func expectHostServesBeside(t *testing.T, h *host, c crowd) {
+	t.Helper()
 	c.beside(t, h, func() { h.expectAnswer("beside the crowd") })
 	h.expectAnswer("after the crowd")
 	h.expectWithinLimits()
--- a/experiment/crowd/host_test.go
+++ b/experiment/crowd/host_test.go
@@ -68,6 +68,9 @@
 	group  conc.WaitGroup
 	stop   context.CancelFunc
 
+	// sendOrdinary sends an ordinary request, and readinessURL tells whether the host is ready.
+	sendOrdinary func(*http.Client) (int, error)
+	readinessURL string
 	// jobs is the number of jobs that were submitted.
 	jobs int
 	// maxDescriptors and maxUnread are the largest number of open descriptors of the process, and
@@ -109,8 +112,16 @@
 		if err != nil {
 			continue
 		}
+		ip := fmt.Sprintf("127.201.%d.1", n)
+		// The host of a run that was killed may still be there.
+		free, err := net.Listen("tcp4", net.JoinHostPort(ip, operatorPort))
+		if err != nil {
+			_ = l.Close()
+			continue
+		}
+		_ = free.Close()
 		t.Cleanup(func() { _ = l.Close() })
-		return fmt.Sprintf("127.201.%d.1", n)
+		return ip
 	}
 	t.Fatal("all loopback addresses are in use: end other runs")
 	return ""
@@ -121,6 +132,8 @@
 func startHost(t *testing.T, l limits) *host {
 	t.Helper()
 	h := &host{t: t, limits: l, ip: reserveAddress(t), exited: make(chan struct{})}
+	h.sendOrdinary = h.submitOrdinary
+	h.readinessURL = "http://" + h.address(readinessPort) + platform.ReadinessPath
 	store := standin.NewStore()
 	storeServer := httptest.NewServer(store)
 	t.Cleanup(storeServer.Close)
@@ -132,7 +145,7 @@
 	if err := os.WriteFile(settings, []byte(h.settings(storeServer.Listener.Addr().String())), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	h.start(settings)
+	h.start(exec.Command(*executable, "serve", "--settings", settings))
 	h.expectAnswer("before the crowd")
 	t.Logf("before the crowd: peak memory %d kB", h.peakMemory()/1000)
 	return h
@@ -183,14 +196,14 @@
 
 // start starts the process and the sampling of its descriptors. The process is killed when the
 // test ends.
-func (h *host) start(settings string) {
+func (h *host) start(cmd *exec.Cmd) {
 	h.t.Helper()
 	log, err := os.Create(filepath.Join(h.t.TempDir(), "host.log"))
 	if err != nil {
 		h.t.Fatal(err)
 	}
 	defer log.Close()
-	h.cmd = exec.Command(*executable, "serve", "--settings", settings)
+	h.cmd = cmd
 	h.cmd.Stdout, h.cmd.Stderr = log, log
 	if err := h.cmd.Start(); err != nil {
 		h.t.Fatal(err)
@@ -283,17 +296,22 @@
 	}
 }
 
-// expectAnswer submits an ordinary job until it is accepted, and asks the host whether it is ready
+// expectAnswer sends an ordinary request until it is answered, and asks the host whether it is ready
 // until it says so, each time on a new connection.
 func (h *host) expectAnswer(when string) {
 	h.t.Helper()
 	h.jobs++
+	h.expectStatusOK(when+", an ordinary request", h.sendOrdinary)
+	h.expectStatusOK(when+", the readiness check", h.checkReadiness)
+}
+
+// submitOrdinary submits a small job.
+func (h *host) submitOrdinary(client *http.Client) (int, error) {
 	body, err := json.Marshal(map[string]any{"spec": "ordinary", "steps": []any{map[string]any{"count": 1, "cpu": 100, "estimated_ms": 10}}})
 	if err != nil {
-		h.t.Fatal(err)
+		return 0, err
 	}
-	h.expectStatusOK(when+", an ordinary request", func(c *http.Client) (int, error) { return h.submit(c, body) })
-	h.expectStatusOK(when+", the readiness check", h.checkReadiness)
+	return h.submit(client, body)
 }
 
 // expectStatusOK sends a request until it is answered with 200.
@@ -315,7 +333,7 @@
 }
 
 func (h *host) checkReadiness(client *http.Client) (int, error) {
-	r, err := client.Get("http://" + h.address(readinessPort) + platform.ReadinessPath)
+	r, err := client.Get(h.readinessURL)
 	if err != nil {
 		return 0, err
 	}
