Bound the ports of hosts of the own interface

Cause: heatherhub entry served callers, operators and other hosts without a limit for all clients of a port.

--- a/command/entry/options.go
+++ b/command/entry/options.go
@@ -42,5 +42,8 @@
 	TraceRatio    Ratio  `arg:"--trace-ratio,env:HEATHERHUB_TRACE_RATIO" default:"0.01" placeholder:"RATIO" help:"share of the traces that are kept"`
 	LogLevel      string `arg:"--log-level,env:HEATHERHUB_LOG_LEVEL" default:"info" placeholder:"LEVEL" help:"debug, info, warn or error"`
 
+	MemoryMB        Count `arg:"--memory-mb,env:HEATHERHUB_MEMORY_MB" default:"1024" placeholder:"N" help:"megabytes that the process may use; the limits of the ports follow from it"`
+	FileDescriptors Count `arg:"--file-descriptors,env:HEATHERHUB_FILE_DESCRIPTORS" default:"4100" placeholder:"N" help:"descriptors that the process may open, above 200"`
+
 	DrainTimeout Duration `arg:"--drain-timeout,env:HEATHERHUB_DRAIN_TIMEOUT" default:"30s" placeholder:"TIME" help:"longest time of a planned stop"`
 }
--- a/command/entry/run.go
+++ b/command/entry/run.go
@@ -77,7 +77,7 @@
 	cfg := entry.Config{
 		Self: s.ID, Domain: s.Domain, Layout: s.Layout,
 		Advertise: s.advertiseAddress(listeners.Peers.Addr()), Listeners: listeners, Platform: platform,
-		OperatorToken: s.OperatorToken, DrainTimeout: s.DrainTimeout,
+		OperatorToken: s.OperatorToken, DrainTimeout: s.DrainTimeout, Machine: s.Machine,
 		Clock: clock, Log: log, Tracer: provider.Tracer(tracerName), Registry: registry,
 	}
 	if s.PeerKeys != nil {
--- a/command/entry/settings.go
+++ b/command/entry/settings.go
@@ -12,6 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/connection/inbound"
 	"heatherhub.example/heatherhub/connection/peer/keys"
 	"heatherhub.example/heatherhub/process/logs"
 	"heatherhub.example/heatherhub/process/shard/layout"
@@ -58,6 +59,8 @@
 	Traces       traces.Config
 	LogLevel     string
 	DrainTimeout time.Duration
+	// Machine has the limits of the process.
+	Machine inbound.Machine
 }
 
 // checker converts the options to settings and collects all problems.
@@ -92,6 +95,7 @@
 	c.checkKeys()
 	c.checkExposure()
 	c.checkOutput()
+	c.checkMachine()
 	if len(c.problems) > 0 {
 		return nil, heatherhub.ErrInvalid.New("invalid settings: %d\n%s", len(c.problems), strings.Join(c.problems, "\n"))
 	}
@@ -173,6 +177,15 @@
 	c.settings.StoreWrites = rate.Limit(c.parseCount("--store-writes", c.options.StoreWrites))
 }
 
+func (c *checker) checkMachine() {
+	c.settings.Machine.MemoryBytes = int64(c.parseCount("--memory-mb", c.options.MemoryMB)) * 1e6
+	n := c.parseCount("--file-descriptors", c.options.FileDescriptors)
+	if n >= 1 && n <= inbound.FileDescriptors {
+		c.addProblem("--file-descriptors", "%d is not above %d, which are kept for files", n, inbound.FileDescriptors)
+	}
+	c.settings.Machine.Sockets = n - inbound.FileDescriptors
+}
+
 func (c *checker) parseCount(flag string, n Count) int {
 	if n.err != nil || n.value < 1 {
 		c.addProblem(flag, "%q is not a positive integer", n.text)
--- a/command/entry/settings_test.go
+++ b/command/entry/settings_test.go
@@ -12,6 +12,7 @@
 
 	"heatherhub.example/heatherhub"
 	"heatherhub.example/heatherhub/command/entry"
+	"heatherhub.example/heatherhub/connection/inbound"
 )
 
 // settings parses and checks a command line.
@@ -47,6 +48,9 @@
 	if got, want := s.DrainTimeout, 30*time.Second; got != want {
 		t.Errorf("got drain timeout %s, want %s", got, want)
 	}
+	if got, want := s.Machine, (inbound.Machine{MemoryBytes: 1024e6, Sockets: 3900}); got != want {
+		t.Errorf("got limits %+v, want %+v", got, want)
+	}
 	if !strings.HasPrefix(s.InsecureWarning, "no authentication for --caller-listen, --operator-listen, --peer-listen") {
 		t.Errorf("got warning %q, want one that names the three ports", s.InsecureWarning)
 	}
@@ -74,7 +78,7 @@
 		},
 		{
 			name: "wrong values",
-			args: validArgs + "--shards gent --caller-listen localhost:1 --drain-timeout soon --trace-ratio much --trace-exporter otlp --log-level loud --hostlist 10.0.0.9 --store-writes 0",
+			args: validArgs + "--shards gent --caller-listen localhost:1 --drain-timeout soon --trace-ratio much --trace-exporter otlp --log-level loud --hostlist 10.0.0.9 --store-writes 0 --memory-mb much --file-descriptors 200",
 			want: []string{
 				`--shards (HEATHERHUB_SHARDS): "gent" is not of the form domain=number, or repeats a domain`,
 				`--caller-listen (HEATHERHUB_CALLER_LISTEN): "localhost:1" is not an IP address and port, for example 10.0.1.1:7101`,
@@ -84,6 +88,8 @@
 				`--trace-ratio (HEATHERHUB_TRACE_RATIO): "much" is not a number, for example 0.01`,
 				"--trace-exporter (HEATHERHUB_TRACE_EXPORTER): the otlp exporter needs an endpoint",
 				`--drain-timeout (HEATHERHUB_DRAIN_TIMEOUT): "soon" is not a duration from 1s to 10m0s, for example 30s`,
+				`--memory-mb (HEATHERHUB_MEMORY_MB): "much" is not a positive integer`,
+				"--file-descriptors (HEATHERHUB_FILE_DESCRIPTORS): 200 is not above 200, which are kept for files",
 			},
 		},
 		{
--- a/command/serve/ports.go
+++ b/command/serve/ports.go
@@ -11,14 +11,6 @@
 	"heatherhub.example/heatherhub/connection/peer"
 )
 
-// Parts of the host's limits for each port. What is left is for the host's own connections and state.
-var (
-	callerShare    = inbound.Share{Sockets: 1.0 / 2, ConnectionMemory: 1.0 / 4, RequestMemory: 1.0 / 5}
-	readinessShare = inbound.Share{Sockets: 1.0 / 32, ConnectionMemory: 1.0 / 64, RequestMemory: 1.0 / 64}
-	operatorShare  = inbound.Share{Sockets: 1.0 / 32, ConnectionMemory: 1.0 / 64, RequestMemory: 1.0 / 16}
-	peerShare      = inbound.Share{Sockets: 1.0 / 6, ConnectionMemory: 1.0 / 16, RequestMemory: 1.0 / 8}
-)
-
 const (
 	// readHeaderTimeout bounds the reading of a request's header.
 	readHeaderTimeout = 5 * time.Second
@@ -46,13 +38,13 @@
 // limitPeers limits what other hosts make this one hold, and returns the listener to serve.
 func (h *host) limitPeers(l net.Listener) net.Listener {
 	return inbound.NewGate(inbound.Config{
-		Name: "peers", MaxConnections: h.maxPeers(), MaxBytes: h.machine().MaxBytes(peerShare), Log: h.log, Registry: h.registry,
+		Name: "peers", MaxConnections: h.maxPeers(), MaxBytes: h.machine().MaxBytes(inbound.PeerShare), Log: h.log, Registry: h.registry,
 	}).Listener(l)
 }
 
 // maxPeers returns the largest number of connections from other hosts.
 func (h *host) maxPeers() int {
-	return min(h.machine().MaxConnections(peerShare), peer.DefaultMaxConnections)
+	return min(h.machine().MaxConnections(inbound.PeerShare), peer.DefaultMaxConnections)
 }
 
 // limit limits what the clients of an HTTP server make the host hold, and returns the listener to
--- a/command/serve/serve.go
+++ b/command/serve/serve.go
@@ -27,6 +27,7 @@
 
 	"heatherhub.example/heatherhub"
 	"heatherhub.example/heatherhub/command/factory"
+	"heatherhub.example/heatherhub/connection/inbound"
 	"heatherhub.example/heatherhub/connection/ledger"
 	"heatherhub.example/heatherhub/connection/peer"
 	"heatherhub.example/heatherhub/platform"
@@ -219,15 +220,15 @@
 		Handler:           &platform.CallerHandler{Intake: h.jobAPI, Tables: &h.tables, Log: h.log, IsStale: h.isStale},
 		ReadHeaderTimeout: readHeaderTimeout,
 	}
-	callerListener = h.limit("callers", callerShare, callerServer, callerListener)
+	callerListener = h.limit("callers", inbound.CallerShare, callerServer, callerListener)
 	probeServer := &http.Server{Handler: h.probeHandler(), ReadTimeout: readHeaderTimeout, IdleTimeout: probeIdleTimeout}
-	readinessListener = h.limit("readiness", readinessShare, probeServer, readinessListener)
+	readinessListener = h.limit("readiness", inbound.ReadinessShare, probeServer, readinessListener)
 	operatorServer := operator.NewServer(h.operatorHandler())
 	operatorListener, err := h.listen(ctx, net.JoinHostPort(h.settings.IP, strconv.Itoa(operatorPort)))
 	if err != nil {
 		h.log.Warn("operators are not served", zap.Error(err))
 	} else {
-		operatorListener = h.limit("operators", operatorShare, operatorServer, operatorListener)
+		operatorListener = h.limit("operators", inbound.OperatorShare, operatorServer, operatorListener)
 	}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
--- a/connection/inbound/inbound.go
+++ b/connection/inbound/inbound.go
@@ -19,6 +19,7 @@
 import (
 	"container/list"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"syscall"
@@ -145,7 +146,7 @@
 			return nil, err
 		}
 		if tcp, ok := conn.(*net.TCPConn); ok {
-			l.gate.setSendBuffer(tcp)
+			l.gate.setBuffers(tcp)
 		}
 		if c := l.gate.admit(conn); c != nil {
 			return c, nil
@@ -153,9 +154,10 @@
 	}
 }
 
-func (g *Gate) setSendBuffer(c *net.TCPConn) {
-	if err := c.SetWriteBuffer(sendBuffer); err != nil {
-		g.cfg.Log.Debug("send buffer is not limited", zap.String("port", g.cfg.Name), zap.Error(err))
+// setBuffers limits what the kernel keeps for a connection.
+func (g *Gate) setBuffers(c *net.TCPConn) {
+	if err := errors.Join(c.SetReadBuffer(receiveBuffer), c.SetWriteBuffer(sendBuffer)); err != nil {
+		g.cfg.Log.Debug("buffers of a connection are not limited", zap.String("port", g.cfg.Name), zap.Error(err))
 	}
 }
 
--- a/connection/inbound/share.go
+++ b/connection/inbound/share.go
@@ -9,6 +9,17 @@
 	ConnectionMemory, RequestMemory float64
 }
 
+// Shares of the ports of a host. What is left is for its own connections and state.
+var (
+	CallerShare    = Share{Sockets: 1.0 / 2, ConnectionMemory: 1.0 / 4, RequestMemory: 1.0 / 5}
+	ReadinessShare = Share{Sockets: 1.0 / 32, ConnectionMemory: 1.0 / 64, RequestMemory: 1.0 / 64}
+	OperatorShare  = Share{Sockets: 1.0 / 8, ConnectionMemory: 1.0 / 16, RequestMemory: 1.0 / 16}
+	PeerShare      = Share{Sockets: 1.0 / 6, ConnectionMemory: 1.0 / 16, RequestMemory: 1.0 / 8}
+)
+
+// FileDescriptors is the number of descriptors that a process keeps for files.
+const FileDescriptors = 200
+
 // Machine has the limits of the machine of a process.
 type Machine struct {
 	// MemoryBytes is the memory that the process may use, in bytes.
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -32,6 +32,7 @@
 
 	"heatherhub.example/heatherhub"
 	"heatherhub.example/heatherhub/connection/hostlist"
+	"heatherhub.example/heatherhub/connection/inbound"
 	"heatherhub.example/heatherhub/connection/peer"
 	"heatherhub.example/heatherhub/connection/store"
 	"heatherhub.example/heatherhub/connection/worker"
@@ -96,6 +97,8 @@
 	PeerClientTLS *tls.Config
 	// OperatorTLS secures the operator port; nil disables TLS.
 	OperatorTLS *tls.Config
+	// Machine has the limits of the process. Zero values mean DefaultMachine.
+	Machine inbound.Machine
 	// PeerDial opens peer connections; nil dials TCP.
 	PeerDial peer.DialFunc
 	// DrainTimeout bounds a graceful shutdown.
@@ -111,7 +114,16 @@
 	Registry *prometheus.Registry
 }
 
+// DefaultMachine has the default limits of a process.
+var DefaultMachine = inbound.Machine{MemoryBytes: 1024e6, Sockets: 4100 - inbound.FileDescriptors}
+
 func (cfg *Config) setDefaults() {
+	if cfg.Machine.MemoryBytes == 0 {
+		cfg.Machine.MemoryBytes = DefaultMachine.MemoryBytes
+	}
+	if cfg.Machine.Sockets == 0 {
+		cfg.Machine.Sockets = DefaultMachine.Sockets
+	}
 	if cfg.DrainTimeout == 0 {
 		cfg.DrainTimeout = DefaultDrainTimeout
 	}
@@ -190,6 +202,8 @@
 	e.peerServer = peer.NewServer(peer.ServerConfig{
 		Self: e.cfg.Self, TLS: e.cfg.PeerServerTLS, Clock: e.cfg.Clock,
 		Log: e.cfg.Log, Tracer: e.cfg.Tracer, Metrics: metrics,
+		// The gate of the port closes connections first. The server forgets them a moment later.
+		MaxConnections: 2 * e.maxPeers(),
 	})
 	e.peerClient = peer.NewClient(peer.ClientConfig{
 		Self: e.cfg.Self, Local: e.peerServer, Dial: e.cfg.PeerDial, TLS: e.cfg.PeerClientTLS, Clock: e.cfg.Clock,
--- a/process/entry/run.go
+++ b/process/entry/run.go
@@ -11,6 +11,8 @@
 	"go.uber.org/zap"
 
 	"heatherhub.example/heatherhub/connection/hostlist"
+	"heatherhub.example/heatherhub/connection/inbound"
+	"heatherhub.example/heatherhub/connection/peer"
 	"heatherhub.example/heatherhub/request/operator"
 )
 
@@ -19,8 +21,8 @@
 	headerTimeout = 5 * time.Second
 	// idleTimeout closes idle keep-alive connections on the caller port.
 	idleTimeout = 2 * time.Minute
-	// maxHeaderBytes limits request headers on the caller port.
-	maxHeaderBytes = 16 << 10
+	// writeTimeout bounds each write of a response.
+	writeTimeout = 10 * time.Second
 	// announceInterval is the interval at which this host renews its registration
 	// in the platform's host list.
 	announceInterval = 5 * time.Second
@@ -42,8 +44,8 @@
 	})
 	e.group.Go(func() { e.announce(workCtx) })
 	callers, operators := e.newHTTPServers()
-	e.serve(callers, e.cfg.Listeners.Callers)
-	e.serve(operators, e.cfg.Listeners.Operators)
+	e.serve(callers, e.limit("callers", inbound.CallerShare, callers, e.cfg.Listeners.Callers))
+	e.serve(operators, e.limit("operators", inbound.OperatorShare, operators, e.cfg.Listeners.Operators))
 	e.group.Go(func() { e.servePeers() })
 	e.cfg.Log.Info("entry host serves",
 		zap.Stringer("callers", e.cfg.Listeners.Callers.Addr()),
@@ -83,7 +85,6 @@
 		Handler:           e.callers,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	operators = operator.NewServer(operator.New(operator.Config{
 		Backend:       backend{e},
@@ -112,8 +113,28 @@
 	})
 }
 
+// limit limits what the clients of an HTTP server make the host hold, and returns the listener to
+// serve.
+func (e *Entry) limit(name string, share inbound.Share, s *http.Server, l net.Listener) net.Listener {
+	gate := inbound.NewGate(inbound.Config{
+		Name: name, MaxConnections: e.cfg.Machine.MaxConnections(share), MaxBytes: e.cfg.Machine.MaxBytes(share), HeaderCost: inbound.HTTPHeaderCost,
+		WriteTimeout: writeTimeout, Log: e.cfg.Log, Registry: e.cfg.Registry,
+	})
+	gate.Attach(s)
+	s.MaxHeaderBytes = inbound.MaxHeaderBytes
+	return gate.Listener(l)
+}
+
+// maxPeers returns the largest number of connections from other hosts.
+func (e *Entry) maxPeers() int {
+	return min(e.cfg.Machine.MaxConnections(inbound.PeerShare), peer.DefaultMaxConnections)
+}
+
 func (e *Entry) servePeers() {
-	if err := e.peerServer.Serve(e.cfg.Listeners.Peers); err != nil {
+	gate := inbound.NewGate(inbound.Config{
+		Name: "peers", MaxConnections: e.maxPeers(), MaxBytes: e.cfg.Machine.MaxBytes(inbound.PeerShare), Log: e.cfg.Log, Registry: e.cfg.Registry,
+	})
+	if err := e.peerServer.Serve(gate.Listener(e.cfg.Listeners.Peers)); err != nil {
 		e.cfg.Log.Error("peer server stopped unexpectedly", zap.Error(err))
 	}
 }
--- a/request/caller/read.go
+++ b/request/caller/read.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -11,6 +10,7 @@
 	"github.com/google/uuid"
 
 	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/connection/inbound"
 	"heatherhub.example/heatherhub/request/route"
 )
 
@@ -41,6 +41,9 @@
 	if err != nil {
 		return req, 0, err
 	}
+	if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return req, 0, heatherhub.ErrInvalid.Wrap(err, "the connection is closed: send the request again")
+	}
 	req.Body, err = readBody(w, r, h.cfg.MaxBody)
 	return req, timeout, err
 }
@@ -92,7 +95,7 @@
 
 // readBody reads the body, up to limit bytes.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := inbound.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, errBodyTooLarge.New("the body is larger than %d bytes: send a smaller one", limit)
@@ -100,6 +103,10 @@
 	if err != nil {
 		return nil, heatherhub.ErrInvalid.New("the body is incomplete: send it again")
 	}
+	// What arrives later belongs to another request.
+	if err := http.NewResponseController(w).SetReadDeadline(time.Time{}); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return nil, heatherhub.ErrInvalid.Wrap(err, "the connection is closed: send the request again")
+	}
 	return body, nil
 }
 
