Show that a client that does not read is closed

Change: a unit test of connection/inbound: the answers of a client that sends requests and reads nothing fail after the write timeout, and its connection ends.

--- a/connection/inbound/inbound_test.go
+++ b/connection/inbound/inbound_test.go
@@ -238,6 +238,48 @@
 	}
 }
 
+// TestClientThatDoesNotReadIsClosed guards against clients that keep their connections by not
+// reading the answers.
+func TestClientThatDoesNotReadIsClosed(t *testing.T) {
+	registry := prometheus.NewRegistry()
+	gate := inbound.NewGate(inbound.Config{Name: "test", MaxConnections: 2, MaxBytes: 1 << 20, HeaderCost: inbound.HTTPHeaderCost, WriteTimeout: 50 * time.Millisecond, Registry: registry})
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, 1<<20))
+	})}
+	gate.Attach(s)
+	l, err := inbound.Listen(context.Background(), "127.0.0.1:0", zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var group conc.WaitGroup
+	group.Go(func() { _ = s.Serve(gate.Listener(l)) })
+	p := &port{t: t, listener: l}
+	client := p.dial()
+	if err := client.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil {
+		t.Fatal(err)
+	}
+	const requests = 40
+	if _, err := io.WriteString(client, "GET / HTTP/1.1\r\nHost: test\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	// From its first byte on, the answer is being sent.
+	if _, err := client.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	for range requests {
+		if _, err := io.WriteString(client, "GET / HTTP/1.1\r\nHost: test\r\n\r\n"); err != nil {
+			break
+		}
+	}
+	for limit := time.Now().Add(testTimeout); gaugeValue(t, registry, "heatherhub_inbound_connections") > 0; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatal("got an open connection of a client that does not read, want it to be closed")
+		}
+	}
+	_ = s.Close()
+	group.Wait()
+}
+
 // gaugeValue returns the value of a gauge.
 func gaugeValue(t *testing.T, r *prometheus.Registry, name string) float64 {
 	t.Helper()
