--- a/command/serve/serve.go
+++ b/command/serve/serve.go
@@ -27,6 +27,7 @@
 
 	"heatherhub.example/heatherhub"
 	"heatherhub.example/heatherhub/command/factory"
+	"heatherhub.example/heatherhub/connection/inbound"
 	"heatherhub.example/heatherhub/connection/ledger"
 	"heatherhub.example/heatherhub/connection/peer"
 	"heatherhub.example/heatherhub/platform"
@@ -73,9 +74,14 @@
 
 // Settings of the garbage collector.
 const (
-	// memoryLimitRatio is the soft memory limit of the runtime, as a fraction of the
-	// host's memory.
-	memoryLimitRatio = 0.7
+	// memoryLimitRatio is the largest soft memory limit of the runtime, as a fraction of
+	// the host's memory, and minMemoryLimitRatio the smallest one.
+	memoryLimitRatio, minMemoryLimitRatio = 0.7, 0.25
+	// programMegabytes is the memory that the runtime does not count: the program and the
+	// C library. kernelRatio is the fraction of the host's memory for bytes that the kernel
+	// has received and the process has not read.
+	programMegabytes = 32
+	kernelRatio      = 1.0 / 8
 	// gcPercent is above the default of 100 to save processor time, as the heap is
 	// small.
 	gcPercent = 300
@@ -95,7 +101,7 @@
 		return err
 	}
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.MemoryMB) * 1e6))
+	debug.SetMemoryLimit(softMemoryLimit(s.MemoryMB))
 	h := newHost(s, log, o.AcceptLate)
 	h.settingsPath = o.SettingsFile
 	log.Info("host starts", zap.Int("pid", os.Getpid()), zap.Float64("cores", s.Cores), zap.Int64("memoryMb", s.MemoryMB))
@@ -104,6 +110,14 @@
 	return err
 }
 
+// softMemoryLimit returns the soft memory limit of the runtime, in bytes, for a host with the given
+// memory. It leaves room for what the runtime does not count.
+func softMemoryLimit(memoryMB int64) int64 {
+	total := float64(memoryMB)
+	limit := min(memoryLimitRatio*total, (1-kernelRatio)*total-programMegabytes)
+	return int64(max(limit, minMemoryLimitRatio*total) * 1e6)
+}
+
 // host holds the parts of one host process.
 type host struct {
 	settings      platform.Settings
@@ -152,7 +166,8 @@
 		admission.Observe(loads)
 	}
 	h.shards = intake.NewShardSelector(intake.ShardSelectorConfig{Store: h.store, View: h.owner.View, Random: rand.Float64, OnLoads: onLoads, Evacuated: &h.evacuated, RemoteFactor: s.RemoteFactor, Log: log})
-	h.peerServer = peer.NewServer(peer.ServerConfig{Self: s.Host, Log: log})
+	// The gate of the port closes connections first. The server forgets them a moment later.
+	h.peerServer = peer.NewServer(peer.ServerConfig{Self: s.Host, Log: log, MaxConnections: 2 * h.maxPeers()})
 	h.peerServer.Handle(peer.MethodWorkflowState, intake.StateHandler(h.owner.JobState))
 	h.peerServer.Handle(peer.MethodOverview, overview.Handler(h.owner.Overview))
 	h.stateClient = &intake.StateClient{Client: peer.NewClient(peer.ClientConfig{Self: s.Host, Log: log}), View: h.owner.View}
@@ -189,27 +204,31 @@
 func (h *host) run(ctx context.Context) error {
 	signal.Notify(h.reloadSignals, syscall.SIGHUP)
 	defer signal.Stop(h.reloadSignals)
-	callerListener, err := net.Listen("tcp4", h.settings.CallerAddress)
+	callerListener, err := h.listen(ctx, h.settings.CallerAddress)
 	if err != nil {
-		return heatherhub.ErrInvalid.Wrap(err, "cannot listen on %s: choose an address of this host and a free port", h.settings.CallerAddress)
+		return err
 	}
-	readinessListener, err := net.Listen("tcp4", h.settings.ReadinessAddress)
+	readinessListener, err := h.listen(ctx, h.settings.ReadinessAddress)
 	if err != nil {
-		return heatherhub.ErrInvalid.Wrap(err, "cannot listen on %s: choose an address of this host and a free port", h.settings.ReadinessAddress)
+		return err
 	}
-	peerListener, err := net.Listen("tcp4", net.JoinHostPort(h.settings.IP, strconv.Itoa(h.settings.FirstPeerPort)))
+	peerListener, err := h.listen(ctx, net.JoinHostPort(h.settings.IP, strconv.Itoa(h.settings.FirstPeerPort)))
 	if err != nil {
-		return heatherhub.ErrInvalid.Wrap(err, "cannot listen on port %d: choose a free one", h.settings.FirstPeerPort)
+		return err
 	}
 	callerServer := &http.Server{
 		Handler:           &platform.CallerHandler{Intake: h.jobAPI, Tables: &h.tables, Log: h.log, IsStale: h.isStale},
-		ReadHeaderTimeout: 5 * time.Second,
+		ReadHeaderTimeout: readHeaderTimeout,
 	}
-	probeServer := &http.Server{Handler: h.probeHandler(), ReadHeaderTimeout: 5 * time.Second}
+	callerListener = h.limit("callers", inbound.CallerShare, callerServer, callerListener)
+	probeServer := &http.Server{Handler: h.probeHandler(), ReadTimeout: readHeaderTimeout, IdleTimeout: probeIdleTimeout}
+	readinessListener = h.limit("readiness", inbound.ReadinessShare, probeServer, readinessListener)
 	operatorServer := operator.NewServer(h.operatorHandler())
-	operatorListener, err := net.Listen("tcp4", net.JoinHostPort(h.settings.IP, strconv.Itoa(operatorPort)))
+	operatorListener, err := h.listen(ctx, net.JoinHostPort(h.settings.IP, strconv.Itoa(operatorPort)))
 	if err != nil {
 		h.log.Warn("operators are not served", zap.Error(err))
+	} else {
+		operatorListener = h.limit("operators", inbound.OperatorShare, operatorServer, operatorListener)
 	}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -220,7 +239,7 @@
 		group.Go(func() { h.serve(operatorServer, operatorListener) })
 	}
 	group.Go(func() {
-		if err := h.peerServer.Serve(peerListener); err != nil {
+		if err := h.peerServer.Serve(h.limitPeers(peerListener)); err != nil {
 			h.log.Error("peers are not served", zap.Error(err))
 		}
 	})
