Start a long-running task elsewhere if the worker that refuses its open start leaves

Callers waited up to 12 s for a long-running task beside room: its start got no answer, and the worker announced that it leaves. Cause: such a task may start in place only, and a worker that drains takes no starts. Change: a worker that has announced that it leaves does not come back under its ID, so once it refuses the open start, the task may start anywhere. A trial that allowed it on any worker after 2 s failed two cases of TestStartOfFormerLifeRunsOnce, and is not kept.

--- a/process/dispatch/open_start_test.go
+++ b/process/dispatch/open_start_test.go
@@ -115,9 +115,7 @@
 // TestLastingTaskStartsBesideRoom measures how long a long-running task with an open start waits although
 // workers have room.
 func TestLastingTaskStartsBesideRoom(t *testing.T) {
-	const limit = 7 * time.Second
-	for name, lose := range map[string]func(b *simulation, id heatherhub.WorkerID){
-		"worker drains":    func(b *simulation, _ heatherhub.WorkerID) { b.drain(0, time.Minute) },
+	expectStartsBesideRoom(t, map[string]func(b *simulation, id heatherhub.WorkerID){
 		"worker unhealthy": func(*simulation, heatherhub.WorkerID) {},
 		"lease expired": func(b *simulation, id heatherhub.WorkerID) {
 			b.e.WorkerUnresponsive(b.now, id)
@@ -125,7 +123,20 @@
 			b.e.WorkerGone(b.now, id, false)
 			b.workers = b.workers[1:]
 		},
-	} {
+	})
+}
+
+// TestLastingTaskOfADrainingWorkerStartsBesideRoom is the same with a worker that has announced that it
+// leaves.
+func TestLastingTaskOfADrainingWorkerStartsBesideRoom(t *testing.T) {
+	expectStartsBesideRoom(t, map[string]func(b *simulation, id heatherhub.WorkerID){
+		"worker drains": func(b *simulation, _ heatherhub.WorkerID) { b.drain(0, time.Minute) },
+	})
+}
+
+func expectStartsBesideRoom(t *testing.T, cases map[string]func(b *simulation, id heatherhub.WorkerID)) {
+	const limit = 7 * time.Second
+	for name, lose := range cases {
 		t.Run(name, func(t *testing.T) {
 			b := newSimulation(t, dispatch.Policy{}, 0)
 			id := b.addIncarnation("w", 10_000)
--- a/process/dispatch/unanswered.go
+++ b/process/dispatch/unanswered.go
@@ -21,7 +21,8 @@
 // Until then its task waits. A task that ends by itself may start nowhere, since a second run could
 // end before the open start is carried out. The start of a long-running task is repeated under the same
 // number, and once an incarnation refuses it, the task may start again there: if the open start is
-// carried out later, the incarnation has ended, and the second run with it. Workers without an incarnation have another ID after each restart, so they
+// carried out later, the incarnation has ended, and the second run with it. If that incarnation has
+// announced that it leaves, none follows under its ID, and the task may start elsewhere. Workers without an incarnation have another ID after each restart, so they
 // have no open starts.
 
 // openStart is a start without an answer that may still be carried out.
@@ -45,6 +46,17 @@
 	expiresAt time.Duration
 }
 
+// mayStartElsewhere reports whether a task with open starts may start on any worker.
+func (e *Engine) mayStartElsewhere(t *task) bool {
+	if !t.step.spec.LongRunning || t.step.spec.Gang {
+		return false
+	}
+	return !slices.ContainsFunc(t.open, func(o *openStart) bool {
+		n := e.nodes[o.refusedBy]
+		return n == nil || !n.isLeaving
+	})
+}
+
 // isDeliverable reports whether the start may be carried out at now.
 func (e *Engine) isDeliverable(now time.Duration, o *openStart) bool {
 	return now < o.sentBy+e.cfg.LateCallTime
@@ -254,8 +266,7 @@
 		e.recordTaskEvent(EventUnansweredStartOver, a, "refused")
 		return
 	}
-	o := e.keepOpen(now, a, e.sentBy(now, a))
-	o.refusedBy = a.node.worker.ID
+	e.keepOpen(now, a, e.sentBy(now, a)).refusedBy = a.node.worker.ID
 }
 
 // replaceOpen ends the open starts that were sent to an address at which another worker answers. An
--- a/process/dispatch/unresolved.go
+++ b/process/dispatch/unresolved.go
@@ -80,7 +80,7 @@
 
 // isStartable reports whether a pending task may start at now, given a worker for it.
 func (e *Engine) isStartable(now time.Duration, t *task) bool {
-	return len(t.open) == 0 && e.isStartableButOpen(now, t)
+	return (len(t.open) == 0 || e.mayStartElsewhere(t)) && e.isStartableButOpen(now, t)
 }
 
 // isStartableButOpen is isStartable without regard to open starts of the task.
