Keep a repeated start recorded while a copy of it may be carried out

Callers could see a long-running task run twice after a change of the owner. Cause: the record of an open start was dropped once the worker had listed the run. If the start had been sent twice, the other copy could still be carried out, and a next owner did not know of it. The same run found a data race in the test itself, which kept its workers in a slice. Change: the record says that a start was repeated, and stays until the last copy can no longer be carried out; a listed run does not close such a start at a next owner. The test looks workers up by name.

--- a/process/dispatch/decide.go
+++ b/process/dispatch/decide.go
@@ -152,7 +152,7 @@
 func (e *Engine) handleStartResult(now Moment, a *attempt, result Outcome) {
 	if result == Confirmed {
 		a.task.refusals = 0
-		e.forgetUnanswered(a.task, a.run)
+		e.forgetTaken(now, a)
 		if a.state != running {
 			e.confirm(now, a)
 		}
--- a/process/dispatch/progress.go
+++ b/process/dispatch/progress.go
@@ -41,7 +41,9 @@
 	Run        heatherhub.RunID    `msgpack:"r" json:"run"`
 	Worker     heatherhub.WorkerID `msgpack:"w" json:"worker"`
 	Address    string              `msgpack:"a" json:"address"`
-	// At is the time of day at which the start was recorded.
+	// IsRepeated means that the start was sent more than once, so a listed run does not use it up.
+	IsRepeated bool `msgpack:"m,omitempty" json:"isRepeated,omitempty"`
+	// At is the time of day at which the start was recorded, or repeated last.
 	At time.Time `msgpack:"at" json:"at"`
 }
 
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -163,7 +163,7 @@
 		e.adopt(now, n, r)
 		return
 	}
-	e.forgetUnanswered(a.task, a.run)
+	e.forgetTaken(now, a)
 	a.isListed, a.listedAt = true, now.Steady
 	e.proveIfDue(now, a)
 	if a.state != running {
--- a/process/dispatch/unanswered.go
+++ b/process/dispatch/unanswered.go
@@ -36,6 +36,8 @@
 	sentBy time.Duration
 	// recordedBy is the change of its job's progress that has the start.
 	recordedBy uint64
+	// isRepeated means that the start was sent more than once, so a listed run does not use it up.
+	isRepeated bool
 	// isInherited means that a previous owner has sent the start. It may have extended leases for as
 	// long as it acted.
 	isInherited bool
@@ -143,6 +145,13 @@
 	}
 }
 
+// forgetTaken is forgetUnanswered for a start of which the worker has taken one copy.
+func (e *Engine) forgetTaken(now Moment, a *attempt) {
+	if !e.hasOpenCopy(now.Steady, a) {
+		e.forgetUnanswered(a.task, a.run)
+	}
+}
+
 // forgetUnanswered takes a start that is no longer open out of the progress of its job.
 func (e *Engine) forgetUnanswered(t *task, run heatherhub.RunID) {
 	j := t.step.occ.job
@@ -182,7 +191,7 @@
 		if r.At.IsZero() {
 			age = 0
 		}
-		o := &openStart{task: t, run: r.Run, worker: r.Worker, address: r.Address, sentBy: now.Steady - age, isInherited: true}
+		o := &openStart{task: t, run: r.Run, worker: r.Worker, address: r.Address, sentBy: now.Steady - age, isRepeated: r.IsRepeated, isInherited: true}
 		e.addOpen(o)
 		e.unrefuse(o, o.sentBy)
 	}
@@ -205,7 +214,7 @@
 // closeListed ends the open start of a run that a worker has listed, if there is one.
 func (e *Engine) closeListed(t *task, run heatherhub.RunID) {
 	for _, o := range slices.Clone(t.open) {
-		if o.run == run {
+		if o.run == run && !o.isRepeated {
 			e.close(o)
 		}
 	}
@@ -241,6 +250,12 @@
 	a.state, a.stateSince = sent, now.Steady
 	e.pendingStarts++
 	e.Stats.Starts++
+	if j := a.task.step.occ.job; !j.isOver() {
+		if at := slices.IndexFunc(j.progress.Open, isRecordOf(a.task, a.run)); at >= 0 {
+			j.progress.Open[at].IsRepeated, j.progress.Open[at].At = true, now.Wall
+			e.markChanged(j)
+		}
+	}
 	e.orders = append(e.orders, Order{
 		Worker: a.node.worker.ID, Kind: StartTask, Task: a.task.id(), Run: a.run,
 		Payload: a.task.step.occ.job.workflow.Payload, Checkpoint: a.task.checkpoint,
--- a/process/owner/former_life_test.go
+++ b/process/owner/former_life_test.go
@@ -45,14 +45,14 @@
 	for i, at := range h.restartsAt {
 		isLast := i == len(h.restartsAt)-1
 		for k := range workers {
-			site.after(at, func() { workers[k].leave(false) })
+			name := workers[k].entry.ID
+			site.after(at, func() { site.worker(name).leave(false) })
 			site.after(at+down, func() {
-				next := site.startUnregistered(workers[k], func(m *fakeWorker) {
+				next := site.startUnregistered(site.worker(name), func(m *fakeWorker) {
 					if isLast {
 						m.cutOffs++
 					}
 				})
-				workers[k] = next
 				site.register(next)
 				if isLast {
 					site.after(silence, func() { next.addCutOffs(-1) })
