Start no task of a cancelled job again in place

A task of a cancelled long-running job was running and went on for good.

Cause: a long-running task whose start got no answer is started again on the incarnation that refuses the first start (startInPlace). All other ways to a start leave out jobs that are over; this one did not, so the task started if its job was cancelled while it waited.

Change: a task of a job that is over is not startable, whichever way the start takes.

TestCancelledTaskStartsNowhereAgain, in virtual time, gets 1 start in 3 of 3 runs before, and none now.

--- a/process/dispatch/unanswered_test.go
+++ b/process/dispatch/unanswered_test.go
@@ -68,6 +68,25 @@
 	}
 }
 
+// TestCancelledTaskStartsNowhereAgain guards against a long-running task that starts after its job was
+// cancelled, on the incarnation that refuses its first start, and runs for good.
+func TestCancelledTaskStartsNowhereAgain(t *testing.T) {
+	b := newIncarnations(t, 4)
+	start := b.leaveUnanswered("held", lasting())
+	b.e.SetRoomStale(true)
+	for range 3 {
+		b.step(time.Second)
+	}
+	b.e.Cancel(b.now, start.Task.Job)
+	b.e.SetRoomStale(false)
+	for range 20 {
+		b.step(time.Second)
+	}
+	if got := len(b.started); got != 0 {
+		t.Errorf("got %d starts after the cancellation, want 0", got)
+	}
+}
+
 // TestStartToALostWorkerIsOpenUntilItsRunIsOver guards against a task that starts elsewhere once the lease
 // of a lost incarnation has expired, or before the ownership is confirmed.
 func TestStartToALostWorkerIsOpenUntilItsRunIsOver(t *testing.T) {
--- a/process/dispatch/unresolved.go
+++ b/process/dispatch/unresolved.go
@@ -85,7 +85,7 @@
 
 // isStartableButOpen is isStartable without regard to open starts of the task.
 func (e *Engine) isStartableButOpen(now time.Duration, t *task) bool {
-	return t.notBefore <= now && !t.isMoving && !e.mayRunUnresolved(t) && !t.awaitsCrashRecord()
+	return !t.step.occ.job.isOver() && t.notBefore <= now && !t.isMoving && !e.mayRunUnresolved(t) && !t.awaitsCrashRecord()
 }
 
 // IsIdle reports whether no run is open on a worker, and all ends that it has reported are
