Start a gang of fillers that has waited for long as a whole

Cause: a filler job that has nothing running for StarvedAfter gets one task started where it interferes least (startStarved), also if its step is a gang, whose single tasks can do nothing.

Change: all tasks of such a gang are started under one run, each where it interferes least, or none if one of them finds no worker.

--- a/process/dispatch/dispatch_test.go
+++ b/process/dispatch/dispatch_test.go
@@ -401,6 +401,37 @@
 	}
 }
 
+// TestStarvedGangStartsAsAWhole guards against single members of a gang of fillers that start, and wait for the
+// others in vain, while the workers are full of other fillers.
+func TestStarvedGangStartsAsAWhole(t *testing.T) {
+	for _, memory := range []heatherhub.Megabytes{10, 6000} {
+		b := newSimulation(t, dispatch.Policy{}, 2)
+		large := tasks(2, 8000, 20*time.Second)
+		large.Filler, large.Image = true, "large"
+		b.add("large", large)
+		b.advance(time.Second)
+		gang := tasks(4, 2000, time.Second)
+		gang.Filler, gang.Image, gang.Gang, gang.Need.Memory = true, "gang", true, memory
+		b.add("gang", gang)
+		runs := make(map[heatherhub.RunID]int)
+		b.outcome = func(o dispatch.Order) dispatch.Outcome {
+			if o.Kind == dispatch.StartTask && o.Task.Job == "gang" {
+				runs[o.Run]++
+			}
+			return dispatch.Confirmed
+		}
+		b.advance(10 * time.Second)
+		for run, got := range runs {
+			if got != gang.Tasks {
+				t.Errorf("memory %d: got %d starts of run %d, want %d", memory, got, run, gang.Tasks)
+			}
+		}
+		if fits := memory == 10; fits != (len(runs) > 0) {
+			t.Errorf("memory %d: got %d runs, want some: %v", memory, len(runs), fits)
+		}
+	}
+}
+
 // TestFailingWorkerIsQuarantined runs a worker on which every task fails. All jobs
 // must complete on other workers.
 func TestFailingWorkerIsQuarantined(t *testing.T) {
--- a/process/dispatch/order.go
+++ b/process/dispatch/order.go
@@ -202,8 +202,8 @@
 }
 
 // startStarved starts one task of each filler job that has nothing running although
-// reserved capacity is low. The task goes where it interferes least, and throttling
-// limits its effect.
+// reserved capacity is low, or a whole gang. The task goes where it interferes least, and
+// throttling limits its effect.
 func (e *Engine) startStarved(now Moment, waiting []candidate) {
 	waiting = slices.DeleteFunc(waiting, func(c candidate) bool { return !e.isStarved(now, c.step) })
 	if len(waiting) == 0 {
@@ -218,6 +218,10 @@
 			// Another step of the job was started in this loop.
 			continue
 		}
+		if s.spec.Gang {
+			e.startStarvedGang(now, s)
+			continue
+		}
 		at := slices.IndexFunc(s.pending, func(t *task) bool { return e.isStartable(now.Steady, t) })
 		if at < 0 || s.pending[at].needsIsolation() {
 			continue
@@ -231,6 +235,17 @@
 	}
 }
 
+// startStarvedGang is startStarved for a gang.
+func (e *Engine) startStarvedGang(now Moment, s *stepRun) {
+	if !e.isGangStartable(now, s) || slices.ContainsFunc(s.tasks, (*task).needsIsolation) {
+		return
+	}
+	placed, ok := e.tryGang(now, s, func(t *task) *node { return e.leastInterference(now, s, t) })
+	if ok {
+		e.recordStarts(now, s, len(placed), placed[0].node.worker.ID)
+	}
+}
+
 // isStarved reports whether a filler job has no running task and has waited for
 // StarvedAfter.
 func (e *Engine) isStarved(now Moment, s *stepRun) bool {
@@ -346,14 +361,9 @@
 // startGang starts all tasks of a gang or none. It reports false if they could not all
 // be placed.
 func (e *Engine) startGang(now Moment, s *stepRun) bool {
-	if len(s.pending) < len(s.tasks) {
+	if !e.isGangStartable(now, s) {
 		return true
 	}
-	for _, t := range s.tasks {
-		if !e.isStartable(now.Steady, t) {
-			return true
-		}
-	}
 	if !s.prefersRack() {
 		return e.placeGang(now, s, nil)
 	}
@@ -368,23 +378,28 @@
 	return e.placeLocatedGang(now, s, a)
 }
 
+// isGangStartable reports whether all tasks of a gang may start at now, given workers for them.
+func (e *Engine) isGangStartable(now Moment, s *stepRun) bool {
+	return len(s.pending) == len(s.tasks) && !slices.ContainsFunc(s.tasks, func(t *task) bool { return !e.isStartable(now.Steady, t) })
+}
+
 // placeGang starts all tasks of a gang on workers that isWanted accepts, or none. It reports false
 // if they could not all be placed.
 func (e *Engine) placeGang(now Moment, s *stepRun, isWanted func(*node) bool) bool {
-	placed, ok := e.tryGang(now, s, isWanted)
+	placed, ok := e.tryGang(now, s, func(t *task) *node { return e.chooseWorkerWhere(now, s, t, isWanted) })
 	if ok {
 		e.recordStarts(now, s, len(placed), placed[0].node.worker.ID)
 	}
 	return ok
 }
 
-// tryGang orders the starts of all tasks of a gang, or of none.
-func (e *Engine) tryGang(now Moment, s *stepRun, isWanted func(*node) bool) ([]*attempt, bool) {
+// tryGang orders the starts of all tasks of a gang on the workers that choose returns, or of none.
+func (e *Engine) tryGang(now Moment, s *stepRun, choose func(*task) *node) ([]*attempt, bool) {
 	e.nextRun++
 	run := e.nextRun
 	placed := make([]*attempt, 0, len(s.tasks))
 	for _, t := range s.tasks {
-		n := e.chooseWorkerWhere(now, s, t, isWanted)
+		n := choose(t)
 		if n == nil {
 			e.undoGang(s, placed)
 			return nil, false
