Count a step that is named twice as one predecessor

Cause: newOccurrence counted each entry of the list as something to wait for, completeTask takes one off for each step that is done.

Change: the engine counts the earlier steps that are named and not done.

--- a/process/dispatch/dispatch_test.go
+++ b/process/dispatch/dispatch_test.go
@@ -432,6 +432,19 @@
 	}
 }
 
+// TestStepThatNamesAnotherTwiceStarts guards against a step that waits for good since it names an earlier one
+// twice.
+func TestStepThatNamesAnotherTwiceStarts(t *testing.T) {
+	b := newSimulation(t, dispatch.Policy{}, 2)
+	second := tasks(2, 1000, time.Second)
+	second.After = []int{0, 0}
+	b.add("flow", tasks(2, 1000, time.Second), second)
+	b.advance(10 * time.Second)
+	if got, _ := b.e.State("flow"); got != heatherhub.WorkflowCompleted {
+		t.Errorf("got state %q after 10 s, want %q", got, heatherhub.WorkflowCompleted)
+	}
+}
+
 // TestFailingWorkerIsQuarantined runs a worker on which every task fails. All jobs
 // must complete on other workers.
 func TestFailingWorkerIsQuarantined(t *testing.T) {
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -137,7 +137,7 @@
 	o := &occurrence{job: j, index: k}
 	flatIndex := 0
 	for i := range j.workflow.Steps {
-		s := &stepRun{occ: o, index: i, spec: &j.workflow.Steps[i], need: j.workflow.Steps[i].Reserved(), blockers: len(j.workflow.Steps[i].After)}
+		s := &stepRun{occ: o, index: i, spec: &j.workflow.Steps[i], need: j.workflow.Steps[i].Reserved()}
 		if s.spec.MaxPerWorker > 0 {
 			s.tasksPerNode = make(map[*node]int)
 		}
@@ -154,9 +154,9 @@
 		o.steps = append(o.steps, s)
 	}
 	for _, s := range o.steps {
-		for _, a := range s.spec.After {
-			if o.steps[a].undone == 0 {
-				s.blockers--
+		for _, earlier := range o.steps[:s.index] {
+			if earlier.undone > 0 && slices.Contains(s.spec.After, earlier.index) {
+				s.blockers++
 			}
 		}
 	}
