--- a/process/dispatch/crash_test.go
+++ b/process/dispatch/crash_test.go
@@ -168,6 +168,41 @@
 	}
 }
 
+// TestIsolatedLastingTasksBlockNoOtherJob guards against other jobs that wait for seconds beside free room, since
+// the tasks that last of workers which crashed twice start isolated on all workers.
+func TestIsolatedLastingTasksBlockNoOtherJob(t *testing.T) {
+	w := newCrashWorld(t, 1)
+	for i := range 8 {
+		step := tasks(1, 1000, time.Hour)
+		step.LongRunning = true
+		w.add(heatherhub.JobID(fmt.Sprintf("lasting%d", i)), step)
+	}
+	for range 2 {
+		w.play(4500 * time.Millisecond)
+		w.crash(w.workers[0])
+	}
+	for i := range 7 {
+		w.join(fmt.Sprintf("b%02d", i))
+	}
+	longest := time.Duration(0)
+	for i := range 50 {
+		id := heatherhub.JobID(fmt.Sprintf("short%d", i))
+		w.add(id, tasks(1, 1000, 50*time.Millisecond))
+		from := w.now.Steady
+		for w.startsOf(heatherhub.StepTask{Job: id}) == 0 && w.now.Steady-from < time.Minute {
+			w.play(20 * time.Millisecond)
+		}
+		longest = max(longest, w.now.Steady-from)
+		w.play(200 * time.Millisecond)
+	}
+	if limit := 3 * time.Second; longest > limit {
+		t.Errorf("got a wait of %s beside free room, want at most %s", longest, limit)
+	}
+	for i := range 8 {
+		w.checkState(heatherhub.JobID(fmt.Sprintf("lasting%d", i)), heatherhub.WorkflowRunning)
+	}
+}
+
 // TestJobOfDeadlyTasksIsGivenUpAsAWhole guards against a job that crashes workers once for each
 // of its tasks.
 func TestJobOfDeadlyTasksIsGivenUpAsAWhole(t *testing.T) {
