Keep a repeated start open if one of its copies is listed

Callers could see a long-running task run twice: both copies of its start got no answer, the worker started again, and the next incarnation carried one of them out. Once that incarnation ended as well, the task started elsewhere while the other copy could be carried out. Change: the open start counts the copies that may not have been carried out.

--- /dev/null
+++ b/process/dispatch/repeated_start_test.go
@@ -0,0 +1,57 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/connection/agent"
+	"heatherhub.example/heatherhub/process/dispatch"
+)
+
+// reportRuns has a worker list runs d later.
+func (b *simulation) reportRuns(d time.Duration, id heatherhub.WorkerID, runs ...agent.Running) {
+	b.now.Steady += d
+	b.now.Wall = b.now.Wall.Add(d)
+	b.e.Report(b.now, b.now.Steady, id, &agent.Report{Clock: 1, Running: runs})
+}
+
+// restart has the next incarnation of a worker answer, which lists runs.
+func (b *simulation) restart(id heatherhub.WorkerID, runs ...agent.Running) heatherhub.WorkerID {
+	b.e.WorkerRestarted(b.now, id, b.now.Steady+time.Minute)
+	incarnation, _ := id.Incarnation()
+	next := heatherhub.NewWorkerID(id.Name(), incarnation+1)
+	b.workers = []heatherhub.WorkerID{next}
+	b.e.WorkerUp(b.now, b.worker(0), &agent.Report{Clock: 1, Running: runs})
+	return next
+}
+
+// expectNoStartBeside checks that no task starts on another worker within d.
+func (b *simulation) expectNoStartBeside(d time.Duration) {
+	b.t.Helper()
+	b.started, b.workers = nil, []heatherhub.WorkerID{heatherhub.NewWorkerID("beside", 1)}
+	b.e.WorkerUp(b.now, b.worker(0), &agent.Report{Clock: 1})
+	if got := b.startAfter(d); len(b.started) > 0 {
+		b.t.Errorf("got a start elsewhere after %s, want none within %s", got, d)
+	}
+}
+
+// TestRepeatedStartIsNotUsedUpByOneRun guards against a second run of a long-running task: two copies of its
+// start got no answer, a next incarnation carries one of them out, and the one after it the other.
+func TestRepeatedStartIsNotUsedUpByOneRun(t *testing.T) {
+	b := newIncarnations(t, 1)
+	b.answerNoStart()
+	b.add("lasting", lasting())
+	orders := b.e.Decide(b.now)
+	b.e.OrderResult(b.now, orders[0], dispatch.NoReply)
+	b.reportRuns(time.Second, b.workers[0])
+	b.decide()
+	if got, want := b.e.Stats.Unanswered, 2; got != want {
+		t.Fatalf("got %d starts without an answer, want %d", got, want)
+	}
+	b.outcome = nil
+	next := b.restart(b.workers[0], agent.Running{Task: orders[0].Task, Run: orders[0].Run})
+	b.reportRuns(time.Second, next, agent.Running{Task: orders[0].Task, Run: orders[0].Run})
+	b.e.WorkerRestarted(b.now, next, b.now.Steady+time.Minute)
+	b.expectNoStartBeside(9 * time.Second)
+}
--- a/process/dispatch/unanswered.go
+++ b/process/dispatch/unanswered.go
@@ -74,7 +74,7 @@
 // keepOpen adds the open start of an attempt that is released next.
 func (e *Engine) keepOpen(now Moment, a *attempt, sentBy time.Duration) *openStart {
 	w := &a.node.worker
-	o := &openStart{task: a.task, run: a.run, worker: w.ID, address: addressOf(w), sentBy: sentBy}
+	o := &openStart{task: a.task, run: a.run, worker: w.ID, address: addressOf(w), sentBy: sentBy, isRepeated: a.openCopies() > 1}
 	e.addOpen(o)
 	e.recordUnanswered(now, a)
 	o.recordedBy = o.task.step.occ.job.changed
@@ -102,6 +102,7 @@
 	}
 	j.progress.Open = append(j.progress.Open, OpenStart{
 		Occurrence: t.step.occ.index, Task: t.flatIndex(), Run: a.run, Worker: w.ID, Address: addressOf(w), At: now.Wall,
+		IsRepeated: a.repeats > 0,
 	})
 	e.markChanged(j)
 }
@@ -262,6 +263,14 @@
 	})
 }
 
+// openCopies returns how many of the starts of the attempt may not have been carried out.
+func (a *attempt) openCopies() int {
+	if a.state == running {
+		return a.repeats
+	}
+	return a.repeats + 1
+}
+
 // hasOpenCopy reports whether a start of the attempt that was repeated may still be carried out.
 func (e *Engine) hasOpenCopy(now time.Duration, a *attempt) bool {
 	return a.repeats > 0 && now < a.lastUnanswered+e.cfg.LateCallTime
