Wait for the last copy of a repeated start if the first one is listed

Callers could see a long-running task run twice: its start was sent twice without an answer, the worker carried the first copy out and listed the run, and then started again. Cause: a listed run counted as the last copy, so the open one as sent when the first got no answer. The last copy, sent up to about two seconds later, could be carried out by the next incarnation after the wait had ended. Change: once a worker lists a run, the copy that may be open is the one that was sent last, unless it is answered.

--- a/process/dispatch/decide.go
+++ b/process/dispatch/decide.go
@@ -159,6 +159,9 @@
 		return
 	}
 	if a.state == running {
+		if result == NoReply {
+			a.lastUnanswered = now.Steady
+		}
 		return
 	}
 	if result == NoReply {
--- a/process/dispatch/repeated_start_test.go
+++ b/process/dispatch/repeated_start_test.go
@@ -55,3 +55,21 @@
 	b.e.WorkerRestarted(b.now, next, b.now.Steady+time.Minute)
 	b.expectNoStartBeside(9 * time.Second)
 }
+
+// TestLastCopyOfARepeatedStartIsWaitedFor guards against a second run of a long-running task: the first copy
+// of its start is listed, and the last one, which was sent later, is carried out by the next incarnation.
+func TestLastCopyOfARepeatedStartIsWaitedFor(t *testing.T) {
+	b := newIncarnations(t, 1)
+	b.answerNoStart()
+	b.add("lasting", lasting())
+	orders := b.e.Decide(b.now)
+	b.e.OrderResult(b.now, orders[0], dispatch.NoReply)
+	b.reportRuns(2*time.Second, b.workers[0])
+	b.decide()
+	b.outcome = nil
+	for range 105 {
+		b.reportRuns(100*time.Millisecond, b.workers[0], agent.Running{Task: orders[0].Task, Run: orders[0].Run})
+	}
+	b.e.WorkerRestarted(b.now, b.workers[0], b.now.Steady+time.Minute)
+	b.expectNoStartBeside(time.Second)
+}
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -167,6 +167,8 @@
 	a.isListed, a.listedAt = true, now.Steady
 	e.proveIfDue(now, a)
 	if a.state != running {
+		// The run may be of an earlier copy of the start than the last one.
+		a.lastUnanswered = e.sentBy(now, a)
 		e.confirm(now, a)
 	}
 	if r.Progress != a.progress || a.progressAt == 0 {
