Stop a run whose repeated start is refused before its task starts again

Callers could see a long-running task run twice: its start got no answer, and the copy was refused for want of room or health, was not sent, or was dropped, for example as the worker had announced meanwhile that it leaves. Cause: the refusal of the copy counted as one of the run. So the task started again under a new number, on the same worker or, if that one leaves, on another, while the worker could still accept the first call, for two seconds after it was sent. The room of the run was free meanwhile. Change: the attempt stays, as one whose start has no answer, and is stopped; the worker that confirms the stop refuses the earlier copies.

--- a/process/dispatch/decide.go
+++ b/process/dispatch/decide.go
@@ -182,7 +182,16 @@
 	case NotSent:
 		a.node.markUnresponsive(now.Steady)
 	}
-	e.keepOpenCopy(now, a)
+	if e.hasOpenCopy(now.Steady, a) {
+		// Only a stop of the run makes the worker refuse the copies that were sent before.
+		a.repeats--
+		e.setState(now, a, unconfirmed)
+		a.stateSince = a.lastUnanswered
+		if a.stop == noStop {
+			a.stop = stopPending
+		}
+		return
+	}
 	e.release(a)
 	e.requeue(now, a)
 }
--- a/process/dispatch/repeated_start_test.go
+++ b/process/dispatch/repeated_start_test.go
@@ -73,3 +73,44 @@
 	b.e.WorkerRestarted(b.now, b.workers[0], b.now.Steady+time.Minute)
 	b.expectNoStartBeside(time.Second)
 }
+
+// TestRefusedCopyLeavesTheFirstOpen guards against two runs of a long-running task: its start got no answer,
+// the copy was not accepted, and the task starts under a new number while the worker may carry the first
+// start out.
+func TestRefusedCopyLeavesTheFirstOpen(t *testing.T) {
+	for _, outcome := range []dispatch.Outcome{
+		dispatch.RefusedUnhealthy, dispatch.RefusedNoCapacity, dispatch.Refused, dispatch.NotSent, dispatch.Outdated, dispatch.Withdrawn,
+	} {
+		for name, drains := range map[string]bool{"in place": false, "elsewhere": true} {
+			t.Run(outcome.String()+", "+name, func(t *testing.T) {
+				b := newIncarnations(t, 1)
+				b.add("lasting", lasting())
+				first := b.e.Decide(b.now)[0]
+				b.e.OrderResult(b.now, first, dispatch.NoReply)
+				b.reportRuns(100*time.Millisecond, b.workers[0])
+				again := b.e.Decide(b.now)
+				if len(again) != 1 || again[0].Run != first.Run {
+					t.Fatalf("got orders %+v, want the start again", again)
+				}
+				b.addIncarnation("x", 10_000)
+				if drains {
+					b.drain(0, time.Minute)
+				}
+				b.e.OrderResult(b.now, again[0], outcome)
+				isStopped := false
+				b.outcome = func(o dispatch.Order) dispatch.Outcome {
+					switch {
+					case o.Kind == dispatch.StopTask && o.Run == first.Run:
+						isStopped = true
+					case o.Kind == dispatch.StartTask && o.Run != first.Run && !isStopped:
+						t.Errorf("got a start with number %d on %s, want none before a stop of %d is confirmed", o.Run, o.Worker, first.Run)
+					}
+					return dispatch.Confirmed
+				}
+				if got, limit := b.startAfter(5*time.Second), 3*time.Second; got > limit {
+					t.Errorf("got the next start after %s, want at most %s", got, limit)
+				}
+			})
+		}
+	}
+}
