Record a start that is repeated in place

Callers could see a long-running task run twice after a change of the owner: its start got no answer, the next incarnation of the worker refused it and took it again under the same number, and the next owner read a record of one start. Cause: a start in place under the number of the open one is sent twice like a repeated start, and neither the open start nor its record said so. The run that the next owner found listed used the record up. Change: both say it.

--- a/process/dispatch/repeated_start_test.go
+++ b/process/dispatch/repeated_start_test.go
@@ -114,3 +114,33 @@
 		}
 	}
 }
+
+// TestNextOwnerKnowsOfStartsInPlace guards against a second run of a long-running task after a change of the
+// owner: the next incarnation has started it again under the same number, and lists that run, while the
+// first start may still be carried out.
+func TestNextOwnerKnowsOfStartsInPlace(t *testing.T) {
+	former := newIncarnations(t, 3)
+	former.add("lasting", lasting())
+	start := former.e.Decide(former.now)[0]
+	former.now.Steady += 700 * time.Millisecond
+	former.e.OrderResult(former.now, start, dispatch.NoReply)
+	// Workers that are lost together leave no suspects.
+	for _, id := range former.workers {
+		former.e.WorkerUnresponsive(former.now, id)
+	}
+	second := former.restart(start.Worker)
+	former.reportRuns(100*time.Millisecond, second)
+	former.decide()
+	if got := len(former.started); got != 1 {
+		t.Fatalf("got %d starts in place, want 1", got)
+	}
+	run := agent.Running{Task: start.Task, Run: former.runs[second][0].order.Run}
+	former.reportRuns(100*time.Millisecond, second, run)
+	next := newIncarnations(t, 0)
+	next.addFlow(former.workflows["lasting"], former.e.Progress("lasting"), dispatch.OriginPreviousOwner)
+	next.workers = []heatherhub.WorkerID{second}
+	next.e.WorkerUp(next.now, next.worker(0), &agent.Report{Clock: 1, Running: []agent.Running{run}})
+	next.reportRuns(time.Second, second, run)
+	next.e.WorkerRestarted(next.now, second, next.now.Steady+time.Minute)
+	next.expectNoStartBeside(8 * time.Second)
+}
--- a/process/dispatch/unanswered.go
+++ b/process/dispatch/unanswered.go
@@ -251,18 +251,22 @@
 	a.state, a.stateSince = sent, now.Steady
 	e.pendingStarts++
 	e.Stats.Starts++
-	if j := a.task.step.occ.job; !j.isOver() {
-		if at := slices.IndexFunc(j.progress.Open, isRecordOf(a.task, a.run)); at >= 0 {
-			j.progress.Open[at].IsRepeated, j.progress.Open[at].At = true, now.Wall
-			e.markChanged(j)
-		}
-	}
+	e.recordRepeated(now, a.task, a.run)
 	e.orders = append(e.orders, Order{
 		Worker: a.node.worker.ID, Kind: StartTask, Task: a.task.id(), Run: a.run,
 		Payload: a.task.step.occ.job.workflow.Payload, Checkpoint: a.task.checkpoint,
 	})
 }
 
+// recordRepeated records that an open start is sent again.
+func (e *Engine) recordRepeated(now Moment, t *task, run heatherhub.RunID) {
+	j := t.step.occ.job
+	if at := slices.IndexFunc(j.progress.Open, isRecordOf(t, run)); at >= 0 && !j.isOver() {
+		j.progress.Open[at].IsRepeated, j.progress.Open[at].At = true, now.Wall
+		e.markChanged(j)
+	}
+}
+
 // openCopies returns how many of the starts of the attempt may not have been carried out.
 func (a *attempt) openCopies() int {
 	if a.state == running {
@@ -384,6 +388,9 @@
 			if o.worker == o.refusedBy || len(t.open) > 1 {
 				e.nextRun++
 				run = e.nextRun
+			} else {
+				o.isRepeated = true
+				e.recordRepeated(now, t, run)
 			}
 			e.start(now, t, n, run)
 			e.recordStarts(now, t.step, 1, n.worker.ID)
