Wait for a start that is repeated in place from its last copy on

Callers could see a long-running task run twice: a start in place got no answer, the incarnation listed the run of the first call, and the next one carried out the second. Cause: the open start counted from the first call on, and the attempt in place as one that was sent once. Change: the open start counts from the call in place on, which is sent within a second after it is decided.

--- a/process/dispatch/repeated_start_test.go
+++ b/process/dispatch/repeated_start_test.go
@@ -144,3 +144,31 @@
 	next.e.WorkerRestarted(next.now, second, next.now.Steady+time.Minute)
 	next.expectNoStartBeside(8 * time.Second)
 }
+
+// TestLastCopyOfAStartInPlaceIsWaitedFor guards against a second run of a long-running task: a next incarnation
+// lists the first copy of its start, and the one after it carries out the copy that was sent in place.
+func TestLastCopyOfAStartInPlaceIsWaitedFor(t *testing.T) {
+	b := newIncarnations(t, 3)
+	b.add("lasting", lasting())
+	start := b.e.Decide(b.now)[0]
+	b.now.Steady += 700 * time.Millisecond
+	b.e.OrderResult(b.now, start, dispatch.NoReply)
+	// Workers that are lost together leave no suspects.
+	for _, id := range b.workers {
+		b.e.WorkerUnresponsive(b.now, id)
+	}
+	b.now.Steady += 3 * time.Second
+	second := b.restart(start.Worker)
+	b.reportRuns(100*time.Millisecond, second)
+	b.answerNoStart()
+	b.decide()
+	if got, want := b.e.Stats.Unanswered, 2; got != want {
+		t.Fatalf("got %d starts without an answer, want %d", got, want)
+	}
+	b.outcome = nil
+	for range 100 {
+		b.reportRuns(100*time.Millisecond, second, agent.Running{Task: start.Task, Run: start.Run})
+	}
+	b.e.WorkerRestarted(b.now, second, b.now.Steady+time.Minute)
+	b.expectNoStartBeside(time.Second)
+}
--- a/process/dispatch/unanswered.go
+++ b/process/dispatch/unanswered.go
@@ -389,7 +389,7 @@
 				e.nextRun++
 				run = e.nextRun
 			} else {
-				o.isRepeated = true
+				o.isRepeated, o.sentBy = true, now.Steady+MaxOrderAge
 				e.recordRepeated(now, t, run)
 			}
 			e.start(now, t, n, run)
