Move tasks beside one that has an open start

Callers could wait for tasks of a long-running job beside room in another shard: all workers of the shard leave, and none of the tasks moves. Cause: since a task with an open start may start elsewhere if the worker that refuses it leaves, so it was offered for a move. The shard does not let such a task go, and refused the move of all tasks of the step. Change: a task with an open start is not offered. Result: TestTasksMoveBesideOneWithAnOpenStart gets no move before, and passes now.

--- a/process/dispatch/move.go
+++ b/process/dispatch/move.go
@@ -104,7 +104,7 @@
 		}
 		if j.workflow.CanSplit() {
 			for _, t := range s.pending {
-				if isDue(t) && e.isStartable(now.Steady, t) {
+				if isDue(t) && len(t.open) == 0 && e.isStartable(now.Steady, t) {
 					m.Tasks = append(m.Tasks, t.flatIndex())
 				}
 			}
--- a/process/dispatch/repeated_start_test.go
+++ b/process/dispatch/repeated_start_test.go
@@ -172,3 +172,30 @@
 	b.e.WorkerRestarted(b.now, second, b.now.Steady+time.Minute)
 	b.expectNoStartBeside(time.Second)
 }
+
+// TestTasksMoveBesideOneWithAnOpenStart guards against tasks that stay in a shard of which all workers leave,
+// since another task of their job has an open start.
+func TestTasksMoveBesideOneWithAnOpenStart(t *testing.T) {
+	b := newSimulation(t, dispatch.Policy{}, 0)
+	id := b.addIncarnation("w", 10_000)
+	s := lasting()
+	s.Tasks, s.Need.CPU = 2, 8000
+	b.answerNoStart()
+	b.add("lasting", s)
+	b.decide()
+	b.commit()
+	b.drain(0, time.Minute)
+	b.outcome = nil
+	b.e.MarkWorkersAsked()
+	for range 20 {
+		b.reportRuns(100*time.Millisecond, id)
+		b.decide()
+	}
+	work := b.e.UrgentWork(b.now)
+	if len(work) != 1 {
+		t.Fatalf("got %d moves, want 1", len(work))
+	}
+	if _, _, ok := b.e.PrepareMove(work[0], otherShard); !ok {
+		t.Errorf("got no move of %v, want one", work[0].Tasks)
+	}
+}
