Send crashed guests home beside one that has an open start

Callers could wait up to 22 s for long-running tasks that another shard runs for their job, after one of its workers has crashed. Cause: such tasks start again only once the shard of their job has stored the crash. They go back together, and one whose start got no answer has an open start, for which the move of all of them was refused. Change: a task with an open start goes home once that is over. Result: TestCrashedGuestsGoHomeBesideAnOpenStart gets no move before, and passes now.

--- a/process/dispatch/move.go
+++ b/process/dispatch/move.go
@@ -358,7 +358,8 @@
 }
 
 // CrashedGuests returns the tasks of other shards' jobs with crashes that are not stored. They go
-// back to the shard of their job, which stores the crashes and decides on the job.
+// back to the shard of their job, which stores the crashes and decides on the job, once they have no
+// open start.
 func (e *Engine) CrashedGuests() []Move {
 	var out []Move
 	for _, s := range e.ready {
@@ -368,7 +369,7 @@
 		}
 		m := Move{Job: j.workflow.ID, Home: j.workflow.Shard}
 		for _, t := range s.pending {
-			if !t.isMoving && t.awaitsCrashRecord() {
+			if !t.isMoving && len(t.open) == 0 && t.awaitsCrashRecord() {
 				m.Tasks = append(m.Tasks, t.flatIndex())
 			}
 		}
--- a/process/dispatch/repeated_start_test.go
+++ b/process/dispatch/repeated_start_test.go
@@ -199,3 +199,27 @@
 		t.Errorf("got no move of %v, want one", work[0].Tasks)
 	}
 }
+
+// TestCrashedGuestsGoHomeBesideAnOpenStart guards against tasks of another shard's job that start nowhere after a
+// crash, since another task of the job has an open start.
+func TestCrashedGuestsGoHomeBesideAnOpenStart(t *testing.T) {
+	b := newIncarnations(t, 1)
+	s := lasting()
+	s.Tasks = 2
+	flow := &heatherhub.Workflow{
+		ID: "guest", Queue: queue, Steps: []heatherhub.Step{s}, Shard: otherShard, TaskShards: map[int]heatherhub.ShardID{0: {}, 1: {}},
+	}
+	b.addFlow(flow, dispatch.Progress{}, dispatch.OriginNew)
+	orders := b.e.Decide(b.now)
+	b.e.OrderResult(b.now, orders[0], dispatch.Confirmed)
+	b.reportRuns(50*time.Millisecond, b.workers[0], agent.Running{Task: orders[0].Task, Run: orders[0].Run})
+	b.e.OrderResult(b.now, orders[1], dispatch.NoReply)
+	b.restart(b.workers[0])
+	home := b.e.CrashedGuests()
+	if len(home) != 1 {
+		t.Fatalf("got %d moves, want 1", len(home))
+	}
+	if _, _, ok := b.e.PrepareMove(home[0], home[0].Home); !ok {
+		t.Errorf("got no move of %v home, want one", home[0].Tasks)
+	}
+}
