Count the age of a run from the last copy of its start

Callers could have workers crashed again and again by one long-running task: its starts got no answer, and the repeated one was carried out. Cause: the age of a run counted from the first copy. A run that had just begun was old enough to count as harmless when the worker listed it for the first time, which forgot the crashes of its task. Change: a start that is repeated begins anew. Result: TestRepeatedStartIsNoProofOfAge gets the crash beside a run of 750 ms before, and under a suspect of 50 ms now.

--- a/process/dispatch/repeated_start_test.go
+++ b/process/dispatch/repeated_start_test.go
@@ -223,3 +223,18 @@
 		t.Errorf("got no move of %v home, want one", home[0].Tasks)
 	}
 }
+
+// TestRepeatedStartIsNoProofOfAge guards against a task that counts as harmless as soon as a worker lists it,
+// and crashes that worker.
+func TestRepeatedStartIsNoProofOfAge(t *testing.T) {
+	b := newIncarnations(t, 1)
+	start := b.leaveUnanswered("deadly", lasting())
+	b.reportRuns(700*time.Millisecond, b.workers[0])
+	b.decide()
+	b.reportRuns(50*time.Millisecond, b.workers[0], agent.Running{Task: start.Task, Run: start.Run})
+	b.restart(b.workers[0])
+	crashes := b.e.Progress("deadly").Crashes
+	if len(crashes) != 1 || crashes[0].Evidence != heatherhub.CrashSuspect || crashes[0].Age > 100*time.Millisecond {
+		t.Errorf("got crashes %+v, want the run as the suspect of one, of 50 ms", crashes)
+	}
+}
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -411,7 +411,7 @@
 	isProven, isIsolated bool
 	// stateSince is the time at which the state was reached.
 	stateSince time.Duration
-	// startedAt is the time at which the start was ordered.
+	// startedAt is the time at which the start was ordered, or repeated last.
 	startedAt time.Duration
 	stop      stopState
 	stopSince time.Duration
--- a/process/dispatch/unanswered.go
+++ b/process/dispatch/unanswered.go
@@ -248,7 +248,7 @@
 func (e *Engine) repeatStart(now Moment, a *attempt) {
 	a.repeats++
 	a.lastUnanswered = a.stateSince
-	a.state, a.stateSince = sent, now.Steady
+	a.state, a.stateSince, a.startedAt = sent, now.Steady, now.Steady
 	e.pendingStarts++
 	e.Stats.Starts++
 	e.recordRepeated(now, a.task, a.run)
