Let a task leave the worker that refuses it in place

Callers could wait for good for a long-running task beside room: its start got no answer, and its worker refused all others. Cause: while its start is open such a task may start on one worker only. From the third refusal in a row on the task counts as the cause, so the worker was tried again and again, also when the start was no longer open and other workers had room. Change: the refusals are forgotten once the last open start of the task is over.

--- a/process/dispatch/repeated_start_test.go
+++ b/process/dispatch/repeated_start_test.go
@@ -238,3 +238,20 @@
 		t.Errorf("got crashes %+v, want the run as the suspect of one, of 50 ms", crashes)
 	}
 }
+
+// TestTaskLeavesWorkerThatRefusesItInPlace guards against a long-running task that goes on starting where it is
+// refused although its start is no longer open and another worker has room.
+func TestTaskLeavesWorkerThatRefusesItInPlace(t *testing.T) {
+	b := newIncarnations(t, 1)
+	start := b.leaveUnanswered("lasting", lasting())
+	b.addIncarnation("x", 10_000)
+	b.outcome = func(o dispatch.Order) dispatch.Outcome {
+		if o.Kind == dispatch.StartTask && o.Worker == start.Worker {
+			return dispatch.RefusedUnhealthy
+		}
+		return dispatch.Confirmed
+	}
+	if got, limit := b.startAfter(30*time.Second), dispatch.DefaultLateCallTime+3*time.Second; got > limit {
+		t.Errorf("got no start for %s beside room, want one after %s at most", got, limit)
+	}
+}
--- a/process/dispatch/unanswered.go
+++ b/process/dispatch/unanswered.go
@@ -345,7 +345,10 @@
 	if e.open[name] = slices.DeleteFunc(e.open[name], isSame); len(e.open[name]) == 0 {
 		delete(e.open, name)
 	}
-	o.task.open = slices.DeleteFunc(o.task.open, isSame)
+	if o.task.open = slices.DeleteFunc(o.task.open, isSame); len(o.task.open) == 0 {
+		// The one worker on which it could start has refused it, which says nothing of others.
+		o.task.refusals = 0
+	}
 	j.openAttempts--
 	j.openStarts--
 	e.forgetUnanswered(o.task, o.run)
