Start a suspected task again where its open start is refused

Callers waited 12 s for a long-running task beside room: its worker crashed before it answered the start, and was back at once. Cause: the crash makes the task a suspect, whose next run is isolated, and suspects were left out of the starts on the incarnation that refuses the open one. So the one task that needs such a start after a single crash never got it. Change: they start there once the worker is stored as that of their next isolated start and runs no other suspect, as anywhere else.

--- a/process/dispatch/crash.go
+++ b/process/dispatch/crash.go
@@ -568,11 +568,7 @@
 		// A machine that crashes again under the job may be faulty itself.
 		clean.holdFor(now, j)
 		return nil
-	case best != nil && !j.isOwnedElsewhere && best.worker.ID != j.progress.IsolatedOn:
-		j.progress.IsolatedOn = best.worker.ID
-		e.markChanged(j)
-		j.crashChange = j.changed
-		best.holdFor(now, j)
+	case best != nil && !e.storeIsolation(now, best, j):
 		return nil
 	case best == nil && next != nil && !j.isIsolatedElsewhere(now.Steady, nil):
 		next.holdFor(now, j)
@@ -580,6 +576,32 @@
 	return best
 }
 
+// storeIsolation reports whether the worker is stored as that of the next isolated start of a job. If not, it has it
+// stored, and holds the worker.
+func (e *Engine) storeIsolation(now Moment, n *node, j *job) bool {
+	if j.isOwnedElsewhere || n.worker.ID == j.progress.IsolatedOn {
+		return true
+	}
+	j.progress.IsolatedOn = n.worker.ID
+	e.markChanged(j)
+	j.crashChange = j.changed
+	n.holdFor(now, j)
+	return false
+}
+
+// isolateOn reports whether a worker with room can take an isolated start of a task now. If it runs suspects, it is
+// held until these are proven.
+func (e *Engine) isolateOn(now Moment, n *node, t *task) bool {
+	j := t.step.occ.job
+	if n.isIsolating(now.Steady, t) {
+		return e.storeIsolation(now, n, j)
+	}
+	if n.isolatedJob(now.Steady) == nil && !j.isIsolatedElsewhere(now.Steady, nil) {
+		n.holdFor(now, j)
+	}
+	return false
+}
+
 // holdFor keeps a worker for the isolated start of a job.
 func (n *node) holdFor(now Moment, j *job) {
 	n.isolatedFor, n.heldUntil, j.isolationNode = j, now.Steady+isolationHold, n
--- a/process/dispatch/repeated_start_test.go
+++ b/process/dispatch/repeated_start_test.go
@@ -255,3 +255,18 @@
 		t.Errorf("got no start for %s beside room, want one after %s at most", got, limit)
 	}
 }
+
+// TestSuspectStartsAgainWhereItsStartIsRefused guards against a long-running task that is down beside room, since
+// its worker crashed before it answered the start: the next incarnation refuses that one.
+func TestSuspectStartsAgainWhereItsStartIsRefused(t *testing.T) {
+	b := newIncarnations(t, 1)
+	start := b.leaveUnanswered("lasting", lasting())
+	sentAt := b.now.Steady
+	b.now.Steady += 300 * time.Millisecond
+	b.restart(start.Worker)
+	b.addIncarnation("x", 10_000)
+	b.startAfter(30 * time.Second)
+	if got, limit := b.now.Steady-sentAt, 6*time.Second; got > limit {
+		t.Errorf("got a start %s after the one without an answer, want at most %s", got, limit)
+	}
+}
--- a/process/dispatch/unanswered.go
+++ b/process/dispatch/unanswered.go
@@ -378,11 +378,14 @@
 	for _, name := range slices.Sorted(maps.Keys(e.open)) {
 		for _, o := range slices.Clone(e.open[name]) {
 			t, n := o.task, e.nodes[o.refusedBy]
-			if n == nil || !t.step.spec.LongRunning || t.step.spec.Gang || !t.step.isQueued || t.needsIsolation() {
+			if n == nil || !t.step.spec.LongRunning || t.step.spec.Gang || !t.step.isQueued {
 				continue
 			}
 			isElsewhere := func(other *openStart) bool { return other.refusedBy != o.refusedBy }
-			if !t.isPending || slices.ContainsFunc(t.open, isElsewhere) || !e.isStartableButOpen(now.Steady, t) || e.isAtStartLimit() || !e.isEligible(now, n, t.step, t) {
+			if !t.isPending || slices.ContainsFunc(t.open, isElsewhere) || !e.isStartableButOpen(now.Steady, t) || e.isAtStartLimit() || !e.hasRoom(now, n, t.step, t) {
+				continue
+			}
+			if t.needsIsolation() && !e.isolateOn(now, n, t) || !n.isOpenTo(now.Steady, t) {
 				continue
 			}
 			// An incarnation to which the open starts were not sent has not stopped their runs. With the same
