--- a/process/dispatch/decide.go
+++ b/process/dispatch/decide.go
@@ -159,6 +159,9 @@
 		return
 	}
 	if a.state == running {
+		if result == NoReply {
+			a.lastUnanswered = now.Steady
+		}
 		return
 	}
 	if result == NoReply {
@@ -179,7 +182,16 @@
 	case NotSent:
 		a.node.markUnresponsive(now.Steady)
 	}
-	e.keepOpenCopy(now, a)
+	if e.hasOpenCopy(now.Steady, a) {
+		// Only a stop of the run makes the worker refuse the copies that were sent before.
+		a.repeats--
+		e.setState(now, a, unconfirmed)
+		a.stateSince = a.lastUnanswered
+		if a.stop == noStop {
+			a.stop = stopPending
+		}
+		return
+	}
 	e.release(a)
 	e.requeue(now, a)
 }
--- a/process/dispatch/unanswered.go
+++ b/process/dispatch/unanswered.go
@@ -74,7 +74,7 @@
 // keepOpen adds the open start of an attempt that is released next.
 func (e *Engine) keepOpen(now Moment, a *attempt, sentBy time.Duration) *openStart {
 	w := &a.node.worker
-	o := &openStart{task: a.task, run: a.run, worker: w.ID, address: addressOf(w), sentBy: sentBy}
+	o := &openStart{task: a.task, run: a.run, worker: w.ID, address: addressOf(w), sentBy: sentBy, isRepeated: a.openCopies() > 1}
 	e.addOpen(o)
 	e.recordUnanswered(now, a)
 	o.recordedBy = o.task.step.occ.job.changed
@@ -102,6 +102,7 @@
 	}
 	j.progress.Open = append(j.progress.Open, OpenStart{
 		Occurrence: t.step.occ.index, Task: t.flatIndex(), Run: a.run, Worker: w.ID, Address: addressOf(w), At: now.Wall,
+		IsRepeated: a.repeats > 0,
 	})
 	e.markChanged(j)
 }
@@ -247,21 +248,33 @@
 func (e *Engine) repeatStart(now Moment, a *attempt) {
 	a.repeats++
 	a.lastUnanswered = a.stateSince
-	a.state, a.stateSince = sent, now.Steady
+	a.state, a.stateSince, a.startedAt = sent, now.Steady, now.Steady
 	e.pendingStarts++
 	e.Stats.Starts++
-	if j := a.task.step.occ.job; !j.isOver() {
-		if at := slices.IndexFunc(j.progress.Open, isRecordOf(a.task, a.run)); at >= 0 {
-			j.progress.Open[at].IsRepeated, j.progress.Open[at].At = true, now.Wall
-			e.markChanged(j)
-		}
-	}
+	e.recordRepeated(now, a.task, a.run)
 	e.orders = append(e.orders, Order{
 		Worker: a.node.worker.ID, Kind: StartTask, Task: a.task.id(), Run: a.run,
 		Payload: a.task.step.occ.job.workflow.Payload, Checkpoint: a.task.checkpoint,
 	})
 }
 
+// recordRepeated records that an open start is sent again.
+func (e *Engine) recordRepeated(now Moment, t *task, run heatherhub.RunID) {
+	j := t.step.occ.job
+	if at := slices.IndexFunc(j.progress.Open, isRecordOf(t, run)); at >= 0 && !j.isOver() {
+		j.progress.Open[at].IsRepeated, j.progress.Open[at].At = true, now.Wall
+		e.markChanged(j)
+	}
+}
+
+// openCopies returns how many of the starts of the attempt may not have been carried out.
+func (a *attempt) openCopies() int {
+	if a.state == running {
+		return a.repeats
+	}
+	return a.repeats + 1
+}
+
 // hasOpenCopy reports whether a start of the attempt that was repeated may still be carried out.
 func (e *Engine) hasOpenCopy(now time.Duration, a *attempt) bool {
 	return a.repeats > 0 && now < a.lastUnanswered+e.cfg.LateCallTime
@@ -332,7 +345,10 @@
 	if e.open[name] = slices.DeleteFunc(e.open[name], isSame); len(e.open[name]) == 0 {
 		delete(e.open, name)
 	}
-	o.task.open = slices.DeleteFunc(o.task.open, isSame)
+	if o.task.open = slices.DeleteFunc(o.task.open, isSame); len(o.task.open) == 0 {
+		// The one worker on which it could start has refused it, which says nothing of others.
+		o.task.refusals = 0
+	}
 	j.openAttempts--
 	j.openStarts--
 	e.forgetUnanswered(o.task, o.run)
@@ -362,11 +378,14 @@
 	for _, name := range slices.Sorted(maps.Keys(e.open)) {
 		for _, o := range slices.Clone(e.open[name]) {
 			t, n := o.task, e.nodes[o.refusedBy]
-			if n == nil || !t.step.spec.LongRunning || t.step.spec.Gang || !t.step.isQueued || t.needsIsolation() {
+			if n == nil || !t.step.spec.LongRunning || t.step.spec.Gang || !t.step.isQueued {
 				continue
 			}
 			isElsewhere := func(other *openStart) bool { return other.refusedBy != o.refusedBy }
-			if !t.isPending || slices.ContainsFunc(t.open, isElsewhere) || !e.isStartableButOpen(now.Steady, t) || e.isAtStartLimit() || !e.isEligible(now, n, t.step, t) {
+			if !t.isPending || slices.ContainsFunc(t.open, isElsewhere) || !e.isStartableButOpen(now.Steady, t) || e.isAtStartLimit() || !e.hasRoom(now, n, t.step, t) {
+				continue
+			}
+			if t.needsIsolation() && !e.isolateOn(now, n, t) || !n.isOpenTo(now.Steady, t) {
 				continue
 			}
 			// An incarnation to which the open starts were not sent has not stopped their runs. With the same
@@ -375,6 +394,9 @@
 			if o.worker == o.refusedBy || len(t.open) > 1 {
 				e.nextRun++
 				run = e.nextRun
+			} else {
+				o.isRepeated, o.sentBy = true, now.Steady+MaxOrderAge
+				e.recordRepeated(now, t, run)
 			}
 			e.start(now, t, n, run)
 			e.recordStarts(now, t.step, 1, n.worker.ID)
