Complete a job whose last open start is listed as ended

Cause: a job is completed only when no start of it is open. A next owner takes the open starts over from the progress of the job. If the task is done elsewhere and the end of such a start is listed after that, closeListed drops the start, but nothing looks at the job again, since the run has no attempt here and its task is done already.

Change: after each end of a run the job is completed if nothing is left to do.

TestEndOfOpenStartCompletesItsJob gets state running before and completed now.

--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -322,6 +322,8 @@
 		}
 		t.step.occ.job.begin()
 		e.applyEnd(now, n, t, a, end)
+		// The end may be that of the open start for which a job with nothing left to do has waited.
+		e.finishIfDone(now, t.step.occ.job)
 	}
 	ack.job = e.jobs[end.Task.Job]
 	ack.change = ack.job.changed
--- a/process/dispatch/unanswered_test.go
+++ b/process/dispatch/unanswered_test.go
@@ -171,3 +171,30 @@
 		t.Errorf("got the next start after %s, want at most %s", got, limit)
 	}
 }
+
+// TestEndOfOpenStartCompletesItsJob guards against a job that runs for good: its tasks are done, and the end
+// of a start that the previous owner has recorded as open is listed last.
+func TestEndOfOpenStartCompletesItsJob(t *testing.T) {
+	for _, kind := range []agent.EndKind{agent.EndStopped, agent.EndDone} {
+		t.Run(string(kind), func(t *testing.T) {
+			b := newSimulation(t, dispatch.Policy{}, 0)
+			flow := &heatherhub.Workflow{ID: "done", Queue: queue, Steps: []heatherhub.Step{tasks(1, 1000, time.Second)}}
+			held := heatherhub.NewWorkerID("held", 1)
+			b.addFlow(flow, dispatch.Progress{
+				State: heatherhub.WorkflowRunning, Open: []dispatch.OpenStart{{Run: 1, Worker: held, At: b.now.Wall}},
+			}, dispatch.OriginPreviousOwner)
+			task := heatherhub.StepTask{Job: "done"}
+			for i, end := range []agent.Ended{
+				{Sequence: 1, Task: task, Run: 2, Kind: agent.EndDone}, {Sequence: 1, Task: task, Run: 1, Kind: kind},
+			} {
+				id := []heatherhub.WorkerID{heatherhub.NewWorkerID("beside", 1), held}[i]
+				b.workers = append(b.workers, id)
+				b.e.WorkerUp(b.now, b.worker(i), &agent.Report{Clock: 1, Ended: []agent.Ended{end}})
+			}
+			b.commit()
+			if got, _ := b.e.State("done"); got != heatherhub.WorkflowCompleted {
+				t.Errorf("got state %s once all ends are listed, want %s", got, heatherhub.WorkflowCompleted)
+			}
+		})
+	}
+}
