Repeat the start of a long-running task under its number for longer

Callers could see two runs of a long-running task on one worker: a worker answered polls and no start, and then started again. Cause: after five repetitions the run was stopped and the task started in place under a new number. If that got no answer either, the next incarnation carried both out, as before. A start was also stopped at once while starts were held back for other reasons. A worker that answered no start got the task for good. Change: the start is repeated under its number for 10 s, every half a second from the sixth time on; after that the task does not start in place, and not there first once the wait is over. TestTaskLeavesWorkerThatAnswersNoStart gets no start elsewhere for a minute before, and passes now.

--- a/process/dispatch/order.go
+++ b/process/dispatch/order.go
@@ -421,7 +421,7 @@
 
 func (e *Engine) start(now Moment, t *task, n *node, run heatherhub.RunID) *attempt {
 	a := &attempt{
-		task: t, node: n, run: run, stateSince: now.Steady, startedAt: now.Steady, progressAt: now.Steady,
+		task: t, node: n, run: run, stateSince: now.Steady, orderedAt: now.Steady, startedAt: now.Steady, progressAt: now.Steady,
 		checkpoint: t.checkpoint, speedLimit: fullSpeed, isIsolated: t.needsIsolation(),
 	}
 	e.attach(a)
--- a/process/dispatch/repeated_start_test.go
+++ b/process/dispatch/repeated_start_test.go
@@ -270,3 +270,21 @@
 		t.Errorf("got a start %s after the one without an answer, want at most %s", got, limit)
 	}
 }
+
+// TestTaskLeavesWorkerThatAnswersNoStart guards against a long-running task that is sent for good to a worker which
+// answers polls and no start, although another worker has room.
+func TestTaskLeavesWorkerThatAnswersNoStart(t *testing.T) {
+	b := newIncarnations(t, 1)
+	start := b.leaveUnanswered("lasting", lasting())
+	b.addIncarnation("x", 10_000)
+	b.outcome = func(o dispatch.Order) dispatch.Outcome {
+		if o.Kind == dispatch.StartTask && o.Worker == start.Worker {
+			return dispatch.NoReply
+		}
+		return dispatch.Confirmed
+	}
+	// The start is repeated for 10 s.
+	if got, limit := b.startAfter(time.Minute), 10*time.Second+dispatch.DefaultLateCallTime+3*time.Second; got > limit {
+		t.Errorf("got no start for %s beside room, want one after %s at most", got, limit)
+	}
+}
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -443,8 +443,10 @@
 			}
 			e.release(a)
 			e.requeue(now, a)
-		case a.state == unconfirmed && sentAt > a.stateSince && a.stop == noStop && e.mayRepeat(a):
-			e.repeatStart(now, a)
+		case a.state == unconfirmed && sentAt > a.stateSince && a.stop == noStop && a.isRepeatable(now.Steady):
+			if e.mayRepeat(now.Steady, a) {
+				e.repeatStart(now, a)
+			}
 		case a.state == unconfirmed && sentAt > a.stateSince && a.stop == noStop:
 			a.stop = stopPending
 		case a.state == running && sentAt > a.stateSince && a.stop == noStop:
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -411,10 +411,11 @@
 	isProven, isIsolated bool
 	// stateSince is the time at which the state was reached.
 	stateSince time.Duration
-	// startedAt is the time at which the start was ordered, or repeated last.
-	startedAt time.Duration
-	stop      stopState
-	stopSince time.Duration
+	// orderedAt is the time at which the start was ordered, startedAt that at which it was ordered or
+	// repeated last.
+	orderedAt, startedAt time.Duration
+	stop                 stopState
+	stopSince            time.Duration
 	// moveTo is the worker that has room reserved for the task until this attempt is over.
 	moveTo     *node
 	checkpoint heatherhub.CheckpointRef
--- a/process/dispatch/unanswered.go
+++ b/process/dispatch/unanswered.go
@@ -20,10 +20,10 @@
 //
 // Until then its task waits. A task that ends by itself may start nowhere, since a second run could
 // end before the open start is carried out. The start of a long-running task is repeated under the same
-// number, and once an incarnation refuses it, the task may start again there: if the open start is
-// carried out later, the incarnation has ended, and the second run with it. If that incarnation has
-// announced that it leaves, none follows under its ID, and the task may start elsewhere. Workers without an incarnation have another ID after each restart, so they
-// have no open starts.
+// number, and once an incarnation refuses it, the task may start again there, unless the repetitions were in
+// vain: if the open start is carried out later, the incarnation has ended, and the second run with it. If
+// that incarnation has announced that it leaves, none follows under its ID, and the task may start
+// elsewhere. Workers without an incarnation have another ID after each restart, so they have no open starts.
 
 // openStart is a start without an answer that may still be carried out.
 type openStart struct {
@@ -41,6 +41,8 @@
 	// isInherited means that a previous owner has sent the start. It may have extended leases for as
 	// long as it acted.
 	isInherited bool
+	// isInVain means that the worker has left the start and its repetitions without an answer for long.
+	isInVain bool
 	// refusedBy is the incarnation that is known to refuse the start, or empty.
 	refusedBy heatherhub.WorkerID
 	// expiresAt is the steady time by which a run that the start has begun is over. It is used
@@ -75,6 +77,7 @@
 func (e *Engine) keepOpen(now Moment, a *attempt, sentBy time.Duration) *openStart {
 	w := &a.node.worker
 	o := &openStart{task: a.task, run: a.run, worker: w.ID, address: addressOf(w), sentBy: sentBy, isRepeated: a.openCopies() > 1}
+	o.isInVain = a.state == unconfirmed && now.Steady-a.orderedAt >= maxRepeatTime
 	e.addOpen(o)
 	e.recordUnanswered(now, a)
 	o.recordedBy = o.task.step.occ.job.changed
@@ -233,15 +236,25 @@
 	}
 }
 
-// maxRepeats is how often a start without an answer is repeated. A worker that answers no start may
-// answer polls.
-const maxRepeats = 5
+// A start without an answer is repeated for maxRepeatTime, the first quickRepeats times with each report and
+// then after repeatDelay. A worker that answers no start may answer polls.
+const (
+	maxRepeatTime = 10 * time.Second
+	quickRepeats  = 5
+	repeatDelay   = 500 * time.Millisecond
+)
 
-// mayRepeat reports whether a start without an answer is sent again. The run has the same number, so
-// that an incarnation carries only one of the starts out.
-func (e *Engine) mayRepeat(a *attempt) bool {
+// isRepeatable reports whether a start without an answer is sent again rather than stopped. The run has the
+// same number, so that an incarnation carries only one of the starts out. After a stop it would need another number,
+// and if that start got no answer either, the next incarnation could carry both out.
+func (a *attempt) isRepeatable(now time.Duration) bool {
 	s := a.task.step
-	return mayBeOpen(a) && s.spec.LongRunning && !s.spec.Gang && !s.occ.job.isOver() && a.repeats < maxRepeats && a.node.isInService() && !e.isRoomStale && !e.isAtStartLimit()
+	return mayBeOpen(a) && s.spec.LongRunning && !s.spec.Gang && !s.occ.job.isOver() && now-a.orderedAt < maxRepeatTime && a.node.isInService()
+}
+
+// mayRepeat reports whether a repeatable start is sent again now.
+func (e *Engine) mayRepeat(now time.Duration, a *attempt) bool {
+	return (a.repeats < quickRepeats || now-a.stateSince >= repeatDelay) && !e.isRoomStale && !e.isAtStartLimit()
 }
 
 // repeatStart sends a start without an answer again.
@@ -335,6 +348,9 @@
 		Run: o.run, Reason: reason, Count: 1,
 	})
 	e.close(o)
+	if o.isInVain {
+		t.avoid(o.worker, now.Steady)
+	}
 	e.finishIfDone(now, t.step.occ.job)
 }
 
@@ -378,7 +394,7 @@
 	for _, name := range slices.Sorted(maps.Keys(e.open)) {
 		for _, o := range slices.Clone(e.open[name]) {
 			t, n := o.task, e.nodes[o.refusedBy]
-			if n == nil || !t.step.spec.LongRunning || t.step.spec.Gang || !t.step.isQueued {
+			if n == nil || !t.step.spec.LongRunning || t.step.spec.Gang || !t.step.isQueued || (o.isInVain && o.worker == o.refusedBy) {
 				continue
 			}
 			isElsewhere := func(other *openStart) bool { return other.refusedBy != o.refusedBy }
