Repeat an inherited open start under its number

Callers could see two runs of a long-running task on one worker: its start got no answer, the owner was killed, the start of the next owner got no answer either, and then the worker started again. Cause: a next owner gave the start in place a number of its own, as the incarnation to which the open start was sent was taken for one that has stopped the run. It only refuses the token of the former owner. The next incarnation carried both starts out. Change: a start in place has the number of the open starts unless these differ or the incarnation has stopped or ended the run, or has refused that number.

--- a/process/dispatch/decide.go
+++ b/process/dispatch/decide.go
@@ -175,7 +175,10 @@
 	e.Stats.Refused++
 	e.recordTaskEvent(EventStartRefused, a, result.String())
 	switch result {
-	case Refused, RefusedUnhealthy:
+	case Refused:
+		a.recordRefusedNumber()
+		e.recordRefusal(now, a, result)
+	case RefusedUnhealthy:
 		e.recordRefusal(now, a, result)
 	case RefusedNoCapacity:
 		a.node.backoffUntil = now.Steady + e.cfg.RefusalBackoff
--- a/process/dispatch/unanswered.go
+++ b/process/dispatch/unanswered.go
@@ -45,6 +45,9 @@
 	isInVain bool
 	// refusedBy is the incarnation that is known to refuse the start, or empty.
 	refusedBy heatherhub.WorkerID
+	// stoppedOn is the last incarnation that refuses the number of the run, whoever sends it: it has stopped or
+	// ended the run.
+	stoppedOn heatherhub.WorkerID
 	// expiresAt is the steady time by which a run that the start has begun is over. It is used
 	// while refusedBy is empty.
 	expiresAt time.Duration
@@ -296,7 +299,7 @@
 // keepOpenCopy keeps the open start of an attempt that has ended on an incarnation, which refuses it.
 func (e *Engine) keepOpenCopy(now Moment, a *attempt) {
 	if e.hasOpenCopy(now.Steady, a) {
-		e.keepOpen(now, a, a.lastUnanswered).refusedBy = a.node.worker.ID
+		e.keepOpen(now, a, a.lastUnanswered).refuse(a.node.worker.ID)
 	}
 }
 
@@ -307,7 +310,22 @@
 		e.recordTaskEvent(EventUnansweredStartOver, a, "refused")
 		return
 	}
-	e.keepOpen(now, a, e.sentBy(now, a)).refusedBy = a.node.worker.ID
+	e.keepOpen(now, a, e.sentBy(now, a)).refuse(a.node.worker.ID)
+}
+
+// refuse records that an incarnation has stopped or ended the run.
+func (o *openStart) refuse(id heatherhub.WorkerID) {
+	o.refusedBy, o.stoppedOn = id, id
+}
+
+// recordRefusedNumber records that an incarnation has refused a start. If its number is that of an open start, the
+// incarnation has stopped or ended that run.
+func (a *attempt) recordRefusedNumber() {
+	for _, o := range a.task.open {
+		if o.run == a.run {
+			o.stoppedOn = a.node.worker.ID
+		}
+	}
 }
 
 // replaceOpen ends the open starts that were sent to an address at which another worker answers. An
@@ -394,28 +412,37 @@
 	for _, name := range slices.Sorted(maps.Keys(e.open)) {
 		for _, o := range slices.Clone(e.open[name]) {
 			t, n := o.task, e.nodes[o.refusedBy]
-			if n == nil || !t.step.spec.LongRunning || t.step.spec.Gang || !t.step.isQueued || (o.isInVain && o.worker == o.refusedBy) {
+			if n == nil || !t.step.spec.LongRunning || t.step.spec.Gang || !t.step.isQueued {
 				continue
 			}
-			isElsewhere := func(other *openStart) bool { return other.refusedBy != o.refusedBy }
-			if !t.isPending || slices.ContainsFunc(t.open, isElsewhere) || !e.isStartableButOpen(now.Steady, t) || e.isAtStartLimit() || !e.hasRoom(now, n, t.step, t) {
+			isBarred := func(other *openStart) bool {
+				return other.refusedBy != o.refusedBy || (other.isInVain && other.worker == other.refusedBy)
+			}
+			if !t.isPending || slices.ContainsFunc(t.open, isBarred) || !e.isStartableButOpen(now.Steady, t) || e.isAtStartLimit() || !e.hasRoom(now, n, t.step, t) {
 				continue
 			}
 			if t.needsIsolation() && !e.isolateOn(now, n, t) || !n.isOpenTo(now.Steady, t) {
 				continue
 			}
-			// An incarnation to which the open starts were not sent has not stopped their runs. With the same
-			// number it carries only one of them out.
-			run := o.run
-			if o.worker == o.refusedBy || len(t.open) > 1 {
-				e.nextRun++
-				run = e.nextRun
-			} else {
-				o.isRepeated, o.sentBy = true, now.Steady+MaxOrderAge
-				e.recordRepeated(now, t, run)
-			}
+			run := e.numberInPlace(now, o)
 			e.start(now, t, n, run)
 			e.recordStarts(now, t.step, 1, n.worker.ID)
 		}
 	}
 }
+
+// numberInPlace returns the number of a start in place of open ones. With the number of the open starts an incarnation
+// carries only one of them out, but one that has stopped or ended their run refuses it.
+func (e *Engine) numberInPlace(now Moment, o *openStart) heatherhub.RunID {
+	t := o.task
+	isUnusable := func(other *openStart) bool { return other.run != o.run || other.stoppedOn == o.refusedBy }
+	if slices.ContainsFunc(t.open, isUnusable) {
+		e.nextRun++
+		return e.nextRun
+	}
+	for _, other := range t.open {
+		other.isRepeated, other.sentBy = true, now.Steady+MaxOrderAge
+	}
+	e.recordRepeated(now, t, o.run)
+	return o.run
+}
