--- a/process/dispatch/unanswered.go
+++ b/process/dispatch/unanswered.go
@@ -20,10 +20,10 @@
 //
 // Until then its task waits. A task that ends by itself may start nowhere, since a second run could
 // end before the open start is carried out. The start of a long-running task is repeated under the same
-// number, and once an incarnation refuses it, the task may start again there: if the open start is
-// carried out later, the incarnation has ended, and the second run with it. If that incarnation has
-// announced that it leaves, none follows under its ID, and the task may start elsewhere. Workers without an incarnation have another ID after each restart, so they
-// have no open starts.
+// number, and once an incarnation refuses it, the task may start again there, unless the repetitions were in
+// vain: if the open start is carried out later, the incarnation has ended, and the second run with it. If
+// that incarnation has announced that it leaves, none follows under its ID, and the task may start
+// elsewhere. Workers without an incarnation have another ID after each restart, so they have no open starts.
 
 // openStart is a start without an answer that may still be carried out.
 type openStart struct {
@@ -41,8 +41,13 @@
 	// isInherited means that a previous owner has sent the start. It may have extended leases for as
 	// long as it acted.
 	isInherited bool
+	// isInVain means that the worker has left the start and its repetitions without an answer for long.
+	isInVain bool
 	// refusedBy is the incarnation that is known to refuse the start, or empty.
 	refusedBy heatherhub.WorkerID
+	// stoppedOn is the last incarnation that refuses the number of the run, whoever sends it: it has stopped or
+	// ended the run.
+	stoppedOn heatherhub.WorkerID
 	// expiresAt is the steady time by which a run that the start has begun is over. It is used
 	// while refusedBy is empty.
 	expiresAt time.Duration
@@ -75,6 +80,7 @@
 func (e *Engine) keepOpen(now Moment, a *attempt, sentBy time.Duration) *openStart {
 	w := &a.node.worker
 	o := &openStart{task: a.task, run: a.run, worker: w.ID, address: addressOf(w), sentBy: sentBy, isRepeated: a.openCopies() > 1}
+	o.isInVain = a.state == unconfirmed && now.Steady-a.orderedAt >= maxRepeatTime
 	e.addOpen(o)
 	e.recordUnanswered(now, a)
 	o.recordedBy = o.task.step.occ.job.changed
@@ -233,15 +239,25 @@
 	}
 }
 
-// maxRepeats is how often a start without an answer is repeated. A worker that answers no start may
-// answer polls.
-const maxRepeats = 5
+// A start without an answer is repeated for maxRepeatTime, the first quickRepeats times with each report and
+// then after repeatDelay. A worker that answers no start may answer polls.
+const (
+	maxRepeatTime = 10 * time.Second
+	quickRepeats  = 5
+	repeatDelay   = 500 * time.Millisecond
+)
 
-// mayRepeat reports whether a start without an answer is sent again. The run has the same number, so
-// that an incarnation carries only one of the starts out.
-func (e *Engine) mayRepeat(a *attempt) bool {
+// isRepeatable reports whether a start without an answer is sent again rather than stopped. The run has the
+// same number, so that an incarnation carries only one of the starts out. After a stop it would need another number,
+// and if that start got no answer either, the next incarnation could carry both out.
+func (a *attempt) isRepeatable(now time.Duration) bool {
 	s := a.task.step
-	return mayBeOpen(a) && s.spec.LongRunning && !s.spec.Gang && !s.occ.job.isOver() && a.repeats < maxRepeats && a.node.isInService() && !e.isRoomStale && !e.isAtStartLimit()
+	return mayBeOpen(a) && s.spec.LongRunning && !s.spec.Gang && !s.occ.job.isOver() && now-a.orderedAt < maxRepeatTime && a.node.isInService()
+}
+
+// mayRepeat reports whether a repeatable start is sent again now.
+func (e *Engine) mayRepeat(now time.Duration, a *attempt) bool {
+	return (a.repeats < quickRepeats || now-a.stateSince >= repeatDelay) && !e.isRoomStale && !e.isAtStartLimit()
 }
 
 // repeatStart sends a start without an answer again.
@@ -283,7 +299,7 @@
 // keepOpenCopy keeps the open start of an attempt that has ended on an incarnation, which refuses it.
 func (e *Engine) keepOpenCopy(now Moment, a *attempt) {
 	if e.hasOpenCopy(now.Steady, a) {
-		e.keepOpen(now, a, a.lastUnanswered).refusedBy = a.node.worker.ID
+		e.keepOpen(now, a, a.lastUnanswered).refuse(a.node.worker.ID)
 	}
 }
 
@@ -294,7 +310,22 @@
 		e.recordTaskEvent(EventUnansweredStartOver, a, "refused")
 		return
 	}
-	e.keepOpen(now, a, e.sentBy(now, a)).refusedBy = a.node.worker.ID
+	e.keepOpen(now, a, e.sentBy(now, a)).refuse(a.node.worker.ID)
+}
+
+// refuse records that an incarnation has stopped or ended the run.
+func (o *openStart) refuse(id heatherhub.WorkerID) {
+	o.refusedBy, o.stoppedOn = id, id
+}
+
+// recordRefusedNumber records that an incarnation has refused a start. If its number is that of an open start, the
+// incarnation has stopped or ended that run.
+func (a *attempt) recordRefusedNumber() {
+	for _, o := range a.task.open {
+		if o.run == a.run {
+			o.stoppedOn = a.node.worker.ID
+		}
+	}
 }
 
 // replaceOpen ends the open starts that were sent to an address at which another worker answers. An
@@ -335,6 +366,9 @@
 		Run: o.run, Reason: reason, Count: 1,
 	})
 	e.close(o)
+	if o.isInVain {
+		t.avoid(o.worker, now.Steady)
+	}
 	e.finishIfDone(now, t.step.occ.job)
 }
 
@@ -381,25 +415,34 @@
 			if n == nil || !t.step.spec.LongRunning || t.step.spec.Gang || !t.step.isQueued {
 				continue
 			}
-			isElsewhere := func(other *openStart) bool { return other.refusedBy != o.refusedBy }
-			if !t.isPending || slices.ContainsFunc(t.open, isElsewhere) || !e.isStartableButOpen(now.Steady, t) || e.isAtStartLimit() || !e.hasRoom(now, n, t.step, t) {
+			isBarred := func(other *openStart) bool {
+				return other.refusedBy != o.refusedBy || (other.isInVain && other.worker == other.refusedBy)
+			}
+			if !t.isPending || slices.ContainsFunc(t.open, isBarred) || !e.isStartableButOpen(now.Steady, t) || e.isAtStartLimit() || !e.hasRoom(now, n, t.step, t) {
 				continue
 			}
 			if t.needsIsolation() && !e.isolateOn(now, n, t) || !n.isOpenTo(now.Steady, t) {
 				continue
 			}
-			// An incarnation to which the open starts were not sent has not stopped their runs. With the same
-			// number it carries only one of them out.
-			run := o.run
-			if o.worker == o.refusedBy || len(t.open) > 1 {
-				e.nextRun++
-				run = e.nextRun
-			} else {
-				o.isRepeated, o.sentBy = true, now.Steady+MaxOrderAge
-				e.recordRepeated(now, t, run)
-			}
+			run := e.numberInPlace(now, o)
 			e.start(now, t, n, run)
 			e.recordStarts(now, t.step, 1, n.worker.ID)
 		}
 	}
 }
+
+// numberInPlace returns the number of a start in place of open ones. With the number of the open starts an incarnation
+// carries only one of them out, but one that has stopped or ended their run refuses it.
+func (e *Engine) numberInPlace(now Moment, o *openStart) heatherhub.RunID {
+	t := o.task
+	isUnusable := func(other *openStart) bool { return other.run != o.run || other.stoppedOn == o.refusedBy }
+	if slices.ContainsFunc(t.open, isUnusable) {
+		e.nextRun++
+		return e.nextRun
+	}
+	for _, other := range t.open {
+		other.isRepeated, other.sentBy = true, now.Steady+MaxOrderAge
+	}
+	e.recordRepeated(now, t, o.run)
+	return o.run
+}
