Place a gang that does not fit into its rack without a panic

What callers saw: none; found by the tests of process/dispatch on. The owner of a shard ends by itself as soon as a gang does not fit into its rack.

Cause: since tryGang gets the function that chooses a worker. placeLocatedGang still passed nil, which used to stand for any worker, so the call panics.

Change: it passes the choice among all workers.

--- a/process/dispatch/locate.go
+++ b/process/dispatch/locate.go
@@ -396,7 +396,7 @@
 		e.recordLocation(now, s, a)
 		return true
 	}
-	placed, ok := e.tryGang(now, s, nil)
+	placed, ok := e.tryGang(now, s, func(t *task) *node { return e.chooseWorker(now, s, t) })
 	if !ok {
 		return false
 	}
