Start all members of a gang from one checkpoint

What callers saw: a member of a gang is stopped since its worker drains.

Cause: release kept the last checkpoint for the single task, tryGang started each member with its own. After a takeover the ends of runs that the new owner had not seen running lost their checkpoints, so members of one run had some and none. A checkpoint with which a worker refused a start was sent again with every further start.

Change: the newest checkpoint is kept for the step if it is a gang, and for the task otherwise. The newest is that of the latest run; in it the one that was made at a stop, otherwise the one that was listed at the highest progress. It is taken from running tasks and ends that workers list, also of runs that a former owner has started; nothing is stored, so a new owner starts the gang from one value or from none. A start that is answered with 400 takes its checkpoint out of use: the next run goes on from a newer one or from none (before, also single tasks were refused for good). New events 'checkpoint unused' and 'checkpoint missing' give the cause.

--- a/process/dispatch/decide.go
+++ b/process/dispatch/decide.go
@@ -45,6 +45,8 @@
 	Refused
 	// RefusedNoCapacity: the worker lacked the free resources for the task.
 	RefusedNoCapacity
+	// RefusedInvalid: the agent rejected the order as not valid.
+	RefusedInvalid
 	// RefusedUnhealthy: the agent accepts no tasks at present.
 	RefusedUnhealthy
 	// NoReply: no reply arrived. The agent may have carried out the order or may still
@@ -59,7 +61,7 @@
 
 // String names the outcome for logs.
 func (o Outcome) String() string {
-	return [...]string{"obeyed", "unsent", "refused", "no room", "unhealthy", "unanswered", "outdated", "withdrawn"}[o]
+	return [...]string{"obeyed", "unsent", "refused", "no room", "invalid", "unhealthy", "unanswered", "outdated", "withdrawn"}[o]
 }
 
 // Decide returns the orders that are due. The caller sends them and reports each
@@ -172,6 +174,9 @@
 	e.Stats.Refused++
 	e.recordTaskEvent(EventStartRefused, a, result.String())
 	switch result {
+	case RefusedInvalid:
+		e.dropRefusedCheckpoint(a)
+		e.recordRefusal(now, a, result)
 	case Refused, RefusedUnhealthy:
 		e.recordRefusal(now, a, result)
 	case RefusedNoCapacity:
@@ -209,7 +214,7 @@
 
 func handleStopResult(now Moment, a *attempt, result Outcome) {
 	switch result {
-	case Confirmed, Refused:
+	case Confirmed, Refused, RefusedInvalid:
 		// The agent refuses a stop if it has no such run and the run number is not
 		// above an ended one. Such a run cannot start any more either.
 		a.stop, a.stopSince = stopConfirmed, now.Steady
--- a/process/dispatch/event.go
+++ b/process/dispatch/event.go
@@ -45,6 +45,10 @@
 	EventWaitPaid Event = "location wait paid"
 	// EventWaitLost: some of them have started elsewhere, or their job is over.
 	EventWaitLost Event = "location wait lost"
+	// EventCheckpointUnused: no run continues from a checkpoint, for the given reason.
+	EventCheckpointUnused Event = "checkpoint unused"
+	// EventCheckpointMissing: a task that checkpoints was stopped and has saved nothing.
+	EventCheckpointMissing Event = "checkpoint missing"
 	// EventJobGivenUp: a task crashes the workers that start it, and its job fails.
 	EventJobGivenUp Event = "job given up"
 	// EventJobAhead: a job goes before others of its priority, as jobs of its size were
--- a/process/dispatch/order.go
+++ b/process/dispatch/order.go
@@ -422,13 +422,13 @@
 func (e *Engine) start(now Moment, t *task, n *node, run heatherhub.RunID) *attempt {
 	a := &attempt{
 		task: t, node: n, run: run, stateSince: now.Steady, startedAt: now.Steady, progressAt: now.Steady,
-		checkpoint: t.checkpoint, speedLimit: fullSpeed, isIsolated: t.needsIsolation(),
+		checkpoint: t.saved().ref, speedLimit: fullSpeed, isIsolated: t.needsIsolation(),
 	}
 	e.attach(a)
 	e.Stats.Starts++
 	e.orders = append(e.orders, Order{
 		Worker: n.worker.ID, Kind: StartTask, Task: t.id(), Run: run,
-		Payload: t.step.occ.job.workflow.Payload, Checkpoint: t.checkpoint,
+		Payload: t.step.occ.job.workflow.Payload, Checkpoint: a.checkpoint,
 	})
 	return a
 }
--- a/process/dispatch/preempt.go
+++ b/process/dispatch/preempt.go
@@ -342,13 +342,6 @@
 	return e.workAt(s, a.progress-a.checkpointProgress)
 }
 
-// noteCheckpoint records the progress at which a run reported a checkpoint.
-func (a *attempt) noteCheckpoint(ref heatherhub.CheckpointRef) {
-	if ref != "" && ref != a.checkpoint {
-		a.checkpoint, a.checkpointProgress, a.isCheckpointSeen = ref, a.progress, true
-	}
-}
-
 // carryOut orders the stops of a preemption and reserves the room.
 func (p *preemptor) carryOut(c preemption, latestStart time.Duration) {
 	e, need := p.e, c.task.step.need
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -196,6 +196,7 @@
 		progress: r.Progress, progressAt: now.Steady, checkpoint: r.Checkpoint, speedLimit: fullSpeed,
 		measure: r.Measurement, hasMeasure: r.HasMeasurement, isIsolated: t.needsIsolation(),
 	}
+	t.saved().add(savedWork{ref: r.Checkpoint, run: r.Run, progress: r.Progress}, "")
 	a.isSpeedLimitUnknown = t.step.spec.Filler && r.Measurement < inheritedSpeed*float64(t.step.spec.Need.CPU)
 	e.nextRun = max(e.nextRun, r.Run)
 	j := t.step.occ.job
@@ -258,8 +259,7 @@
 	a.node.addAttempt(a)
 }
 
-// release frees the resources of an attempt that is over and keeps its last checkpoint
-// for the task.
+// release frees the resources of an attempt that is over.
 func (e *Engine) release(a *attempt) {
 	if a.state == sent {
 		e.pendingStarts--
@@ -272,9 +272,6 @@
 	t.attempts = slices.DeleteFunc(t.attempts, func(o *attempt) bool { return o == a })
 	t.step.occ.job.openAttempts--
 	e.forgetUnanswered(t, a.run)
-	if a.checkpoint != "" {
-		t.checkpoint = a.checkpoint
-	}
 }
 
 // handleEnded processes one ended run that a worker reports for the first time.
@@ -299,9 +296,6 @@
 		if end.Kind == agent.EndDone {
 			e.learnRunTime(now, a)
 		}
-		if end.Checkpoint != "" {
-			a.checkpoint = end.Checkpoint
-		}
 		if end.Kind != agent.EndDone {
 			e.recordTaskEvent(EventRunEnded, a, string(end.Kind))
 		} else {
@@ -311,6 +305,7 @@
 		e.release(a)
 	}
 	if t != nil {
+		e.noteLastCheckpoint(n, t, a, end)
 		if a == nil {
 			e.closeListed(t, end.Run)
 		}
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -315,7 +315,9 @@
 	// longest chain of steps that depend on it.
 	criticalPath time.Duration
 	failedRuns   []heatherhub.RunID
-	wait         stepWait
+	// gangSaved is the newest checkpoint of a gang; see task.saved.
+	gangSaved savedWork
+	wait      stepWait
 	// mayHaveWaited means that the step was due when this owner read its job, so that it may
 	// have waited for its rack under an earlier one.
 	mayHaveWaited bool
@@ -336,9 +338,10 @@
 	isMoving bool
 	// arrivedAt is the steady time at which the task came to this shard by a move, or zero.
 	arrivedAt  time.Duration
-	checkpoint heatherhub.CheckpointRef
 	failedRuns []heatherhub.RunID
-	attempts   []*attempt
+	// ownSaved is the newest checkpoint of a task that is not in a gang; see task.saved.
+	ownSaved savedWork
+	attempts []*attempt
 	// open has the open starts. The task is pending meanwhile, or runs where these are refused.
 	open []*openStart
 	// crashes has the runs that were lost with crashed workers since a run was proven.
--- a/process/dispatch/unanswered.go
+++ b/process/dispatch/unanswered.go
@@ -258,7 +258,7 @@
 	}
 	e.orders = append(e.orders, Order{
 		Worker: a.node.worker.ID, Kind: StartTask, Task: a.task.id(), Run: a.run,
-		Payload: a.task.step.occ.job.workflow.Payload, Checkpoint: a.task.checkpoint,
+		Payload: a.task.step.occ.job.workflow.Payload, Checkpoint: a.checkpoint,
 	})
 }
 
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -691,6 +691,8 @@
 			return dispatch.RefusedNoCapacity
 		case agent.ReasonUnhealthy:
 			return dispatch.RefusedUnhealthy
+		case agent.ReasonInvalid:
+			return dispatch.RefusedInvalid
 		default:
 			return dispatch.Refused
 		}
