Hold workers for the suspects of a gang

What callers saw: a worker crashes 0.3 s after the start of a gang on it.

Cause: a task that was on a crashed worker before it was proven starts isolated, on a worker without unproven runs. For other jobs chooseIsolated holds a worker until that is so, for gangs it held none. Beside work that starts a task on each worker every 0.3 s there is never such a worker when the whole gang has room. That startGang chose the rack by a suspect, or gave up without a worker for it, counted as want of room.

Change: once the whole gang would have room but for unproven runs that can be proven within a second, the workers for its suspects are held for that second, all on as few workers as fit. The next hold comes after a pause of a second, and a hold ends as soon as the rest of the gang has no room. A gang with suspects does not wait for its rack. A held worker is polled each 0.2 s until its runs are proven, instead of each second.

Result: TestGangStartsAgainBesideSmallWork gets no start within 20 s before, one within 3 s now.

--- a/process/dispatch/order.go
+++ b/process/dispatch/order.go
@@ -364,6 +364,9 @@
 	if !e.isGangStartable(now, s) {
 		return true
 	}
+	if s.hasSuspects() {
+		return e.startSuspectGang(now, s)
+	}
 	if !s.prefersRack() {
 		return e.placeGang(now, s, nil)
 	}
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -317,7 +317,9 @@
 	failedRuns   []heatherhub.RunID
 	// gangSaved is the newest checkpoint of a gang; see task.saved.
 	gangSaved savedWork
-	wait      stepWait
+	// holds has the workers that are held for the suspects of a gang.
+	holds gangHolds
+	wait  stepWait
 	// mayHaveWaited means that the step was due when this owner read its job, so that it may
 	// have waited for its rack under an earlier one.
 	mayHaveWaited bool
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -29,6 +29,9 @@
 	// unconfirmedPollWait replaces pollWait while the store is late to confirm the ownership:
 	// the answers of the workers then have to be younger than confirmationTTL.
 	unconfirmedPollWait = 500 * time.Millisecond
+	// proofPollWait replaces pollWait while the worker is held for a start until a report proves that its runs do
+	// no harm.
+	proofPollWait = 200 * time.Millisecond
 	// pollRetryDelay is the pause after a poll that failed or could not be sent.
 	pollRetryDelay = 150 * time.Millisecond
 	// maxCommitWait bounds the wait until reported ended runs are durable. Lease renewals
@@ -354,6 +357,7 @@
 	t.mu.Lock()
 	isUp := w.isUp
 	isTargetMissed := t.engine.MissesLatencyTarget(w.id)
+	awaitsProof := t.engine.AwaitsProof(sentAt, w.id)
 	p := agent.Poll{Token: w.token}
 	// After a failed poll another incarnation may answer, which numbers its ends from 1. It may also carry
 	// this poll out late, so an acknowledgement that the worker has is not repeated.
@@ -370,6 +374,8 @@
 	case !isUp || w.isSilent.Load():
 	case isTargetMissed:
 		p.Wait = min(max(t.host.cfg.Tuning.HarmTime/missedTargetPolls, minMissedTargetPollWait), pollWait)
+	case awaitsProof:
+		p.Wait = proofPollWait
 	case sentAt-t.lastConfirmed() > publishInterval:
 		p.Wait = unconfirmedPollWait
 	default:
