Stop the members of a gang whose run lacks one that was refused

What callers saw: none; found while a refused checkpoint was looked at. If the start of a member of a gang is refused, the others wait for it until they end alone after the gang's time, and only then does the gang start again.

Cause: a refused start puts its task back among those that wait, and nothing concerns the other members. A gang starts only as a whole, under a new run, so their run can never be complete.

Change: the other members of that run are stopped at once.

--- a/process/dispatch/decide.go
+++ b/process/dispatch/decide.go
@@ -187,6 +187,22 @@
 	e.keepOpenCopy(now, a)
 	e.release(a)
 	e.requeue(now, a)
+	stopRun(a.task.step, a.run)
+}
+
+// stopRun requests a stop of all members of a run of a gang of which one does not start. The others would wait for it,
+// and then end alone.
+func stopRun(s *stepRun, run heatherhub.RunID) {
+	if !s.spec.Gang {
+		return
+	}
+	for _, t := range s.tasks {
+		for _, a := range t.attempts {
+			if a.run == run && a.stop == noStop {
+				a.stop = stopPending
+			}
+		}
+	}
 }
 
 // recordRefusal records a refusal that has nothing to do with room. If several workers in a row have
