Keep the fence of a job when the keys of its host are taken away

Cause: the fence, which each submission requires to be absent, was attached to a lease of the host that wrote it. The store may end a lease at once, and the fence goes with it.

Change: fences have no lease.

Tests: TestFenceOutlivesItsLease required that a fence has a lease, and TestFenceLastsForMinutes counted leases; both are replaced.

--- a/process/owner/host.go
+++ b/process/owner/host.go
@@ -70,6 +70,8 @@
 	WorkersPerShard int
 	// EndedRetention is how long ended jobs are kept in the store.
 	EndedRetention time.Duration
+	// FenceRetention is how long the fence of a job stays in the store at least.
+	FenceRetention time.Duration
 	// Tuning has the delays and thresholds of the decisions.
 	Tuning dispatch.Tuning
 }
@@ -86,6 +88,9 @@
 	// site need 0.17 cores at the peak. Fewer shards strand less room and learn faster.
 	defaultWorkersPerShard = 240
 	defaultEndedRetention  = 150 * time.Second
+	// defaultFenceRetention is ample: late writes take effect within seconds, and callers repeat a
+	// submission within its deadlines.
+	defaultFenceRetention = 3 * time.Minute
 )
 
 func (l *Limits) setDefaults() {
@@ -96,6 +101,7 @@
 	heatherhub.SetDefault(&l.MaxStoreSilence, defaultMaxStoreSilence)
 	heatherhub.SetDefault(&l.WorkersPerShard, defaultWorkersPerShard)
 	heatherhub.SetDefault(&l.EndedRetention, defaultEndedRetention)
+	heatherhub.SetDefault(&l.FenceRetention, defaultFenceRetention)
 	l.Tuning.SetDefaults()
 }
 
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -180,6 +180,9 @@
 	t.group.Go(t.publishLoop)
 	t.group.Go(t.lookupLoop)
 	t.group.Go(t.moveLoop)
+	if t.keepsFences() {
+		t.group.Go(t.fenceLoop)
+	}
 	<-t.ctx.Done()
 	t.group.Wait()
 	t.host.metrics.reportForecast(t.shard, nil)
--- a/process/record/record.go
+++ b/process/record/record.go
@@ -22,7 +22,8 @@
 //     also if progress/ID and the key of the other shard's owner are unchanged.
 //   - job/ID/cancel: any host, if the job's record is unchanged, or with the record of a job that
 //     was cancelled before.
-//   - fence/ID: any host, if job/ID is absent. The key is deleted when its lease ends.
+//   - fence/ID: any host, if job/ID is absent. The owner of the first shard of the layout deletes
+//     the key after minutes, if it is unchanged.
 //   - progress/ID: the owner, if the owner's key and the record are unchanged.
 //   - load/SHARD and learnt/SHARD: the owner, if the owner's key is unchanged.
 package record
--- a/request/intake/fence.go
+++ b/request/intake/fence.go
@@ -3,45 +3,30 @@
 import (
 	"context"
 	"errors"
-	"sync"
-	"time"
 
 	"heatherhub.example/heatherhub"
 	"heatherhub.example/heatherhub/connection/ledger"
 	"heatherhub.example/heatherhub/process/record"
 )
 
-const (
-	// fenceTTL is the time to live of the leases of fences, and minFenceTTL what a lease must have
-	// left for a new fence. Late writes take effect within seconds, and callers repeat a submission
-	// within its deadlines.
-	fenceTTL    = 5 * time.Minute
-	minFenceTTL = 3 * time.Minute
-	// maxLeaseAttempts bounds the attempts to write a fence whose lease has ended.
-	maxLeaseAttempts = 2
-	// maxFenceAttempts bounds the attempts to write a fence that others write as well.
-	maxFenceAttempts = 3
-)
+// maxFenceAttempts bounds the attempts to write a fence that others write as well.
+const maxFenceAttempts = 3
 
-// fences writes the fences of jobs (see record.Fence). It is safe for concurrent use.
+// fences writes the fences of jobs (see record.Fence). They are attached to no lease, since a fence
+// must stay when its host is cut off or ends; process/owner removes them after minutes. It is safe for
+// concurrent use.
 type fences struct {
 	store ledger.Store
-	clock Clock
-
-	mu    sync.Mutex
-	lease ledger.LeaseID
-	// leaseUntil is the steady time up to which lease is used for new fences.
-	leaseUntil time.Duration
 }
 
 // cancel fences a job as cancelled. It returns a *ledger.ConflictError if the job has a record.
-func (f *fences) cancel(ctx context.Context, id heatherhub.JobID) error {
+func (f fences) cancel(ctx context.Context, id heatherhub.JobID) error {
 	return f.write(ctx, id, record.Fence{IsCancelled: true})
 }
 
 // refuse invalidates the submissions of a job, unless it is fenced as cancelled. It reports true if
 // the job has a record.
-func (f *fences) refuse(ctx context.Context, id heatherhub.JobID) (isAccepted bool, err error) {
+func (f fences) refuse(ctx context.Context, id heatherhub.JobID) (isAccepted bool, err error) {
 	var current ledger.Item
 	for range maxFenceAttempts {
 		err = f.write(ctx, id, record.Fence{}, ledger.Precondition{Key: record.FenceKey(id), Revision: current.Revision})
@@ -73,58 +58,16 @@
 }
 
 // write replaces the fence of a job if the job has no record and the preconditions hold.
-func (f *fences) write(ctx context.Context, id heatherhub.JobID, fence record.Fence, preconditions ...ledger.Precondition) error {
+func (f fences) write(ctx context.Context, id heatherhub.JobID, fence record.Fence, preconditions ...ledger.Precondition) error {
 	value, err := record.Encode(fence)
 	if err != nil {
 		return err
 	}
-	for range maxLeaseAttempts {
-		lease, err := f.currentLease(ctx)
-		if err != nil {
-			return err
-		}
-		_, err = f.store.Commit(ctx, ledger.Txn{
-			Preconditions: append([]ledger.Precondition{{Key: record.JobKey(id)}}, preconditions...),
-			Puts:          []ledger.Put{{Key: record.FenceKey(id), Value: value, Lease: lease}},
-		})
-		if heatherhub.CodeOf(err) != heatherhub.CodeNotFound {
-			return err
-		}
-		f.dropLease(lease)
-	}
-	return heatherhub.ErrUnavailable.New("the leases of fences end at once: try again later")
-}
-
-// currentLease returns a lease for a new fence. It returns heatherhub.ErrUnavailable if there is
-// none.
-func (f *fences) currentLease(ctx context.Context) (ledger.LeaseID, error) {
-	now := f.clock.Now().Steady
-	f.mu.Lock()
-	lease := f.lease
-	if now >= f.leaseUntil {
-		lease = 0
-	}
-	f.mu.Unlock()
-	if lease != 0 {
-		return lease, nil
-	}
-	lease, granted, err := f.store.GrantLease(ctx, fenceTTL)
-	if err != nil {
-		return 0, heatherhub.ErrUnavailable.Wrap(err, "no lease from the store: try again later")
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.lease, f.leaseUntil = lease, now+granted-minFenceTTL
-	return lease, nil
-}
-
-// dropLease forgets a lease that has ended, unless another one has replaced it.
-func (f *fences) dropLease(lease ledger.LeaseID) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.lease == lease {
-		f.lease = 0
-	}
+	_, err = f.store.Commit(ctx, ledger.Txn{
+		Preconditions: append([]ledger.Precondition{{Key: record.JobKey(id)}}, preconditions...),
+		Puts:          []ledger.Put{{Key: record.FenceKey(id), Value: value}},
+	})
+	return err
 }
 
 // submission is a job to be written.
--- a/request/intake/fence_test.go
+++ b/request/intake/fence_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"strconv"
 	"testing"
 	"time"
 
@@ -17,11 +16,9 @@
 // take effect in releaseWrites if their preconditions still hold.
 type lateStore struct {
 	ledger.Store
-	revision ledger.Revision
-	items    map[string]ledger.Item
-	leases   map[ledger.LeaseID]bool
-	// maxTTL, if set, is the longest time to live that the store grants.
-	maxTTL      time.Duration
+	revision    ledger.Revision
+	items       map[string]ledger.Item
+	leases      map[ledger.LeaseID]bool
 	holdsWrites bool
 	held        []ledger.Txn
 	// beforeCommit, if set, is called once, before the next commit.
@@ -39,9 +36,6 @@
 func (s *lateStore) GrantLease(_ context.Context, ttl time.Duration) (ledger.LeaseID, time.Duration, error) {
 	id := ledger.LeaseID(len(s.leases) + 1)
 	s.leases[id] = true
-	if s.maxTTL > 0 {
-		ttl = min(ttl, s.maxTTL)
-	}
 	return id, ttl, nil
 }
 
@@ -212,19 +206,45 @@
 	}
 }
 
-// TestFenceOutlivesItsLease guards against an answer that there is no such job after a fence that was
-// not written, since the host's lease had ended.
-func TestFenceOutlivesItsLease(t *testing.T) {
+// TestFenceOutlivesAllLeases guards against a job that starts after a host has said that it never does,
+// since the store then takes the keys of all hosts away and carries out a submission whose answer was lost.
+func TestFenceOutlivesAllLeases(t *testing.T) {
+	clock := &testClock{now: time.Minute}
+	full := waitingLoad(clock, time.Minute, 0)
 	s := newLateStore()
-	api := newHostAPI(s, &testClock{now: time.Minute}, nil)
-	for _, id := range []heatherhub.JobID{"a", "b"} {
-		if err := api.Cancel(t.Context(), id); heatherhub.CodeOf(err) != heatherhub.CodeNotFound {
-			t.Errorf("got error %v, want no such job", err)
+	first := newHostAPI(s, clock, nil)
+	second := newHostAPI(s, clock, newAdmission(clock, map[heatherhub.ShardID]record.Load{north: full, south: full}))
+	answers := map[heatherhub.JobID]func(heatherhub.JobID) bool{
+		"withdrawn": func(id heatherhub.JobID) bool {
+			return heatherhub.CodeOf(second.Cancel(t.Context(), id)) == heatherhub.CodeNotFound
+		},
+		"refused": func(id heatherhub.JobID) bool {
+			return heatherhub.DidNotRun(second.Submit(t.Context(), newBatch(string(id)), table))
+		},
+	}
+	for id, neverRuns := range answers {
+		s.holdsWrites = true
+		if err := first.Submit(t.Context(), newBatch(string(id)), table); !heatherhub.IsUnknown(err) {
+			t.Fatalf("job %s: got error %v, want an unknown outcome", id, err)
 		}
-		if s.items[record.FenceKey(id)].Lease == 0 {
-			t.Errorf("job %s: got no fence with a lease", id)
+		held := s.held
+		s.held, s.holdsWrites = nil, false
+		// The second answer comes once the leases behind the first one have ended.
+		for range 2 {
+			if !neverRuns(id) {
+				t.Fatalf("got job %s not answered with %q", id, id)
+			}
+			s.endLeases()
+			if s.items[record.FenceKey(id)].Revision == 0 {
+				t.Errorf("job %s: got no fence once all leases have ended", id)
+			}
 		}
-		s.endLeases()
+		s.held = held
+		s.releaseWrites()
+		if s.startsTasks(id) {
+			t.Errorf("got the %s job's tasks started by the late write", id)
+		}
+		clock.now += time.Second
 	}
 }
 
@@ -258,22 +278,3 @@
 		}
 	}
 }
-
-// TestFenceLastsForMinutes guards against a fence that is removed seconds after it was written, since the
-// lease that it shares with earlier ones is nearly over.
-func TestFenceLastsForMinutes(t *testing.T) {
-	for maxTTL, want := range map[time.Duration]int{0: 2, time.Minute: 4} {
-		s, clock := newLateStore(), &testClock{now: time.Minute}
-		s.maxTTL = maxTTL
-		api := newHostAPI(s, clock, nil)
-		for i := range 4 {
-			if err := api.Cancel(t.Context(), heatherhub.JobID("j"+strconv.Itoa(i))); heatherhub.CodeOf(err) != heatherhub.CodeNotFound {
-				t.Errorf("got error %v, want no such job", err)
-			}
-			clock.now += 90 * time.Second
-		}
-		if got := len(s.leases); got != want {
-			t.Errorf("leases of at most %s: got %d for fences over 270 s, want %d", maxTTL, got, want)
-		}
-	}
-}
--- a/request/intake/jobs.go
+++ b/request/intake/jobs.go
@@ -124,7 +124,7 @@
 
 // New returns a JobAPI that assumes that the store is available.
 func New(cfg Config) *JobAPI {
-	return &JobAPI{cfg: cfg, fences: fences{store: cfg.Store, clock: cfg.Clock}}
+	return &JobAPI{cfg: cfg, fences: fences{store: cfg.Store}}
 }
 
 // ErrTableChanged means that the configuration was replaced after the caller read
