Keep the record of an open start while its start in place has no answer

Callers could see a long-running task run twice after a change of the owner. Cause: a start in place under the number of the open start shares its record, which was dropped once the open start was over, although the start in place still had no answer. The next owner did not know of that. Change: the record stays until the start in place is answered, listed or over.

--- a/process/dispatch/repeated_start_test.go
+++ b/process/dispatch/repeated_start_test.go
@@ -288,3 +288,26 @@
 		t.Errorf("got no start for %s beside room, want one after %s at most", got, limit)
 	}
 }
+
+// TestStartInPlaceStaysRecorded guards against a second run of a long-running task after a change of the owner: the
+// record of its open start is dropped although the start in place under the same number has no answer.
+func TestStartInPlaceStaysRecorded(t *testing.T) {
+	b := newIncarnations(t, 3)
+	b.add("lasting", lasting())
+	start := b.e.Decide(b.now)[0]
+	b.now.Steady += 700 * time.Millisecond
+	b.e.OrderResult(b.now, start, dispatch.NoReply)
+	// Workers that are lost together leave no suspects.
+	for _, id := range b.workers {
+		b.e.WorkerUnresponsive(b.now, id)
+	}
+	second := b.restart(start.Worker)
+	b.outcome = func(dispatch.Order) dispatch.Outcome { return dispatch.NoReply }
+	for b.now.Steady < 20*time.Second {
+		b.reportRuns(100*time.Millisecond, second)
+		b.decide()
+		if got := b.e.Progress("lasting").Open; len(got) != 1 {
+			t.Fatalf("got open starts %+v at %s, want one", got, b.now.Steady)
+		}
+	}
+}
--- a/process/dispatch/unanswered.go
+++ b/process/dispatch/unanswered.go
@@ -385,7 +385,11 @@
 	}
 	j.openAttempts--
 	j.openStarts--
-	e.forgetUnanswered(o.task, o.run)
+	// The record of a start in place is that of its open start.
+	isUnanswered := func(a *attempt) bool { return a.run == o.run && (a.state != running || a.repeats > 0) }
+	if !slices.ContainsFunc(o.task.attempts, isUnanswered) {
+		e.forgetUnanswered(o.task, o.run)
+	}
 }
 
 // dropOpen forgets the open starts of a job that has left the shard.
