Start a task that failed in place again under a new number

Callers waited 12 s for a long-running task beside room: its start in place had been carried out, and the run had failed. Cause: while the first start was open, the task was started again under its number, which the incarnation refuses once the run has ended there. Change: the end of a run in place counts as a refusal of its number; a new number follows, as for other ends.

--- a/process/dispatch/repeated_start_test.go
+++ b/process/dispatch/repeated_start_test.go
@@ -311,3 +311,36 @@
 		}
 	}
 }
+
+// TestTaskThatFailsInPlaceStartsAgain guards against a long-running task that is down since it starts again and again
+// under a number that its worker refuses: the run of its start in place has failed there.
+func TestTaskThatFailsInPlaceStartsAgain(t *testing.T) {
+	b := newIncarnations(t, 3)
+	b.add("lasting", lasting())
+	start := b.e.Decide(b.now)[0]
+	b.now.Steady += 700 * time.Millisecond
+	b.e.OrderResult(b.now, start, dispatch.NoReply)
+	// Workers that are lost together leave no suspects.
+	for _, id := range b.workers {
+		b.e.WorkerUnresponsive(b.now, id)
+	}
+	second := b.restart(start.Worker)
+	b.decide()
+	b.runs[second] = nil
+	b.now.Steady += time.Second
+	failed := agent.Ended{Sequence: 1, Task: start.Task, Run: start.Run, Kind: agent.EndFailed}
+	b.ended[second] = 1
+	b.e.Report(b.now, b.now.Steady, second, &agent.Report{Clock: 1, Ended: []agent.Ended{failed}})
+	b.started = nil
+	refused := 0
+	b.outcome = func(o dispatch.Order) dispatch.Outcome {
+		if o.Run <= start.Run {
+			refused++
+			return dispatch.Refused
+		}
+		return dispatch.Confirmed
+	}
+	if got, limit := b.startAfter(20*time.Second), 4*time.Second; got > limit || refused > 0 {
+		t.Errorf("got the next start after %s and %d refused ones, want one after %s at most and none refused", got, refused, limit)
+	}
+}
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -309,6 +309,7 @@
 		} else {
 			e.measureLocation(now, a)
 		}
+		a.recordRefusedNumber()
 		e.keepOpenCopy(now, a)
 		e.release(a)
 	}
@@ -436,6 +437,7 @@
 		case a.stop == stopConfirmed && sentAt > a.stopSince:
 			// The agent confirmed the stop and lists no run: the start never arrived,
 			// or will be refused if it arrives later.
+			a.recordRefusedNumber()
 			if a.state == unconfirmed {
 				e.recordRefusedStart(now, a)
 			} else {
--- a/process/dispatch/unanswered.go
+++ b/process/dispatch/unanswered.go
@@ -318,8 +318,8 @@
 	o.refusedBy, o.stoppedOn = id, id
 }
 
-// recordRefusedNumber records that an incarnation has refused a start. If its number is that of an open start, the
-// incarnation has stopped or ended that run.
+// recordRefusedNumber records that the incarnation has stopped or ended the run of an attempt, or refuses its start. So
+// it refuses open starts with the same number.
 func (a *attempt) recordRefusedNumber() {
 	for _, o := range a.task.open {
 		if o.run == a.run {
