Hand over until when the leases of workers last

Cause: the stored list of workers said that a worker was used, but not until when its lease may last, nor what runs there. A new owner counted a whole lease from the latest time at which the former one may have acted, though that one had stopped and had waited already. Each further change began anew, and while one worker was open, all inherited tasks waited.

Change: an owner that hands over stops renewing leases, and its last list says how long each may still last and which tasks may run on silent workers, to which it sends no start any more. The next owner counts that from the answer to its claim, which follows the write, and relies on it only if its watch of the owner keys shows that the writer was the last owner before. Otherwise, and after an owner that is killed, the wait is as before. The random faults get planned changes of the owner, which no episode had, and a planted fault.

--- a/process/dispatch/unresolved.go
+++ b/process/dispatch/unresolved.go
@@ -36,6 +36,16 @@
 	e.updateHeldBack()
 }
 
+// NarrowUnresolved records that only the given tasks may run on a marked worker, if it is still
+// unresolved.
+func (e *Engine) NarrowUnresolved(id heatherhub.WorkerID, tasks []heatherhub.StepTask) {
+	if u, ok := e.unresolved[id]; ok {
+		u.isClosed, u.tasks = true, tasks
+		e.unresolved[id] = u
+		e.updateHeldBack()
+	}
+}
+
 // HasUnresolved reports whether any marked worker has neither reported nor gone.
 func (e *Engine) HasUnresolved() bool {
 	return len(e.unresolved) > 0
@@ -99,8 +109,18 @@
 // being durable. It reports false unless the worker leaves, so that no further task starts
 // there, and has listed all of its ended runs.
 func (e *Engine) ClosedWorkerTasks(id heatherhub.WorkerID) ([]heatherhub.StepTask, bool) {
+	if n := e.nodes[id]; n == nil || !n.worker.Draining {
+		return nil, false
+	}
+	return e.TasksOn(id)
+}
+
+// TasksOn returns the tasks that may run on a worker, or have ended there without that being
+// durable, as long as no further start is sent. It reports false if the worker is not known or has not
+// listed all of its ended runs.
+func (e *Engine) TasksOn(id heatherhub.WorkerID) ([]heatherhub.StepTask, bool) {
 	n := e.nodes[id]
-	if n == nil || !n.worker.Draining || !n.hasListedAll {
+	if n == nil || !n.hasListedAll {
 		return nil, false
 	}
 	out := make([]heatherhub.StepTask, 0, len(n.attempts)+len(n.unaccounted)+len(n.pendingAcks))
--- a/process/owner/authority.go
+++ b/process/owner/authority.go
@@ -28,7 +28,7 @@
 // This also holds for the owners before the former one: an owner changes the stored fleet only
 // when all earlier owners stop within confirmationTTL, which is before a later owner relies on
 // a majority of the changed fleet. Workers that it removes have answered it, have been replaced,
-// or are gone since the earlier owners have stopped.
+// or are gone since the earlier owners have stopped or have released them (release.go).
 
 // confirmationTTL is how long after a confirmation of its ownership was sent an owner may act.
 const confirmationTTL = 2500 * time.Millisecond
--- a/process/owner/fleet.go
+++ b/process/owner/fleet.go
@@ -35,8 +35,11 @@
 	reached, used members
 	// closed holds, for workers that leave, the tasks that may run there according to the
 	// record of the previous owner.
-	closed   map[heatherhub.WorkerID][]heatherhub.StepTask
-	revision ledger.Revision
+	closed map[heatherhub.WorkerID][]heatherhub.StepTask
+	// inherited holds, for workers that have not answered this owner, the tasks that may run there
+	// according to a former owner that has handed the shard over.
+	inherited map[heatherhub.WorkerID][]heatherhub.StepTask
+	revision  ledger.Revision
 	// stored has the lists that the store may have: the last one that is known to be written,
 	// and those of later writes without an answer.
 	stored []members
@@ -61,7 +64,7 @@
 	return fleet{
 		workers: make(map[heatherhub.WorkerID]string), tokens: make(map[heatherhub.WorkerID]agent.Token),
 		restarted: make(map[heatherhub.WorkerID]struct{}), closed: make(map[heatherhub.WorkerID][]heatherhub.StepTask),
-		reached: make(members), used: make(members),
+		reached: make(members), used: make(members), inherited: make(map[heatherhub.WorkerID][]heatherhub.StepTask),
 	}
 }
 
@@ -127,6 +130,9 @@
 		}
 		list.Workers = append(list.Workers, w)
 	}
+	if t.isReleased {
+		t.addLeases(&list, sentAt)
+	}
 	generation, revision := t.fleet.generation, t.fleet.revision
 	if t.fleet.sentGeneration != generation {
 		t.fleet.sentGeneration = generation
@@ -195,6 +201,7 @@
 
 // markReached records that a worker has answered.
 func (f *fleet) markReached(id heatherhub.WorkerID) {
+	delete(f.inherited, id)
 	if _, ok := f.reached[id]; !ok {
 		f.reached[id] = struct{}{}
 		f.generation++
@@ -339,6 +346,7 @@
 		term: t, id: entry.ID, entry: entry, isListed: isListed, ctx: ctx, cancel: cancel, confirmedAt: never, createdAt: t.now().Steady,
 		coldUntil: t.now().Steady + entry.ColdRemaining,
 		client:    t.host.cfg.Dial(entry.ID, entry.Address), queueReady: make(chan struct{}, 1),
+		inheritedUntil: unbounded, isReleased: t.isReleased, isAbandoned: t.isReleased,
 	}
 	if _, isClosed := t.fleet.closed[entry.ID]; isClosed || (isListed && entry.Draining) {
 		w.entry.Draining = true
@@ -383,6 +391,7 @@
 		delete(t.fleet.closed, id)
 		delete(t.fleet.reached, id)
 		delete(t.fleet.used, id)
+		delete(t.fleet.inherited, id)
 		t.fleet.generation++
 	}
 }
--- a/process/owner/host.go
+++ b/process/owner/host.go
@@ -110,9 +110,10 @@
 type Host struct {
 	cfg  Config
 	view atomic.Pointer[View]
-	// mu guards terms and ownerlessSince.
-	mu    sync.Mutex
-	terms map[heatherhub.ShardID]*term
+	// mu guards terms, claims and ownerlessSince.
+	mu     sync.Mutex
+	terms  map[heatherhub.ShardID]*term
+	claims map[heatherhub.ShardID]claims
 	// ownerlessSince is the steady time at which a shard was first seen without an owner.
 	ownerlessSince map[heatherhub.ShardID]time.Duration
 	session        session
@@ -151,7 +152,7 @@
 	cfg.setDefaults()
 	heatherhub.SetDefault(&cfg.Cores, 1)
 	h := &Host{
-		cfg: cfg, terms: make(map[heatherhub.ShardID]*term),
+		cfg: cfg, terms: make(map[heatherhub.ShardID]*term), claims: make(map[heatherhub.ShardID]claims),
 		ownerlessSince: make(map[heatherhub.ShardID]time.Duration), campaignWake: make(chan struct{}, 1),
 		metrics: newMetrics(cfg.Registry),
 	}
@@ -216,8 +217,9 @@
 func (h *Host) applyShardSnapshot(s ledger.Snapshot) {
 	v := &View{Owners: make(map[heatherhub.ShardID]record.Owner)}
 	for _, it := range s.Items {
-		h.applyShardEvent(v, ledger.Event{Item: it})
+		h.applyShardEvent(v, ledger.Event{Item: it}, false)
 	}
+	h.forgetClaims(v.Owners)
 	h.setView(v)
 }
 
@@ -229,14 +231,14 @@
 		v.Owners[s] = o
 	}
 	for _, e := range events {
-		h.applyShardEvent(v, e)
+		h.applyShardEvent(v, e, true)
 	}
 	h.setView(v)
 }
 
 // applyShardEvent applies the change of a layout or owner key to v. If this host's own
-// claim was deleted, it ends the term.
-func (h *Host) applyShardEvent(v *View, e ledger.Event) {
+// claim was deleted, it ends the term. isNext says that no change of the key was missed before.
+func (h *Host) applyShardEvent(v *View, e ledger.Event, isNext bool) {
 	if e.Key == record.LayoutKey {
 		var l record.Layout
 		if err := heatherhub.Unmarshal(e.Value, &l); err != nil {
@@ -256,6 +258,7 @@
 		h.endRevokedTerm(shard, e.Revision, "owner key was deleted")
 		return
 	}
+	h.recordClaim(shard, e.Revision, isNext)
 	var o record.Owner
 	if err := heatherhub.Unmarshal(e.Value, &o); err != nil {
 		h.cfg.Log.Error("owner unreadable", zap.String("key", e.Key), zap.Error(err))
--- a/process/owner/random_test.go
+++ b/process/owner/random_test.go
@@ -45,6 +45,10 @@
 	// leaveRNG decides, apart from the others, which faults come with workers that leave.
 	leaveRNG *rand.Rand
 	left     int
+	// planRNG decides, apart from the others, which faults come with a planned change of the owner. If
+	// it is nil, none does.
+	planRNG *rand.Rand
+	planned int
 	// replaced holds the workers that replaceWorker has chosen.
 	replaced map[heatherhub.WorkerID]bool
 	// workerFaults is nil in episodes without worker faults.
@@ -123,6 +127,27 @@
 	}
 }
 
+// TestRandomFaultsWithPlannedChanges is TestRandomFaults with owners that are stopped as planned, and
+// hand their shards over, in the midst of the other faults.
+func TestRandomFaultsWithPlannedChanges(t *testing.T) {
+	changes := 0
+	for i := range max(*episodes/3, 1) {
+		seed := *episodeSeed + uint64(i)
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := newWorkerFaultEpisode(t, seed, newFaultCounts(), allWorkerFaultKinds)
+				e.planChanges(seed)
+				e.injectFaults()
+				e.healAndCheck()
+				changes += e.planned
+			})
+		})
+	}
+	if changes == 0 {
+		t.Error("got no planned change, want some")
+	}
+}
+
 // TestSeedsThatFailed runs episodes in which the audit once reported a false violation:
 // with seeds 5060 and 5616 a worker reports the end of a task after its lease expired and
 // the task was started elsewhere, which is allowed.
@@ -146,6 +171,11 @@
 			return newWorkerFaultEpisode(t, seed, newFaultCounts(), kinds)
 		}
 	}
+	withPlannedChanges := func(t *testing.T, seed uint64) *episode {
+		e := newWorkerFaultEpisode(t, seed, newFaultCounts(), []workerFaultKind{cutOffFaults, longRunningFaults})
+		e.planChanges(seed)
+		return e
+	}
 	withoutIncarnations := func(t *testing.T, seed uint64) *episode {
 		site := newSimSite(t, seed)
 		site.ignoreIncarnations.Store(true)
@@ -161,6 +191,7 @@
 		"workers accept any token":                  {newEpisode, func(site *simSite) { site.ignoreTokens.Store(true) }},
 		"unanswered start reported as not sent":     {newEpisode, func(site *simSite) { site.reportUnansweredAsUnsent.Store(true) }},
 		"tasks of leaving workers left out":         {newEpisode, func(site *simSite) { site.store.forgetClosedTasks.Store(true) }},
+		"leases that are handed over are over":      {withPlannedChanges, func(site *simSite) { site.store.shortenLeases.Store(true) }},
 		"workers ignore the end of their lease":     {withWorkerFaults(cutOffFaults, longRunningFaults), func(site *simSite) { site.ignoreLeases.Store(true) }},
 		"reset poll reported as replaced worker":    {withWorkerFaults(allWorkerFaultKinds...), func(site *simSite) { site.reportResetAsReplaced.Store(true) }},
 		"incarnations of a worker taken for one":    {withoutIncarnations, func(*simSite) {}},
@@ -223,6 +254,7 @@
 		e.addJob()
 		if e.rng.IntN(3) == 0 {
 			n++
+			e.changeOwnerAtTimes()
 			inject()
 		}
 		time.Sleep(time.Duration(100+e.rng.IntN(500)) * time.Millisecond)
@@ -325,6 +357,29 @@
 	})
 }
 
+// planChanges has other faults come with planned changes of the owner.
+func (e *episode) planChanges(seed uint64) {
+	e.planRNG = rand.New(rand.NewPCG(seed, 19))
+}
+
+// changeOwnerAtTimes stops the owner as planned for every other fault, if planRNG is set.
+func (e *episode) changeOwnerAtTimes() {
+	if e.planRNG == nil || e.planRNG.IntN(2) == 0 {
+		return
+	}
+	delay := time.Duration(e.planRNG.IntN(2000)) * time.Millisecond
+	former := e.currentOwner()
+	d := slices.Index(e.hosts[:], former)
+	if d < 0 || e.isDead(former) {
+		return
+	}
+	e.planned++
+	e.mu.Lock()
+	e.cancelHosts[former]()
+	e.mu.Unlock()
+	e.startNext(d, delay)
+}
+
 // restart kills the host of a failure domain and starts another one with a new id after a
 // delay.
 func (e *episode) restart(d int, delay time.Duration) {
@@ -332,6 +387,11 @@
 		return
 	}
 	e.kill(e.hosts[d])
+	e.startNext(d, delay)
+}
+
+// startNext starts another host of a failure domain, with a new id, after a delay.
+func (e *episode) startNext(d int, delay time.Duration) {
 	e.restarts++
 	next := heatherhub.HostID(fmt.Sprintf("h%d-%d", d, e.restarts))
 	e.hosts[d] = next
--- a/process/owner/store_test.go
+++ b/process/owner/store_test.go
@@ -7,7 +7,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"testing"
 	"time"
 
 	"heatherhub.example/heatherhub"
@@ -20,6 +19,8 @@
 	// forgetClosedTasks injects a fault: stored fleets leave out the tasks of workers that
 	// leave.
 	forgetClosedTasks atomic.Bool
+	// shortenLeases injects a fault: lists that are handed over say that all leases are over.
+	shortenLeases atomic.Bool
 
 	mu      sync.Mutex
 	rev     ledger.Revision
@@ -334,8 +335,8 @@
 		if before != nil {
 			before(p.Key)
 		}
-		if s.forgetClosedTasks.Load() && strings.HasPrefix(p.Key, record.FleetPrefix) {
-			txn.Puts[i].Value = withoutTasks(s.site.t, p.Value)
+		if strings.HasPrefix(p.Key, record.FleetPrefix) {
+			txn.Puts[i].Value = s.injectFleetFaults(p.Value)
 		}
 	}
 	if isLate {
@@ -392,18 +393,24 @@
 	return nil
 }
 
-// withoutTasks returns an encoded fleet without the tasks of closed workers.
-func withoutTasks(t *testing.T, value []byte) []byte {
+// injectFleetFaults returns an encoded fleet with the injected faults.
+func (s *hostStore) injectFleetFaults(value []byte) []byte {
 	var f record.Fleet
 	if err := heatherhub.Unmarshal(value, &f); err != nil {
-		t.Error(err)
+		s.site.t.Error(err)
 	}
 	for i := range f.Workers {
-		f.Workers[i].Tasks = nil
+		w := &f.Workers[i]
+		if s.forgetClosedTasks.Load() {
+			w.Tasks = nil
+		}
+		if s.shortenLeases.Load() {
+			w.LeaseLeft = min(w.LeaseLeft, time.Millisecond)
+		}
 	}
 	value, err := record.Encode(f)
 	if err != nil {
-		t.Error(err)
+		s.site.t.Error(err)
 	}
 	return value
 }
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -42,16 +42,20 @@
 	confirmedAt atomic.Int64
 	wakePublish chan struct{}
 
-	// mu guards the engine, workers, incarnations, ended, fleet, policyVersion, hasJobs, isResolved, jobsRead,
+	// mu guards the engine, workers, incarnations, ended, fleet, handedOver, isReleased, policyVersion, hasJobs, isResolved, jobsRead,
 	// jobsAnsweredAt, entriesAnsweredAt, isRoomStale, evacuated, evacuations, evacuatedCheckedAt,
 	// isEvacuationStale and committed.
 	mu      sync.Mutex
 	engine  *dispatch.Engine
 	workers map[heatherhub.WorkerID]*workerLoop
 	// incarnations has the workers by name, and ended the incarnation that was last seen to have ended.
-	incarnations  map[heatherhub.WorkerName][]*workerLoop
-	ended         map[heatherhub.WorkerName]endedIncarnation
-	fleet         fleet
+	incarnations map[heatherhub.WorkerName][]*workerLoop
+	ended        map[heatherhub.WorkerName]endedIncarnation
+	fleet        fleet
+	// handedOver is the inherited list, as long as it is not known whether this owner may rely on what it
+	// says of leases; see trustHandover. isReleased says that this owner hands the shard over.
+	handedOver    record.Fleet
+	isReleased    bool
 	policyVersion heatherhub.Version
 	// hasJobs is set once the engine has the jobs of the shard.
 	hasJobs bool
@@ -205,8 +209,8 @@
 }
 
 // handOver writes the fleet, commits the pending changes, within handOverTimeout, and ends the
-// term. The next owner waits for each worker that the stored fleet still lists. The last
-// write is a load, from which it learns which waiting jobs were moved.
+// term. The next owner waits for each worker that the stored fleet still lists until its lease is
+// over. The last write is a load, from which it learns which waiting jobs were moved.
 func (t *term) handOver() {
 	t.isHandingOver.Store(true)
 	ctx, cancel := context.WithTimeout(t.ctx, handOverTimeout)
@@ -214,6 +218,7 @@
 	t.refreshClosedWorkers()
 	t.writeFleet(ctx)
 	t.mu.Lock()
+	t.releaseWorkers()
 	t.engine.RecordStartsUnderWay(t.now())
 	t.mu.Unlock()
 	for ctx.Err() == nil {
@@ -221,7 +226,7 @@
 			break
 		}
 	}
-	// A lost worker leaves the fleet once its open starts are recorded.
+	// A lost worker leaves the fleet once its open starts are recorded. The list has the leases.
 	t.writeFleet(ctx)
 	if acquire(ctx, t.moveSem) {
 		t.publish(ctx)
@@ -250,6 +255,7 @@
 			err = t.applyTakeoverState(s)
 		}
 		if err == nil {
+			t.trustHandover()
 			return s, true
 		}
 		t.log.Warn("takeover not finished", zap.Error(err))
@@ -294,6 +300,7 @@
 	t.fleet.revision = s.fleet.Revision
 	t.inherit(membersOf(inherited), t.now().Steady)
 	t.fleet.updateUsed(inherited)
+	t.handedOver = inherited
 	for _, w := range inherited.Workers {
 		t.fleet.workers[w.ID] = w.Address
 		if w.IsUnused {
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -65,7 +65,7 @@
 	// createdAt is the steady time at which the loop began. The incarnation was known then.
 	createdAt time.Duration
 
-	// The term's mu guards the fields from entry to confirmedAt.
+	// The term's mu guards the fields from entry to isAbandoned.
 
 	entry agent.Worker
 	// token is the fencing token of polls and orders; zero until the worker has joined the
@@ -93,11 +93,14 @@
 	// confirmedAt is the steady time at which the last poll was sent that the worker has
 	// answered.
 	confirmedAt time.Duration
+	// isAbandoned means that no start is sent any more, since the shard is handed over and the worker
+	// was silent then.
+	isAbandoned bool
 
 	// forgottenUpTo is the highest end of which the worker has an acknowledgement. Only pollLoop uses it.
 	forgottenUpTo uint64
 
-	// mu guards queue, clock, clockAt and leaseUntil.
+	// mu guards the fields from queue to isReleased, but for queueReady and isSilent.
 	mu    sync.Mutex
 	queue []timedOrder
 	// queueReady wakes the order loop.
@@ -111,6 +114,11 @@
 	clock      agent.Clock
 	clockAt    time.Duration
 	leaseUntil agent.Clock
+	// inheritedUntil is the steady time by which runs of earlier owners have ended, as the former owner
+	// has handed it over, or unbounded.
+	inheritedUntil time.Duration
+	// isReleased means that polls do not renew the lease any more, since the shard is handed over.
+	isReleased bool
 }
 
 // timedOrder is an order with the steady time at which it was decided.
@@ -166,6 +174,21 @@
 func (w *workerLoop) grantLease(now, d time.Duration) agent.Clock {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	return w.extendLease(now, d)
+}
+
+// renewLease is grantLease for a poll. It returns zero if the worker was released.
+func (w *workerLoop) renewLease(now time.Duration) agent.Clock {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.isReleased {
+		return 0
+	}
+	return w.extendLease(now, w.term.host.cfg.WorkerLease)
+}
+
+// extendLease is grantLease for a caller that holds w.mu.
+func (w *workerLoop) extendLease(now, d time.Duration) agent.Clock {
 	if !w.hasClock {
 		return 0
 	}
@@ -237,7 +260,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.hasClock {
-		return w.term.inheritedRunsEnd()
+		return min(w.term.inheritedRunsEnd(), w.inheritedUntil)
 	}
 	return w.clockAt + onSlowestClock(w.leaseUntil.Sub(w.clock)) + leaseSlack
 }
@@ -378,7 +401,7 @@
 	// The lease counts from the reading of the clock at which the owner may act. The process
 	// may be stopped between the two.
 	if !w.isSilent.Load() && t.mayAct(sentAt) {
-		p.LeaseUntil = w.grantLease(sentAt, t.host.cfg.WorkerLease)
+		p.LeaseUntil = w.renewLease(sentAt)
 	}
 	switch {
 	case !isUp || w.isSilent.Load():
@@ -657,8 +680,8 @@
 }
 
 // grantStart returns the end of the lease of a start that is sent at now, and zero for other
-// orders. It reports false for a start that no longer stands: the worker counts as gone, or its
-// failure domain is evacuated. All of it is decided under the term's mu, like the end of the
+// orders. It reports false for a start that no longer stands: the worker counts as gone, was silent
+// when the shard was handed over, or its failure domain is evacuated. All of it is decided under the term's mu, like the end of the
 // worker's lease.
 func (w *workerLoop) grantStart(now time.Duration, o dispatch.Order) (agent.Clock, bool) {
 	if o.Kind != dispatch.StartTask {
@@ -670,7 +693,7 @@
 	if !t.engine.HasAttempt(o) {
 		return 0, false
 	}
-	if at := (dispatch.Moment{Steady: now, Wall: t.now().Wall}); !t.mayStartOn(at, w.id) {
+	if at := (dispatch.Moment{Steady: now, Wall: t.now().Wall}); w.isAbandoned || !t.mayStartOn(at, w.id) {
 		t.engine.OrderResult(at, o, dispatch.Withdrawn)
 		signal(t.wakeDecide)
 		return 0, false
--- a/process/record/record.go
+++ b/process/record/record.go
@@ -30,10 +30,12 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
 	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/connection/ledger"
 )
 
 // Key prefixes and fixed keys.
@@ -106,6 +108,10 @@
 // Fleet lists the workers on which runs of the shard may be active.
 type Fleet struct {
 	Workers []FleetWorker `msgpack:"w" json:"workers"`
+	// HandedOverBy is the revision of the owner key of an owner that has written the list at its
+	// planned end, and zero for other lists. Only the next owner after that one may rely on
+	// FleetWorker.LeaseLeft and AreTasksKnown.
+	HandedOverBy ledger.Revision `msgpack:"h,omitempty" json:"handedOverBy,omitempty"`
 }
 
 // FleetWorker is one incarnation of a worker.
@@ -118,6 +124,12 @@
 	Tasks    []heatherhub.StepTask `msgpack:"t,omitempty" json:"tasks,omitempty"`
 	// IsUnused means that no owner has started a task on the worker yet, as it has not answered.
 	IsUnused bool `msgpack:"u,omitempty" json:"unused,omitempty"`
+	// LeaseLeft is how long after the write, on the clock of the writer, runs on the worker may go on
+	// unless a later owner renews its lease. Zero means that it is not known.
+	LeaseLeft time.Duration `msgpack:"l,omitempty" json:"leaseLeft,omitempty"`
+	// AreTasksKnown means that Tasks are all that may run on a worker that does not leave, unless a
+	// later owner starts more.
+	AreTasksKnown bool `msgpack:"k,omitempty" json:"tasksKnown,omitempty"`
 }
 
 // Encode encodes a value for the store. It returns ErrInvalid if that fails.
