Delete ended jobs also if the write that was to do it is lost

What was seen: by reading, beside the fences: the store keeps the records of ended jobs until the next takeover if the publication of the load that was to delete them fails. A store that is often slow or down grows for as long as owners stay.

Cause: the engine forgets the jobs before the write (RemoveExpired), and no later write names them again.

Change: the owner keeps them until a write that deletes them has taken effect. While a write without an answer may take effect, all further ones delete the same jobs, so a failed precondition says that they are gone, and a job that is handed in again under the same ID is not deleted.

--- a/process/owner/commit.go
+++ b/process/owner/commit.go
@@ -237,7 +237,7 @@
 	if !hasJobs {
 		return
 	}
-	value, expired, err := t.encodeLoad()
+	value, err := t.encodeLoad()
 	if err != nil {
 		t.log.Error("load not encoded", zap.Error(err))
 		return
@@ -248,7 +248,7 @@
 		Preconditions: []ledger.Precondition{t.ownerCondition(), {Key: key, Revision: t.loadRevision}},
 		Puts:          []ledger.Put{{Key: key, Value: value}},
 	}
-	for _, id := range expired {
+	for _, id := range t.expired {
 		txn.Deletes = append(txn.Deletes, record.JobKey(id), record.CancelKey(id), record.ProgressKey(id))
 	}
 	if t.publishCount++; t.publishCount%publicationsPerSnapshot == 0 {
@@ -259,14 +259,19 @@
 	var conflict *ledger.ConflictError
 	switch {
 	case err == nil:
-		t.loadRevision = rev
+		t.loadRevision, t.expired, t.isLoadOpen = rev, nil, false
 		t.confirmOwnership(sentAt)
 	case errors.As(err, &conflict) && conflict.Find(record.OwnerKey(t.shard)).Revision != t.ownerRevision:
 		t.end("another owner has the shard")
 	case conflict != nil:
-		t.loadRevision = conflict.Find(key).Revision
+		if t.isLoadOpen {
+			// A write without an answer has taken effect, with the deletes of the same jobs.
+			t.expired = nil
+		}
+		t.loadRevision, t.isLoadOpen = conflict.Find(key).Revision, false
 		signal(t.wakePublish)
 	default:
+		t.isLoadOpen = t.isLoadOpen || heatherhub.IsUnknown(err)
 		t.log.Debug("load not published", zap.Error(err))
 		ledger.Sleep(ctx, storeRetryDelay)
 		signal(t.wakePublish)
@@ -318,10 +323,10 @@
 // maxExpiredPerCommit bounds the jobs deleted in one transaction; each has three keys.
 const maxExpiredPerCommit = 8
 
-// encodeLoad returns the encoded load record of the shard and the jobs that have
-// expired and are to be deleted with the same commit. It also updates the worker gauges
-// and logs the load.
-func (t *term) encodeLoad() ([]byte, []heatherhub.JobID, error) {
+// encodeLoad returns the encoded load record of the shard. Unless an earlier write is still to take
+// effect, it sets the expired jobs that are deleted with the same commit. It also updates the worker gauges and logs the
+// load.
+func (t *term) encodeLoad() ([]byte, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.reportWorkers()
@@ -342,5 +347,8 @@
 		LargestSpare: record.Rooms(t.engine.LargestSpare(now, record.MaxLargestFree)), FillerRoom: t.engine.FillerRoom(now), Forecast: forecast, At: now.Wall,
 		PoolsInService: inService, EvacuatedPools: evacuated,
 	})
-	return value, t.engine.RemoveExpired(now, t.host.cfg.EndedRetention, maxExpiredPerCommit), err
+	if err == nil && len(t.expired) == 0 && !t.isLoadOpen {
+		t.expired = t.engine.RemoveExpired(now, t.host.cfg.EndedRetention, maxExpiredPerCommit)
+	}
+	return value, err
 }
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -60,6 +60,11 @@
 	// loadRevision is the revision of the shard's load record. Only publish uses it, once
 	// the shard is taken over.
 	loadRevision ledger.Revision
+	// expired are the jobs that the engine has forgotten and whose deletes are not known to have taken
+	// effect. isLoadOpen means that a write of the load has no answer and may take effect; all such writes
+	// delete the same jobs. Only publish uses both.
+	expired    []heatherhub.JobID
+	isLoadOpen bool
 	// jobsRead is the revision up to which the engine has the job records, and
 	// jobsAnsweredAt the steady time of the store's last answer about them.
 	jobsRead       ledger.Revision
