Tell the next owner of a shard of open starts of other shards' jobs

What callers could see: a task of a job that another shard owns runs twice. Its start got no answer, this shard got another owner, and the next incarnation of the worker carried the start out.

Cause: open starts are recorded in the progress of the job, which only the shard of the job writes.

Change: those of guests are written with the shard's list of workers, whenever they change, and the next owner takes them over before it adds the jobs. Hosts of the version before ignore the field.

--- a/process/dispatch/open_start_test.go
+++ b/process/dispatch/open_start_test.go
@@ -93,17 +93,17 @@
 		}
 		former.decide()
 	}
-	changes := former.e.TakeChanges(10)
 	if former.e.AwaitsNextIncarnation(worker) {
 		t.Fatal("the fleet keeps the worker, so a next owner waits for it")
 	}
-	var p dispatch.Progress
-	if len(changes) > 0 {
-		p = changes[0].Progress
+	if !former.e.HasChanges() {
+		t.Error("got nothing to write, want the open start")
 	}
+	starts, _ := former.e.TakeGuestStarts()
 	next := newSimulation(t, dispatch.Policy{}, 0)
 	next.e.MarkUnresolved(worker)
-	next.addFlow(flow, p, dispatch.OriginPreviousOwner)
+	next.e.InheritGuestStarts(starts)
+	next.addFlow(flow, dispatch.Progress{}, dispatch.OriginPreviousOwner)
 	next.addIncarnation("w", 500)
 	next.addIncarnation("beside", 10_000)
 	next.advance(time.Second)
--- a/process/dispatch/progress.go
+++ b/process/dispatch/progress.go
@@ -47,6 +47,12 @@
 	At time.Time `msgpack:"at" json:"at"`
 }
 
+// GuestStart is a start without an answer of a task whose job another shard owns.
+type GuestStart struct {
+	Job   heatherhub.JobID `msgpack:"j" json:"job"`
+	Start OpenStart        `msgpack:"s" json:"start"`
+}
+
 // DecodeMsgpack decodes a progress record and rejects an unknown state with ErrInvalid.
 func (p *Progress) DecodeMsgpack(d *msgpack.Decoder) error {
 	type wire Progress
@@ -119,9 +125,19 @@
 	}
 }
 
+// markOpenChanged records that the open starts of a job have changed. Those of a guest are not in the progress that its
+// shard writes, but in the list of workers of this one.
+func (e *Engine) markOpenChanged(j *job) {
+	if j.isOwnedElsewhere {
+		e.guestStartChanges++
+		return
+	}
+	e.markChanged(j)
+}
+
 // HasChanges reports whether any progress has to be made durable.
 func (e *Engine) HasChanges() bool {
-	return slices.ContainsFunc(e.changedJobs, func(j *job) bool { return !j.isMoving })
+	return e.takenGuestStarts != e.guestStartChanges || slices.ContainsFunc(e.changedJobs, func(j *job) bool { return !j.isMoving })
 }
 
 // TakeChanges returns the progress of up to limit changed jobs, except those that are being moved.
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -110,7 +110,11 @@
 	ready        []*stepRun
 	scheduled    []*job
 	changedJobs  []*job
-	orders       []Order
+	// guestStartChanges counts the changes to the open starts of guests, and takenGuestStarts is the number when they
+	// were taken last. inheritedGuestStarts has those of a previous owner whose jobs were not added yet.
+	guestStartChanges, takenGuestStarts uint64
+	inheritedGuestStarts                map[heatherhub.JobID][]OpenStart
+	orders                              []Order
 	// reservations has the room that stopped runs leave to urgent tasks, preemptedAt is the time of
 	// the last search for runs to stop.
 	reservations []reservation
--- a/process/dispatch/unanswered.go
+++ b/process/dispatch/unanswered.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -110,7 +111,7 @@
 		Occurrence: t.step.occ.index, Task: t.flatIndex(), Run: a.run, Worker: w.ID, Address: addressOf(w), At: now.Wall,
 		IsRepeated: a.repeats > 0,
 	})
-	e.markChanged(j)
+	e.markOpenChanged(j)
 }
 
 // StartIsSlow records that a start order has had no answer for a while. If the owner is replaced before
@@ -167,7 +168,32 @@
 		return
 	}
 	if j.progress.Open = slices.DeleteFunc(j.progress.Open, isRecordOf(t, run)); len(j.progress.Open) < n {
-		e.markChanged(j)
+		e.markOpenChanged(j)
+	}
+}
+
+// TakeGuestStarts returns the starts without an answer of tasks whose jobs other shards own, in the order of the jobs, and
+// a number that changes with them. The next owner of this shard has to know of them.
+func (e *Engine) TakeGuestStarts() ([]GuestStart, uint64) {
+	var out []GuestStart
+	for id, j := range e.jobs {
+		if j.isOwnedElsewhere {
+			for _, o := range j.progress.Open {
+				out = append(out, GuestStart{Job: id, Start: o})
+			}
+		}
+	}
+	slices.SortStableFunc(out, func(a, b GuestStart) int { return cmp.Compare(a.Job, b.Job) })
+	e.takenGuestStarts = e.guestStartChanges
+	return out, e.guestStartChanges
+}
+
+// InheritGuestStarts takes over the open starts of guests that a previous owner has recorded. It is called before the
+// jobs are added.
+func (e *Engine) InheritGuestStarts(starts []GuestStart) {
+	e.inheritedGuestStarts = make(map[heatherhub.JobID][]OpenStart)
+	for _, s := range starts {
+		e.inheritedGuestStarts[s.Job] = append(e.inheritedGuestStarts[s.Job], s.Start)
 	}
 }
 
@@ -184,6 +210,10 @@
 // owner took over.
 func (e *Engine) restoreOpen(now Moment, j *job) {
 	recorded := j.progress.Open
+	if j.isOwnedElsewhere {
+		recorded = e.inheritedGuestStarts[j.workflow.ID]
+		delete(e.inheritedGuestStarts, j.workflow.ID)
+	}
 	j.progress.Open = nil
 	for _, r := range recorded {
 		if r.Occurrence < 0 || r.Occurrence >= len(j.occurrences) {
@@ -279,7 +309,7 @@
 	j := t.step.occ.job
 	if at := slices.IndexFunc(j.progress.Open, isRecordOf(t, run)); at >= 0 && !j.isOver() {
 		j.progress.Open[at].IsRepeated, j.progress.Open[at].At = true, now.Wall
-		e.markChanged(j)
+		e.markOpenChanged(j)
 	}
 }
 
@@ -394,6 +424,9 @@
 
 // dropOpen forgets the open starts of a job that has left the shard.
 func (e *Engine) dropOpen(j *job) {
+	if j.isOwnedElsewhere && len(j.progress.Open) > 0 {
+		e.guestStartChanges++
+	}
 	for name, open := range e.open {
 		open = slices.DeleteFunc(open, func(o *openStart) bool { return o.task.step.occ.job == j })
 		if e.open[name] = open; len(open) == 0 {
--- a/process/owner/fleet.go
+++ b/process/owner/fleet.go
@@ -46,6 +46,8 @@
 	// generation counts the changes to workers; writtenGeneration is the generation that
 	// was last written to the store, and sentGeneration that of the last write that was sent.
 	generation, writtenGeneration, sentGeneration uint64
+	// guestStartChanges is the number that came with the open starts of guests that were taken last.
+	guestStartChanges uint64
 }
 
 // members are the workers of a fleet.
@@ -112,6 +114,11 @@
 	t.writeSem <- struct{}{}
 	defer func() { <-t.writeSem }()
 	t.mu.Lock()
+	guestStarts, changes := t.engine.TakeGuestStarts()
+	if changes != t.fleet.guestStartChanges {
+		t.fleet.guestStartChanges = changes
+		t.fleet.generation++
+	}
 	if t.fleet.writtenGeneration == t.fleet.generation {
 		t.mu.Unlock()
 		return true
@@ -121,7 +128,7 @@
 		t.mu.Unlock()
 		return false
 	}
-	var list record.Fleet
+	list := record.Fleet{GuestStarts: guestStarts}
 	for id, address := range t.fleet.workers {
 		w := t.fleetWorker(id, address)
 		if w.IsUnused {
--- a/process/owner/former_life_test.go
+++ b/process/owner/former_life_test.go
@@ -19,6 +19,8 @@
 	// incarnations are cut off from all hosts until 9 s after their start.
 	restartsAt []time.Duration
 	step       heatherhub.Step
+	// isGuest means that another shard owns the job.
+	isGuest bool
 }
 
 func (h *heldStarts) play(site *simSite) {
@@ -30,7 +32,11 @@
 	site.mu.Unlock()
 	site.setDelayedShare(1)
 	workers := site.livingWorkers()[:2]
-	site.submit("held", h.step)
+	if h.isGuest {
+		site.submitGuest("held", h.step)
+	} else {
+		site.submit("held", h.step)
+	}
 	heldFor := h.heldFor
 	if heldFor == 0 {
 		heldFor = 250 * time.Millisecond
@@ -90,6 +96,38 @@
 	}
 }
 
+// submitGuest is submit for a job of another shard whose tasks all run in this one.
+func (site *simSite) submitGuest(id heatherhub.JobID, step heatherhub.Step) {
+	flow := &heatherhub.Workflow{
+		ID: id, Queue: testQueue, Steps: []heatherhub.Step{step}, Accepted: time.Now(),
+		Shard: heatherhub.ShardID{Domain: "elsewhere"}, TaskShards: make(map[int]heatherhub.ShardID),
+	}
+	for i := range step.Tasks {
+		flow.TaskShards[i] = site.jobShard
+	}
+	site.submitFlow(flow)
+}
+
+// TestStartOfGuestUnderAFormerOwnerRunsOnce guards against a second run of a task of another shard's job: its
+// start got no answer, and the next owner of this shard did not know of it.
+func TestStartOfGuestUnderAFormerOwnerRunsOnce(t *testing.T) {
+	for name, tt := range map[string]heldStarts{
+		"killed":      {lateBy: 7 * time.Second, killAt: 1800 * time.Millisecond, restartsAt: []time.Duration{5 * time.Second}},
+		"two lives":   {lateBy: 11 * time.Second, killAt: 1800 * time.Millisecond, restartsAt: []time.Duration{2 * time.Second, 8 * time.Second}},
+		"handed over": {lateBy: 9 * time.Second, handOverAt: 1800 * time.Millisecond, restartsAt: []time.Duration{5 * time.Second}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			testOnSite(t, 2, func(site *simSite) {
+				tt.step, tt.isGuest = newLongRunningStep(12), true
+				tt.play(site)
+				if got := site.runningTasks("held"); got == 0 {
+					t.Error("got no running task of the guest, want some")
+				}
+			})
+		})
+	}
+}
+
 // handOver ends a host in a planned way.
 func (site *simSite) handOver(id heatherhub.HostID) {
 	site.mu.Lock()
--- a/process/owner/term.go
+++ b/process/owner/term.go
@@ -319,6 +319,7 @@
 		t.fleet.closed[w.ID] = w.Tasks
 		t.engine.MarkUnresolvedClosed(w.ID, w.Tasks)
 	}
+	t.engine.InheritGuestStarts(inherited.GuestStarts)
 	t.loadJobs(s)
 	t.hasJobs = true
 	t.jobsRead, t.jobsAnsweredAt = s.jobs.Revision, t.now().Steady
--- a/process/owner/world_test.go
+++ b/process/owner/world_test.go
@@ -377,15 +377,18 @@
 
 // submitTo is submit with the shard that the job is given to.
 func (site *simSite) submitTo(shard heatherhub.ShardID, id heatherhub.JobID, steps ...heatherhub.Step) {
-	flow := &heatherhub.Workflow{ID: id, Queue: testQueue, Steps: steps, Accepted: time.Now(), Shard: shard}
+	site.submitFlow(&heatherhub.Workflow{ID: id, Queue: testQueue, Steps: steps, Accepted: time.Now(), Shard: shard})
+}
+
+func (site *simSite) submitFlow(flow *heatherhub.Workflow) {
 	value, err := record.Encode(flow)
 	if err != nil {
 		site.t.Error(err)
 	}
 	site.mu.Lock()
-	site.jobs[id] = flow
+	site.jobs[flow.ID] = flow
 	site.mu.Unlock()
-	site.store.set(record.JobKey(id), value)
+	site.store.set(record.JobKey(flow.ID), value)
 }
 
 // newStep returns a step of n tasks that need two processors and run for d, after the
--- a/process/record/fleet_test.go
+++ b/process/record/fleet_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"heatherhub.example/heatherhub"
+	"heatherhub.example/heatherhub/process/dispatch"
 	"heatherhub.example/heatherhub/process/record"
 )
 
@@ -25,7 +26,7 @@
 func TestFleetIsReadAcrossVersions(t *testing.T) {
 	want := record.Fleet{HandedOverBy: 7, Workers: []record.FleetWorker{
 		{ID: "w0", Address: "a:1", LeaseLeft: time.Second, AreTasksKnown: true, Tasks: []heatherhub.StepTask{{Job: "j"}}},
-	}}
+	}, GuestStarts: []dispatch.GuestStart{{Job: "g", Start: dispatch.OpenStart{Task: 3, Run: 5, Worker: "w0", Address: "a:1", At: time.Unix(9, 0)}}}}
 	data, err := record.Encode(want)
 	if err != nil {
 		t.Fatal(err)
@@ -48,7 +49,7 @@
 	if err := heatherhub.Unmarshal(data, &got); err != nil {
 		t.Fatal(err)
 	}
-	if w := got.Workers[0]; got.HandedOverBy != 0 || w.LeaseLeft != 0 || w.AreTasksKnown {
+	if w := got.Workers[0]; got.HandedOverBy != 0 || len(got.GuestStarts) > 0 || w.LeaseLeft != 0 || w.AreTasksKnown {
 		t.Errorf("got %+v of the version before, want no lease and no tasks", got)
 	}
 }
--- a/process/record/record.go
+++ b/process/record/record.go
@@ -36,6 +36,7 @@
 
 	"heatherhub.example/heatherhub"
 	"heatherhub.example/heatherhub/connection/ledger"
+	"heatherhub.example/heatherhub/process/dispatch"
 )
 
 // Key prefixes and fixed keys.
@@ -112,6 +113,8 @@
 	// planned end, and zero for other lists. Only the next owner after that one may rely on
 	// FleetWorker.LeaseLeft and AreTasksKnown.
 	HandedOverBy ledger.Revision `msgpack:"h,omitempty" json:"handedOverBy,omitempty"`
+	// GuestStarts are the starts without an answer of tasks whose jobs other shards own.
+	GuestStarts []dispatch.GuestStart `msgpack:"g,omitempty" json:"guestStarts,omitempty"`
 }
 
 // FleetWorker is one incarnation of a worker.
