Lend workers that isolated runs keep if no other has room

What callers saw: batch tasks that last and were lost together twice hold all starts of a shard back for 8.5 s, on workers that are nearly idle.

Cause: each of them starts isolated on a worker of its own, and keeps other starts away until it is twice as old as it was at the crash. As many of them as there are workers leave none.

Change: once an isolated run has lasted for 500 ms, others may start beside it if no other worker is eligible, as long as no crash speaks against its task and it has two at most. So a deadly task gains nothing from it at its next crash. If such a worker crashes, all unproven runs there count: the isolated one as before, the others as shared suspects.

Result: TestTwoCrashesHoldNoStartsBack waits 8.5 s before, and within the 3 s that are allowed now. TestDeadlyTaskBesideIsolatedRunsIsContained: 3 starts, 4 if the runs beside isolated ones do not count. TestDeadlyTaskAmongOthersIsContained passes before and after. TestTaskThatCrashesItsWorkersLaterAmongOthersIsContained fails before and after with the same 6 or 7 starts, 5 are allowed: listed, not caused by this.

--- a/process/dispatch/crash.go
+++ b/process/dispatch/crash.go
@@ -244,15 +244,12 @@
 	if a.isProven {
 		return heatherhub.CrashBeside, l.how == crashed && !l.hasIsolated && !l.isSimultaneous && age <= maxSuspectAge
 	}
-	if l.hasIsolated && !a.isIsolated {
-		return heatherhub.CrashBeside, false
-	}
 	_, isCommon := l.common[a.task.step.occ.job.workflow.ID]
 	isExcused := l.isSimultaneous && !isCommon && !a.isIsolated && age > youngAge
 	switch {
 	case isExcused:
 		return heatherhub.CrashBeside, true
-	case l.hasIsolated:
+	case a.isIsolated:
 		return heatherhub.CrashIsolated, true
 	default:
 		return heatherhub.CrashSuspect, true
@@ -495,6 +492,30 @@
 	return nil
 }
 
+// isLent reports whether other tasks may start beside the isolated runs of the worker if none else has
+// room: these have lasted for provenAge, and no crash speaks against their tasks yet. Jobs that were lost
+// together twice would otherwise keep all workers of a shard for seconds.
+func (n *node) isLent(now time.Duration) bool {
+	if n.isolated == 0 {
+		return false
+	}
+	for _, a := range n.attempts {
+		if a.isIsolated && !a.isProven && (now-a.startedAt < provenAge || a.task.hasEvidence()) {
+			return false
+		}
+	}
+	return true
+}
+
+// hasEvidence reports whether crashes speak against the task itself: any that is unlikely without it, or
+// more than those that have it start isolated.
+func (t *task) hasEvidence() bool {
+	if t.step.occ.job.isSuspect || len(t.crashes) > crashesBeforeIsolation {
+		return true
+	}
+	return slices.ContainsFunc(t.crashes, func(c heatherhub.CrashedRun) bool { return isSuspected(c) && c.Chance < 1 || isYoungLapse(c) })
+}
+
 // isIsolating reports whether a worker, which must be available, can take an isolated start of a
 // task now: no other job's run on it is unproven, and no other worker has isolated runs of the job.
 func (n *node) isIsolating(now time.Duration, t *task) bool {
--- a/process/dispatch/crash_test.go
+++ b/process/dispatch/crash_test.go
@@ -959,3 +959,102 @@
 		t.Errorf("got %d starts and %d lost runs beside them in 20 s, want at most 6 and none", got, owner.lost["innocent"]-lost)
 	}
 }
+
+// newCrashedTwice returns a world of n workers and n batch tasks that last, which two crashes have hit together, so
+// that each starts isolated on a worker of its own.
+func newCrashedTwice(t *testing.T, n int) (w *crashWorld, jobs []heatherhub.JobID) {
+	w = newCrashWorld(t, n)
+	for i := range n {
+		jobs = append(jobs, heatherhub.JobID(fmt.Sprintf("long%d", i)))
+		w.add(jobs[i], tasks(1, 1000, time.Minute))
+	}
+	for range 2 {
+		w.play(4500 * time.Millisecond)
+		worker := w.placed[heatherhub.StepTask{Job: jobs[0]}]
+		if got := len(w.runs[worker]); got != n {
+			t.Fatalf("got %d runs on the worker of the first job, want %d", got, n)
+		}
+		w.crash(worker)
+	}
+	return w, jobs
+}
+
+// TestTwoCrashesHoldNoStartsBack guards against a shard without an open worker, since isolated runs keep other starts
+// away from all of them until they are proven.
+func TestTwoCrashesHoldNoStartsBack(t *testing.T) {
+	w, _ := newCrashedTwice(t, 8)
+	for i := range 24 {
+		id := heatherhub.JobID(fmt.Sprintf("small%d", i))
+		w.add(id, tasks(1, 1000, 400*time.Millisecond))
+		from := w.now.Steady
+		for w.startsOf(heatherhub.StepTask{Job: id}) == 0 && w.now.Steady-from < 20*time.Second {
+			w.play(20 * time.Millisecond)
+		}
+		if got, want := w.now.Steady-from, 3*time.Second; got > want {
+			t.Errorf("got the start of job %s after %s, want it within %s", id, got, want)
+		}
+		w.play(500 * time.Millisecond)
+	}
+}
+
+// TestDeadlyTaskBesideIsolatedRunsIsContained guards against a deadly task that nobody counts, as it starts beside
+// isolated runs, and against jobs that are failed in its place.
+func TestDeadlyTaskBesideIsolatedRunsIsContained(t *testing.T) {
+	for age, limit := range map[time.Duration]int{20 * time.Millisecond: 3, 300 * time.Millisecond: maxDeadlyStarts} {
+		w, jobs := newCrashedTwice(t, 8)
+		w.play(2 * time.Second)
+		deadly := heatherhub.StepTask{Job: "deadly"}
+		w.deadly[deadly], w.deadlyAge, w.deadlyDown = true, age, 500*time.Millisecond
+		w.add("deadly", tasks(1, 1000, 20*time.Second))
+		w.play(4 * time.Minute)
+		w.checkState("deadly", heatherhub.WorkflowFailed)
+		if got := w.startsOf(deadly); got > limit {
+			t.Errorf("crashes after %s: got %d starts of the deadly task, want at most %d", age, got, limit)
+		}
+		for _, id := range jobs {
+			w.checkState(id, heatherhub.WorkflowCompleted)
+		}
+	}
+}
+
+// TestDeadlyTaskAmongOthersIsContained guards against a deadly task that goes on since others start beside its
+// isolated runs, and against innocent jobs that are failed for its crashes.
+func TestDeadlyTaskAmongOthersIsContained(t *testing.T) {
+	testDeadlyTaskAmongOthers(t, 20*time.Millisecond, 300*time.Millisecond)
+}
+
+// TestTaskThatCrashesItsWorkersLaterAmongOthersIsContained is the same with runs that are proven when they crash
+// their workers.
+func TestTaskThatCrashesItsWorkersLaterAmongOthersIsContained(t *testing.T) {
+	testDeadlyTaskAmongOthers(t, time.Second, 4500*time.Millisecond)
+}
+
+// testDeadlyTaskAmongOthers plays sites with as many tasks that last as workers, one of which crashes its workers
+// at one of the ages, and small jobs all the time.
+func testDeadlyTaskAmongOthers(t *testing.T, ages ...time.Duration) {
+	for _, workers := range []int{4, 8, 14} {
+		for _, age := range ages {
+			w := newCrashWorld(t, workers)
+			w.play(time.Minute)
+			deadly := heatherhub.StepTask{Job: "lasting0"}
+			w.deadly[deadly], w.deadlyAge, w.deadlyDown = true, age, 500*time.Millisecond
+			var jobs []heatherhub.JobID
+			for i := range workers {
+				jobs = append(jobs, heatherhub.JobID(fmt.Sprintf("lasting%d", i)))
+				w.add(jobs[i], tasks(1, 700, 60*time.Second))
+			}
+			for i := range 240 {
+				jobs = append(jobs, heatherhub.JobID(fmt.Sprintf("small%d", i)))
+				w.add(jobs[len(jobs)-1], tasks(1, 1000, 400*time.Millisecond))
+				w.play(260 * time.Millisecond)
+			}
+			w.play(4 * time.Minute)
+			if got := w.startsOf(deadly); got > maxDeadlyStarts {
+				t.Errorf("%d workers, crashes after %s: got %d starts of the deadly task, want at most %d", workers, age, got, maxDeadlyStarts)
+			}
+			for _, id := range jobs[1:] {
+				w.checkState(id, heatherhub.WorkflowCompleted)
+			}
+		}
+	}
+}
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -20,21 +20,24 @@
 }
 
 // chooseWorkerWhere is chooseWorker among the workers that isWanted accepts; nil accepts all.
-// Tasks that have to be isolated are placed without regard to it.
+// Tasks that have to be isolated are placed without regard to it. A worker that is kept for isolated runs
+// takes others only if it is lent and no other worker is eligible.
 func (e *Engine) chooseWorkerWhere(now Moment, s *stepRun, t *task, isWanted func(*node) bool) *node {
 	if t.needsIsolation() {
 		return e.chooseIsolated(now, s, t)
 	}
 	var best *node
 	var bestScore float64
+	isBestKept := false
 	for _, n := range e.sortedNodes {
-		if (isWanted != nil && !isWanted(n)) || !e.isEligible(now, n, s, t) {
+		isKept := !n.isOpenTo(now.Steady, t)
+		if (isKept && !n.isLent(now.Steady)) || (isWanted != nil && !isWanted(n)) || !e.hasRoom(now, n, s, t) {
 			continue
 		}
 		score, ok := e.score(now.Steady, n, s)
 		score -= n.coldPenalty(now.Steady, s)
-		if ok && (best == nil || score > bestScore) {
-			best, bestScore = n, score
+		if ok && (best == nil || (isBestKept && !isKept) || (isBestKept == isKept && score > bestScore)) {
+			best, bestScore, isBestKept = n, score, isKept
 		}
 	}
 	return best
