Keep what may run on a lost worker that had announced that it leaves

Cause: once a worker that leaves counts as gone, the engine knows no runs of it, and as long as it is listed, or an open start there is not recorded, it stays in the stored list: as one on which anything may run. The next owner that cannot reach it holds all inherited tasks back until the leases are over.

Change: such a worker stays closed. The tasks that may run there are those with open starts, and those that a previous owner had listed and that are not resolved.

--- a/process/dispatch/unresolved.go
+++ b/process/dispatch/unresolved.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"heatherhub.example/heatherhub"
@@ -115,6 +116,20 @@
 	return e.TasksOn(id)
 }
 
+// LostWorkerTasks returns the tasks that may run at a worker that is lost, or on its next incarnation. It reports false
+// if any task of a previous owner may.
+func (e *Engine) LostWorkerTasks(id heatherhub.WorkerID) ([]heatherhub.StepTask, bool) {
+	u := e.unresolved[id]
+	if _, ok := e.unresolved[id]; ok && !u.isClosed {
+		return nil, false
+	}
+	out := slices.Clone(u.tasks)
+	for _, o := range e.open[id.Name()] {
+		out = append(out, o.task.id())
+	}
+	return out, true
+}
+
 // TasksOn returns the tasks that may run on a worker, or have ended there without that being
 // durable, as long as no further start is sent. It reports false if the worker is not known or has not
 // listed all of its ended runs.
--- a/process/owner/fleet.go
+++ b/process/owner/fleet.go
@@ -220,7 +220,9 @@
 func (t *term) fleetWorker(id heatherhub.WorkerID, address string) record.FleetWorker {
 	w := record.FleetWorker{ID: id, Address: address}
 	if loop := t.workers[id]; loop != nil && loop.hasDrained {
-		w.Tasks, w.IsClosed = t.engine.ClosedWorkerTasks(id)
+		if w.Tasks, w.IsClosed = t.engine.ClosedWorkerTasks(id); !w.IsClosed && loop.isGone {
+			w.Tasks, w.IsClosed = t.engine.LostWorkerTasks(id)
+		}
 	}
 	if !w.IsClosed {
 		w.Tasks, w.IsClosed = t.fleet.closed[id]
@@ -386,6 +388,11 @@
 	}
 	if t.engine.AwaitsNextIncarnation(w.id) {
 		t.fleet.restarted[w.id] = struct{}{}
+		if tasks, ok := t.engine.LostWorkerTasks(w.id); ok && w.hasDrained {
+			// Its loop may begin again while it is listed.
+			t.fleet.closed[w.id] = tasks
+		}
+		t.fleet.generation++
 		return
 	}
 	t.removeFromFleet(w.id)
--- a/process/owner/former_life_test.go
+++ b/process/owner/former_life_test.go
@@ -128,6 +128,45 @@
 	}
 }
 
+// TestDrainedWorkersWithOpenStartsHoldNoOtherTaskBack guards against a new owner that starts nothing for as long as
+// leases last: the stored list left open what may run on a lost worker that had announced that it leaves.
+func TestDrainedWorkersWithOpenStartsHoldNoOtherTaskBack(t *testing.T) {
+	testOnSite(t, 2, func(site *simSite) {
+		time.Sleep(15 * time.Second)
+		site.delaysCallsInNetwork.Store(true)
+		site.mu.Lock()
+		site.fixedDelay = 11 * time.Second
+		site.mu.Unlock()
+		site.setDelayedShare(1)
+		living := site.livingWorkers()
+		workers := living[:2]
+		site.submitGuest("held", newLongRunningStep(12))
+		time.Sleep(100 * time.Millisecond)
+		for _, m := range workers {
+			m.addCutOffs(1)
+			site.drainFor(m, 5*time.Second)
+		}
+		site.setDelayedShare(0)
+		time.Sleep(500 * time.Millisecond)
+		for _, m := range workers {
+			m.leave(false)
+		}
+		time.Sleep(7 * time.Second)
+		site.submit("inherited", newStep(1, time.Second), newStep(1, time.Second, 0))
+		// The list is written again after the workers were lost.
+		site.drainFor(living[2], time.Minute)
+		time.Sleep(500 * time.Millisecond)
+		site.changeOwner(false)
+		start := heatherhub.StepTask{Job: "inherited", Step: 1}
+		took := site.await("the start of inherited work", 9*time.Second, func() bool { return site.startCount(start) == 1 })
+		// The next owner has the shard within a second of the key's end, and the step before ends before that.
+		if limit := 2 * time.Second; took > limit {
+			t.Errorf("got the start %s after the change, want at most %s", took, limit)
+		}
+		time.Sleep(20 * time.Second)
+	})
+}
+
 // handOver ends a host in a planned way.
 func (site *simSite) handOver(id heatherhub.HostID) {
 	site.mu.Lock()
