--- a/process/dispatch/crash.go
+++ b/process/dispatch/crash.go
@@ -16,7 +16,8 @@
 //   - A run that a report lists some time after its start has shown that it does no harm. The
 //     runs that have not shown it are the suspects of a crash.
 //   - A suspected task starts again isolated: on a worker with no other suspect, that gets no
-//     other start until the run has shown that it does no harm. A run that works clears it.
+//     other start until the run has shown that it does no harm, unless it is lent. A run that works
+//     clears it.
 //   - Each crash under a suspect comes with the chance that the worker would have crashed by then
 //     whatever it ran, from the crashes that no start explains. A job is given up once the chances
 //     of all of them together are negligible for one of its tasks.
