End the open starts to a worker that has left

Cause: while a worker that leaves is there and refuses the open start, its task may start elsewhere. Once it counted as gone nobody refused the start any more, so the task waited until a run that another incarnation begins would be over by its lease, 12 s and the longest lease later. No other incarnation follows on a worker that has announced that it leaves.

Change: the open starts to such a worker end with it. The evidence that it is gone covers them: it has refused them, or the leases that came with them are over on its clock.

--- a/process/dispatch/unanswered.go
+++ b/process/dispatch/unanswered.go
@@ -368,6 +368,16 @@
 	}
 }
 
+// WorkerLeft ends the open starts to a worker that is gone after it had announced that it leaves. No incarnation follows
+// under its ID, and the last one refuses them: it has said so, or their leases are over on its clock.
+func (e *Engine) WorkerLeft(now Moment, id heatherhub.WorkerID) {
+	for _, o := range slices.Clone(e.open[id.Name()]) {
+		if o.worker == id || o.refusedBy == id {
+			e.endOpen(now, o, "worker left")
+		}
+	}
+}
+
 // expireOpen ends the open starts whose runs are over by their leases. Another owner could have
 // renewed these, so the ownership must have been confirmed since.
 func (e *Engine) expireOpen(now Moment) {
--- a/process/owner/former_life_test.go
+++ b/process/owner/former_life_test.go
@@ -167,6 +167,39 @@
 	})
 }
 
+// TestOpenStartsEndWithADrainedWorker guards against long-running tasks that stay down beside room for 12 s and the
+// longest lease, since their starts to a worker that has left got no answer.
+func TestOpenStartsEndWithADrainedWorker(t *testing.T) {
+	for _, isKilled := range []bool{false, true} {
+		testOnSite(t, 2, func(site *simSite) {
+			time.Sleep(15 * time.Second)
+			site.delaysCallsInNetwork.Store(true)
+			site.mu.Lock()
+			site.fixedDelay = 11 * time.Second
+			site.mu.Unlock()
+			site.setDelayedShare(1)
+			site.submit("held", newLongRunningStep(12))
+			time.Sleep(100 * time.Millisecond)
+			for _, m := range site.livingWorkers()[:2] {
+				m.addCutOffs(1)
+				site.drainFor(m, 5*time.Second)
+				site.after(200*time.Millisecond, func() { m.leave(false) })
+			}
+			site.setDelayedShare(0)
+			// The lease counts from the loss of contact, or from the time up to which the former owner may have acted.
+			limit := 7 * time.Second
+			if isKilled {
+				time.Sleep(2 * time.Second)
+				site.changeOwner(false)
+				limit = 10 * time.Second
+			}
+			if took := site.await("all tasks", 40*time.Second, func() bool { return site.runningTasks("held") == 12 }); took > limit {
+				t.Errorf("killed %v: got all tasks running after %s, want at most %s", isKilled, took, limit)
+			}
+		})
+	}
+}
+
 // handOver ends a host in a planned way.
 func (site *simSite) handOver(id heatherhub.HostID) {
 	site.mu.Lock()
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -533,6 +533,9 @@
 	w.isGone = true
 	w.logGone(now.Steady, found, err)
 	t.engine.WorkerGone(now, w.id, isReplaced)
+	if w.hasDrained {
+		t.engine.WorkerLeft(now, w.id)
+	}
 	t.publishOnceResolved()
 	w.isUp = false
 	if isReplaced || !w.isListed {
