--- a/process/dispatch/unanswered.go
+++ b/process/dispatch/unanswered.go
@@ -16,7 +16,8 @@
 //   - an incarnation lists the run or its end,
 //   - an incarnation does not list it in the answer to a poll that was sent once the start could no
 //     longer be carried out,
-//   - another worker answers at the address, or
+//   - another worker answers at the address,
+//   - the worker is gone after it had announced that it leaves, or
 //   - the longest lease of a run that began at the last moment has expired.
 //
 // Until then its task waits. A task that ends by itself may start nowhere, since a second run could
