Count the work of an accepted job once

What callers saw: other jobs are answered 503 ("ends too late") under load, because a caller has sent an accepted job again.

Cause: each accepted submission added the work of its job to what the host has accepted since the last forecast, also one that found the job stored.

Change: a submission knows whether it has written the job. One that has found it still settles earlier refusals of the job, and adds no work.

Evidence: TestRepeatedSubmissionCountsOnce. Before: after 40 submissions of one job of 2 s of work another job is refused, with an end after 7.8 s where its value is over after 5.25 s. Now it is not, and 40 different jobs still have it refused. go test ./request/intake ./process/dispatch passes.

--- a/process/dispatch/admission_replay_test.go
+++ b/process/dispatch/admission_replay_test.go
@@ -90,7 +90,7 @@
 				}
 				continue
 			}
-			hosts[r.host].Accepted(flow)
+			hosts[r.host].Accepted(flow, true)
 			out.waited = max(out.waited, b.now.Steady-r.first)
 			accepted[r.id], r.at = b.now.Steady, 0
 			b.add(r.id, flow.Steps...)
--- a/request/intake/admission.go
+++ b/request/intake/admission.go
@@ -412,8 +412,9 @@
 	return heatherhub.WithRetryAfter(heatherhub.ErrUnavailable.New("the job was not accepted (%s): try again later", r.Reason), r.RetryAfter)
 }
 
-// Accepted notes a job that was accepted, and forgets its refusals.
-func (a *Admission) Accepted(flow *heatherhub.Workflow) {
+// Accepted notes a job that was accepted, and forgets its refusals. The work of a job counts only if isNew says
+// that it was not accepted before.
+func (a *Admission) Accepted(flow *heatherhub.Workflow, isNew bool) {
 	a.decisions.WithLabelValues("accepted").Inc()
 	if flow.Schedule != nil || flow.IsLongRunning() {
 		return
@@ -423,6 +424,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.refusals.settle(flow.ID)
+	if !isNew {
+		return
+	}
 	w := a.accepted[key]
 	if w == nil {
 		w = &acceptedWork{}
--- a/request/intake/admission_test.go
+++ b/request/intake/admission_test.go
@@ -182,6 +182,32 @@
 	}
 }
 
+// TestRepeatedSubmissionCountsOnce guards against refusals of other jobs because a caller has sent an accepted one
+// again.
+func TestRepeatedSubmissionCountsOnce(t *testing.T) {
+	clock := &testClock{now: time.Minute}
+	full := waitingLoad(clock, 3*time.Second, 0)
+	admission := newAdmission(clock, map[heatherhub.ShardID]record.Load{north: full, south: full})
+	s := &scriptedStore{}
+	api := newAdmittingAPI(s, clock, admission)
+	for range 40 {
+		if err := api.Submit(t.Context(), newBatch("repeated"), table); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if r := admission.Decide(newBatch("other")); r != nil {
+		t.Errorf("got refusal %+v, want none behind one job", r)
+	}
+	for i := range 40 {
+		if err := api.Submit(t.Context(), newBatch(fmt.Sprintf("j%d", i)), table); err != nil && i == 0 {
+			t.Fatal(err)
+		}
+	}
+	if r := admission.Decide(newBatch("other")); r == nil {
+		t.Error("got no refusal behind 40 jobs, want one")
+	}
+}
+
 // TestUnknownOutcomeIsNotRefused guards against a refusal of a job whose first write got no
 // answer and may still take effect.
 func TestUnknownOutcomeIsNotRefused(t *testing.T) {
--- a/request/intake/fence.go
+++ b/request/intake/fence.go
@@ -112,8 +112,9 @@
 
 // commit writes a job. If the reply is lost, a second attempt finds out whether the first one took
 // effect, because the job's key then exists. If the job has a fence, the next attempt requires its
-// revision.
-func (a *JobAPI) commit(ctx context.Context, s submission) error {
+// revision. commit reports false if the job was there before, and true if this submission has written it
+// or may have done so.
+func (a *JobAPI) commit(ctx context.Context, s submission) (bool, error) {
 	var fence ledger.Item
 	// isOpen means that an earlier attempt may still take effect.
 	isOpen := false
@@ -129,28 +130,28 @@
 			continue
 		case errors.As(err, &conflict):
 		case err != nil && (isOpen || heatherhub.IsUnknown(err)):
-			return errMayBeAccepted(err)
+			return false, errMayBeAccepted(err)
 		default:
-			return err
+			return err == nil, err
 		}
 		job, found, err := a.readConflict(ctx, conflict, s.id)
 		switch {
 		case err != nil:
-			return errMayBeAccepted(err)
+			return false, errMayBeAccepted(err)
 		case job.Revision > 0:
-			return nil
+			return isOpen, nil
 		case found.Revision != fence.Revision && isOpen:
 			// The fence has invalidated the earlier attempt, so a refusal elsewhere stands.
-			return heatherhub.WithRetryAfter(heatherhub.ErrUnavailable.New("job %s was refused or cancelled at the same time: try again", s.id), outageRetryAfter)
+			return false, heatherhub.WithRetryAfter(heatherhub.ErrUnavailable.New("job %s was refused or cancelled at the same time: try again", s.id), outageRetryAfter)
 		case found.Revision != fence.Revision:
 			fence = found
 		case isOpen:
-			return errMayBeAccepted(nil)
+			return false, errMayBeAccepted(nil)
 		default:
-			return ErrTableChanged.New("the configuration has changed: look up the queue again")
+			return false, ErrTableChanged.New("the configuration has changed: look up the queue again")
 		}
 	}
-	return errMayBeAccepted(nil)
+	return false, errMayBeAccepted(nil)
 }
 
 // readConflict returns the record and the fence of a job after a failed precondition. It reads them
--- a/request/intake/jobs.go
+++ b/request/intake/jobs.go
@@ -143,10 +143,10 @@
 // configuration. See the package comment for the errors.
 func (a *JobAPI) Submit(ctx context.Context, flow *heatherhub.Workflow, table *queues.Table) error {
 	a.inFlight.begin(flow.ID)
-	err := a.submit(ctx, flow, table)
+	isNew, err := a.submit(ctx, flow, table)
 	a.inFlight.end(a.cfg.Clock.Now().Steady, flow.ID, err)
 	if err == nil && a.cfg.Admission != nil {
-		a.cfg.Admission.Accepted(flow)
+		a.cfg.Admission.Accepted(flow, isNew)
 	}
 	return err
 }
@@ -177,7 +177,8 @@
 	return a.cfg.Admission.Refused(flow, r)
 }
 
-func (a *JobAPI) submit(ctx context.Context, flow *heatherhub.Workflow, table *queues.Table) error {
+// submit is Submit. It reports whether this submission has written the job, as far as is known.
+func (a *JobAPI) submit(ctx context.Context, flow *heatherhub.Workflow, table *queues.Table) (bool, error) {
 	isStored, err := a.checkStore(ctx, flow.ID)
 	if err != nil && !a.inFlight.isOnly(a.cfg.Clock.Now().Steady, flow.ID) {
 		err = errMayBeAccepted(err)
@@ -186,30 +187,30 @@
 		a.cfg.Log.Info("job refused", zap.String("job", string(flow.ID)), zap.String("why", "store silent"))
 	}
 	if err != nil || isStored {
-		return err
+		return false, err
 	}
 	if isAccepted, err := a.checkPool(ctx, flow, table); isAccepted || err != nil {
-		return err
+		return false, err
 	}
 	if err := a.refuseLate(ctx, flow); err != nil {
-		return err
+		return false, err
 	}
 	shard, err := a.cfg.Shards.Choose(flow)
 	if err != nil {
-		return err
+		return false, err
 	}
 	flow.Shard = shard
 	flow.Accepted = a.cfg.Clock.Now().Wall
 	value, err := record.Encode(flow)
 	if err != nil {
-		return err
+		return false, err
 	}
 	started := time.Now()
-	err = a.commit(ctx, submission{id: flow.ID, value: value, tableKey: a.cfg.TableKey, tableRevision: table.Revision})
+	isNew, err := a.commit(ctx, submission{id: flow.ID, value: value, tableKey: a.cfg.TableKey, tableRevision: table.Revision})
 	a.cfg.Log.Info("job submitted", zap.String("job", string(flow.ID)), zap.String("queue", string(flow.Queue)),
 		zap.Stringer("shard", shard), zap.Uint64("version", uint64(table.Version)),
 		zap.Duration("took", time.Since(started)), zap.String("outcome", outcomeOf(err)), zap.Error(err))
-	return err
+	return isNew, err
 }
 
 // checkPool returns heatherhub.ErrUnavailable if no worker may take the tasks of the job because of
