Count ended runs in whatever order a worker lists them

What callers would see: a job whose tasks have ended done runs them again, or for as long as its worker does not list them.

Cause: an end counted only if its number was higher than that of the one before it in the list, and the highest number is acknowledged. So of the ends 3, 2, 1 the last two were dropped, and the worker was told to forget them.

Change: the ends of a report are sorted before they are processed.

Evidence: TestEndsInAnyOrderCount lists the ends of three of four tasks from the last to the first, two of them twice, and the fourth run twice. Before: 0 tasks done and 3 running instead of 2 and 1.

--- a/process/dispatch/dispatch_test.go
+++ b/process/dispatch/dispatch_test.go
@@ -445,6 +445,38 @@
 	}
 }
 
+// TestEndsInAnyOrderCount guards against ends that are acknowledged without being counted: the worker lists the last
+// one first, and runs and ends twice.
+func TestEndsInAnyOrderCount(t *testing.T) {
+	b := newSimulation(t, dispatch.Policy{MaxAttempts: 2}, 1)
+	b.add("j", tasks(4, 1000, time.Minute))
+	b.step(0)
+	runs := b.runs["w00"]
+	if got, want := len(runs), 4; got != want {
+		t.Fatalf("got %d runs, want %d", got, want)
+	}
+	end := func(i int, kind agent.EndKind) agent.Ended {
+		return agent.Ended{Sequence: uint64(i + 1), Task: runs[i].order.Task, Run: runs[i].order.Run, Kind: kind}
+	}
+	listed := agent.Running{Task: runs[3].order.Task, Run: runs[3].order.Run}
+	r := agent.Report{
+		Clock: 1, Running: []agent.Running{listed, listed},
+		Ended: []agent.Ended{end(2, agent.EndFailed), end(1, agent.EndDone), end(0, agent.EndDone), end(2, agent.EndFailed), end(1, agent.EndDone)},
+	}
+	b.e.Report(b.now, b.now.Steady, "w00", &r)
+	b.e.Committed(b.now, b.e.TakeChanges(10), 1)
+	v, _ := b.e.Job("j")
+	if got, want := [3]int{v.Finished, v.Running, v.FailedRuns}, [3]int{2, 1, 1}; got != want {
+		t.Errorf("got %v tasks that are done, running and failed, want %v", got, want)
+	}
+	if got, want := b.e.Acknowledged("w00"), uint64(3); got != want {
+		t.Errorf("got ends acknowledged up to %d, want %d", got, want)
+	}
+	if got, want := b.e.OpenRuns("w00"), 1; got != want {
+		t.Errorf("got %d open runs, want %d", got, want)
+	}
+}
+
 // TestFailingWorkerIsQuarantined runs a worker on which every task fails. All jobs
 // must complete on other workers.
 func TestFailingWorkerIsQuarantined(t *testing.T) {
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -141,6 +141,8 @@
 		listed[key] = struct{}{}
 		e.handleRunning(now, n, key, run)
 	}
+	// The order of the list is not specified, and ends are acknowledged by their highest number.
+	slices.SortStableFunc(r.Ended, func(a, b agent.Ended) int { return cmp.Compare(a.Sequence, b.Sequence) })
 	for i := range r.Ended {
 		if r.Ended[i].Sequence > n.lastEnd {
 			e.handleEnded(now, n, &r.Ended[i])
