Keep starved gangs to the limit of their step per worker

Cause: a job of fillers that has nothing running is started where it interferes least. That choice checks labels and room, and left the limit out. A gang starts there as a whole, so it gets past the limit at once; single tasks cannot, as they start only while none of their job runs.

Change: the choice leaves workers out that have as many tasks of the step as are allowed.

--- a/process/dispatch/dispatch_test.go
+++ b/process/dispatch/dispatch_test.go
@@ -432,6 +432,29 @@
 	}
 }
 
+// TestStarvedGangKeepsToItsLimit guards against more members of a gang of fillers on one worker than its step allows,
+// while the workers are full of other fillers.
+func TestStarvedGangKeepsToItsLimit(t *testing.T) {
+	b := newSimulation(t, dispatch.Policy{}, 4)
+	large := tasks(3, 8000, 20*time.Second)
+	large.Filler, large.Image = true, "large"
+	b.add("large", large)
+	b.advance(time.Second)
+	gang := tasks(4, 4000, time.Second)
+	gang.Filler, gang.Image, gang.Gang, gang.MaxPerWorker = true, "gang", true, 1
+	b.add("gang", gang)
+	b.advance(3 * time.Second)
+	workers := make(map[heatherhub.WorkerID]int)
+	for task, w := range b.placed {
+		if task.Job == "gang" {
+			workers[w]++
+		}
+	}
+	if got, want := len(workers), gang.Tasks; got != want {
+		t.Errorf("got a gang of %d on %d workers %v, want one member on each", want, got, workers)
+	}
+}
+
 // TestStepThatNamesAnotherTwiceStarts guards against a step that waits for good since it names an earlier one
 // twice.
 func TestStepThatNamesAnotherTwiceStarts(t *testing.T) {
--- a/process/dispatch/order.go
+++ b/process/dispatch/order.go
@@ -262,7 +262,7 @@
 	var best *node
 	var bestHeadroom float64
 	for _, n := range e.sortedNodes {
-		if !e.hasLabelsAndRoom(now, n, s) || !n.isOpenTo(now.Steady, t) || n.throttle.isClosed(now.Steady, 0) {
+		if !e.hasLabelsAndRoom(now, n, s) || s.isAtLimitOn(n) || !n.isOpenTo(now.Steady, t) || n.throttle.isClosed(now.Steady, 0) {
 			continue
 		}
 		headroom := e.lowestHeadroom(now.Steady, n) - e.headroomLoss(n, s.spec.Image, n.shareOf(s.spec.Need.CPU))
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -75,7 +75,7 @@
 		return false
 	case s.spec.Filler && n.spareCPU() < s.spec.Need.CPU:
 		return false
-	case s.spec.MaxPerWorker > 0 && s.tasksPerNode[n] >= s.spec.MaxPerWorker:
+	case s.isAtLimitOn(n):
 		return false
 	case e.isSlow(now.Steady, n) && !s.spec.LongRunning:
 		return false
@@ -84,6 +84,11 @@
 	}
 }
 
+// isAtLimitOn reports whether a worker may run no further task of the step.
+func (s *stepRun) isAtLimitOn(n *node) bool {
+	return s.spec.MaxPerWorker > 0 && s.tasksPerNode[n] >= s.spec.MaxPerWorker
+}
+
 // Weights of the placement score, in fractions of a worker's processors.
 const (
 	// rackWeight exceeds every difference in free capacity: a task away from its rack takes
--- a/process/dispatch/preempt.go
+++ b/process/dispatch/preempt.go
@@ -198,7 +198,7 @@
 	switch {
 	case !n.acceptsTasks(p.now.Steady), n.worker.Pool != s.occ.job.policy.Pool, p.e.isSlow(p.now.Steady, n):
 		return false
-	case s.spec.MaxPerWorker > 0 && s.tasksPerNode[n] >= s.spec.MaxPerWorker:
+	case s.isAtLimitOn(n):
 		return false
 	default:
 		return s.spec.RequiredLabel == "" || n.worker.HasLabel(s.spec.RequiredLabel)
