Draw jobs from all that callers may send

Cause: random tests drew faults, and jobs of one or two plain steps.

Change: TestDrawnJobsComplete submits random jobs to empty, sound workers of two kinds: up to 20 steps with predecessors in any order and number, gangs, labels, racks, limits per worker, accelerators, fillers, long-running and scheduled jobs, wrong estimates. Each has to be completed, in order and once, and no task may wait for 3 s beside room. The workers of process/owner play gangs now, and every start in that package is checked for label, limit per worker and due time. The check of room counts what a filler reserves, as "the step's cpu is not counted against a worker's capacity" (PROTOCOL.md, fills); nothing in that package had depended on it.

--- a/process/owner/worker_test.go
+++ b/process/owner/worker_test.go
@@ -54,6 +54,8 @@
 	startedAt time.Time
 	endsAt    time.Time
 	stopsAt   time.Time
+	// gang is the run of the whole gang, or nil.
+	gang *gang
 }
 
 // fakeEnd is an ended run that the worker reports until it is acknowledged.
@@ -85,13 +87,18 @@
 		switch {
 		case m.isGone:
 			delete(m.running, t)
+			m.site.leaveGang(r, false)
 			m.site.recordEndOfRun(t, !m.entry.Draining && time.Since(r.startedAt) <= maxCrashAge)
 		case isOver && !m.site.ignoreLeases.Load():
 			m.finish(t, r, agent.EndExpired)
 		case !r.stopsAt.IsZero() && now.After(r.stopsAt):
 			m.finish(t, r, agent.EndStopped)
+		case r.gang != nil:
+			if kind, isOver := m.site.endOfGang(t, r); isOver {
+				m.finish(t, r, kind)
+			}
 		case now.After(r.endsAt):
-			m.finish(t, r, agent.EndDone)
+			m.finish(t, r, m.site.endOfWork(t))
 		}
 	}
 	for i := range m.ended {
@@ -102,6 +109,7 @@
 // finish ends a run and adds the end to the report. The caller holds m.mu.
 func (m *fakeWorker) finish(t heatherhub.StepTask, r *fakeRun, kind agent.EndKind) {
 	delete(m.running, t)
+	m.site.leaveGang(r, kind == agent.EndDone)
 	m.lastEndNumber++
 	end := agent.Ended{Sequence: m.lastEndNumber, Task: t, Run: r.run, Kind: kind}
 	if kind == agent.EndDone && m.site.reportDoneAsFailed.Load() {
@@ -175,7 +183,9 @@
 		m.site.addViolation("task %v starts on %s as run %d while run %d is there", s.Task, m.entry.ID, s.Run, r.run)
 		m.site.mu.Unlock()
 	}
-	m.running[s.Task] = &fakeRun{run: s.Run, startedAt: time.Now(), endsAt: time.Now().Add(m.site.runTime(s.Task))}
+	r := &fakeRun{run: s.Run, startedAt: time.Now(), endsAt: time.Now().Add(m.site.runTime(s.Task))}
+	m.site.joinGang(r, s.Task)
+	m.running[s.Task] = r
 	m.site.recordStart(m, s.Task, s.Run, s.Token, isLate)
 	m.site.crashAfterStart(m, s.Task, s.Run)
 	m.site.loseAfterStart(m, s.Task, s.Run)
@@ -265,7 +275,7 @@
 	for t, run := range m.running {
 		row := agent.Running{Task: t, Run: run.run, Progress: 100}
 		if whole := m.site.runTime(t); whole < longRunTime {
-			row.Progress = heatherhub.Percent(100 * (1 - float64(time.Until(run.endsAt))/float64(whole)))
+			row.Progress = heatherhub.Percent(100 * (1 - float64(time.Until(m.site.endOfRun(run)))/float64(whole)))
 		}
 		if target := m.site.latencyTarget(t); target > 0 && m.site.missesTargets.Load() {
 			row.Measurement, row.HasMeasurement = 1.3*float64(target.Milliseconds()), true
--- a/process/owner/world_test.go
+++ b/process/owner/world_test.go
@@ -115,6 +115,12 @@
 	// which; mu guards both.
 	deaf    map[heatherhub.HostID]float64
 	deafRNG *rand.Rand
+	// runTimes has, by step, the run times of the tasks of jobs whose estimates are wrong.
+	runTimes map[heatherhub.JobID][]time.Duration
+	// failsOnce has the tasks whose next run fails.
+	failsOnce map[heatherhub.StepTask]bool
+	// gangs has the runs of gangs.
+	gangs map[gangRun]*gang
 }
 
 // loseAnswers has a share of the answers of workers to a host lost. The calls reach the workers.
@@ -141,6 +147,7 @@
 		cancelHosts: make(map[heatherhub.HostID]context.CancelFunc), hosts: make(map[heatherhub.HostID]*owner.Host), jobs: make(map[heatherhub.JobID]*heatherhub.Workflow),
 		completed: make(map[heatherhub.StepTask]bool), acknowledged: make(map[heatherhub.StepTask]bool),
 		evacuatedAt: make(map[heatherhub.FailureDomain]time.Time), givenUp: make(map[heatherhub.JobID]bool), lossChains: make(map[heatherhub.StepTask]int),
+		gangs: make(map[gangRun]*gang), failsOnce: make(map[heatherhub.StepTask]bool), runTimes: make(map[heatherhub.JobID][]time.Duration),
 		starts: make(map[heatherhub.StepTask]int), begunAt: make(map[heatherhub.JobID]time.Time), jobShard: heatherhub.ShardID{Domain: record.SiteDomain},
 	}
 }
@@ -409,6 +416,9 @@
 	if s.LongRunning {
 		return longRunTime
 	}
+	if times := site.runTimes[t.Job]; times != nil {
+		return times[t.Step]
+	}
 	return s.Estimate
 }
 
@@ -436,8 +446,12 @@
 	room := m.room(isLate)
 	var used heatherhub.Resources
 	site.mu.Lock()
+	beside := 0
 	for t := range m.running {
-		used = used.Add(site.jobs[t.Job].Steps[t.Step].Need)
+		if t.Job == s.Task.Job && t.Occurrence == s.Task.Occurrence && t.Step == s.Task.Step {
+			beside++
+		}
+		used = used.Add(site.jobs[t.Job].Steps[t.Step].Reserved())
 	}
 	flow := site.jobs[s.Task.Job]
 	site.mu.Unlock()
@@ -466,16 +480,32 @@
 	if site.acknowledged[s.Task] {
 		site.addViolation("task %v starts again after its end was acknowledged", s.Task)
 	}
-	if !used.Add(st.Need).Fits(room) {
-		site.addViolation("worker %s with room for %v starts a task that needs %v while %v are in use", m.entry.ID, room, st.Need, used)
+	if !used.Add(st.Reserved()).Fits(room) {
+		site.addViolation("worker %s with room for %v starts a task that needs %v while %v are in use", m.entry.ID, room, st.Reserved(), used)
 	}
 	for _, a := range st.After {
-		for i := range flow.Steps[a].Tasks {
-			if !site.completed[heatherhub.StepTask{Job: s.Task.Job, Step: a, Index: i}] {
-				site.addViolation("task %v starts before task %d of step %d is done", s.Task, i, a)
-			}
+		if i := site.unfinishedTask(flow, s.Task.Occurrence, a); i >= 0 {
+			site.addViolation("task %v starts before task %d of step %d is done", s.Task, i, a)
 		}
 	}
+	site.auditPlace(m, flow, s.Task, beside)
+}
+
+// unfinishedTask returns the index of a task of a step that is not done, or -1. One member of a gang that
+// is done stands for all. The caller holds site.mu.
+func (site *simSite) unfinishedTask(flow *heatherhub.Workflow, occurrence, step int) int {
+	unfinished, done := -1, 0
+	for i := range flow.Steps[step].Tasks {
+		if site.completed[heatherhub.StepTask{Job: flow.ID, Occurrence: occurrence, Step: step, Index: i}] {
+			done++
+		} else if unfinished < 0 {
+			unfinished = i
+		}
+	}
+	if flow.Steps[step].Gang && done > 0 {
+		return -1
+	}
+	return unfinished
 }
 
 func (site *simSite) recordStart(m *fakeWorker, t heatherhub.StepTask, run heatherhub.RunID, token agent.Token, isLate bool) {
