Choose a shard that has workers for all steps of a job

What callers saw: on a site of several shards a job is accepted and never goes on, beside idle workers that could run it: a step that requires a label, accelerators or a gang for which its shard has no worker (LOST).

Cause: the shard of a new job was chosen by load and by the rack of its data alone. A job moves to another shard for want of room and never for want of workers that it requires, and scheduled and long-running jobs of several steps do not move at all.

Change: each load lists the kinds of workers of its shard, by pool and labels, with their capacity and their number in each rack. A shard that lacks workers for a step is chosen only if each one does; then a log line says so.

TestShardWithoutWorkersForAStepIsNotChosen has each reason by itself.

--- a/process/owner/commit.go
+++ b/process/owner/commit.go
@@ -335,6 +335,7 @@
 	waiting := t.engine.QueuedJobs()
 	now := t.now()
 	inService, evacuated := t.poolsInService()
+	kinds := t.engine.WorkerKinds()
 	forecast := t.engine.Forecast(now)
 	t.host.metrics.reportForecast(t.shard, forecast)
 	t.log.Info("load", zap.Int64("capacity", int64(l.Capacity)), zap.Int64("reserved", int64(l.Reserved)), zap.Int64("filling", int64(l.FillerDemand)), zap.Duration("backlog", l.Backlog),
@@ -343,7 +344,7 @@
 		Capacity: l.Capacity, Reserved: l.Reserved, FillerDemand: l.FillerDemand, Backlog: l.Backlog,
 		LongRunning: l.LongRunning, BatchPeak: t.engine.BatchPeak(now),
 		Waiting: waiting, BegunGuests: t.engine.BegunGuests(), MovedJobs: t.engine.MovedJobs(now), JobsRead: t.jobsRead, JobsReadAge: now.Steady - t.jobsAnsweredAt, OwnerRevision: t.ownerRevision,
-		Racks: t.engine.Racks(), LargestFree: record.Rooms(t.engine.LargestFree(now, record.MaxLargestFree)),
+		Racks: kinds.Racks, Kinds: kinds.Kinds, LargestFree: record.Rooms(t.engine.LargestFree(now, record.MaxLargestFree)),
 		LargestSpare: record.Rooms(t.engine.LargestSpare(now, record.MaxLargestFree)), FillerRoom: t.engine.FillerRoom(now), Forecast: forecast, At: now.Wall,
 		PoolsInService: inService, EvacuatedPools: evacuated,
 	})
--- a/process/owner/drawn_jobs_test.go
+++ b/process/owner/drawn_jobs_test.go
@@ -55,6 +55,11 @@
 	testDrawnJobs(t, func(t *testing.T, seed uint64) *jobDraw { return newJobDraw(t, seed, 0) })
 }
 
+// TestDrawnJobsCompleteInShards is TestDrawnJobsComplete with a shard for each failure domain.
+func TestDrawnJobsCompleteInShards(t *testing.T) {
+	testDrawnJobs(t, func(t *testing.T, seed uint64) *jobDraw { return newJobDraw(t, seed, drawnWorkersPerDomain) })
+}
+
 // TestDrawnJobsCompleteUnderChangingOwners is TestDrawnJobsComplete with owners that are killed or stopped.
 func TestDrawnJobsCompleteUnderChangingOwners(t *testing.T) {
 	testDrawnJobs(t, func(t *testing.T, seed uint64) *jobDraw {
@@ -150,9 +155,25 @@
 	}
 	site.submit("first", newStep(1, 100*time.Millisecond))
 	site.await("the first job", 5*time.Second, func() bool { return site.isCompleted("first") })
+	site.await("the loads of all workers", 5*time.Second, func() bool { return d.countPublishedWorkers() == len(d.workers) })
 	return d
 }
 
+// countPublishedWorkers returns the number of workers in the loads of all shards.
+func (d *jobDraw) countPublishedWorkers() int {
+	loads, err := owner.ReadLoads(context.Background(), (&hostStore{fakeStore: d.site.store, site: d.site, host: "h0"}).Range, zap.NewNop())
+	if err != nil {
+		d.site.t.Error(err)
+	}
+	n := 0
+	for _, l := range loads {
+		for _, k := range l.Kinds {
+			n += k.Workers
+		}
+	}
+	return n
+}
+
 // draw returns a job that the empty workers of some shard can run.
 func (d *jobDraw) draw() *heatherhub.Workflow {
 	for {
--- a/process/record/load.go
+++ b/process/record/load.go
@@ -34,6 +34,9 @@
 	OwnerRevision ledger.Revision `msgpack:"or,omitempty" json:"ownerRevision,omitempty"`
 	// Racks are the racks of the shard's workers.
 	Racks []heatherhub.Rack `msgpack:"k,omitempty" json:"racks,omitempty"`
+	// Kinds are the kinds of workers that the shard has. Owners of earlier versions publish none, nor do those of shards
+	// with very many kinds.
+	Kinds []dispatch.WorkerKind `msgpack:"wk,omitempty" json:"kinds,omitempty"`
 	// EvacuatedPools are the pools with a worker in an evacuated failure domain, and
 	// PoolsInService, while any domain is evacuated, those with a worker in another one that
 	// does not drain.
@@ -57,6 +60,13 @@
 	Revision ledger.Revision `msgpack:"-" json:"revision"`
 }
 
+// CanRun reports whether the workers of the shard, if they were empty, could run a step. It does if the load does not
+// say which workers there are.
+func (l *Load) CanRun(pool heatherhub.PoolID, s *heatherhub.Step) bool {
+	k := dispatch.WorkerKinds{Kinds: l.Kinds, Racks: l.Racks}
+	return k.CanRun(pool, s)
+}
+
 // ReservedShare returns the fraction of the processors that tasks reserve.
 func (l *Load) ReservedShare() float64 {
 	return float64(l.Reserved) / float64(max(l.Capacity, 1))
--- a/request/intake/intake_test.go
+++ b/request/intake/intake_test.go
@@ -308,6 +308,54 @@
 	}
 }
 
+// TestShardWithoutWorkersForAStepIsNotChosen guards against jobs that are given to a shard of which no worker can ever
+// run one of their steps, however idle it is: they would wait for good.
+func TestShardWithoutWorkersForAStepIsNotChosen(t *testing.T) {
+	kind := func(accelerators heatherhub.Accelerators, inRacks []int, labels ...string) dispatch.WorkerKind {
+		n := 0
+		for _, k := range inRacks {
+			n += k
+		}
+		return dispatch.WorkerKind{Pool: "p", Labels: labels, Capacity: heatherhub.Resources{CPU: 10_000, Memory: 10_000, Accelerators: accelerators}, Workers: n, InRacks: inRacks}
+	}
+	idle := record.Load{Capacity: 40_000, Racks: []heatherhub.Rack{"r1", "r2"}, Kinds: []dispatch.WorkerKind{kind(0, []int{2, 2}, "small")}}
+	busy := record.Load{
+		Capacity: 40_000, Reserved: 39_000, Racks: []heatherhub.Rack{"r3", "r4"},
+		Kinds: []dispatch.WorkerKind{kind(0, []int{1, 4}, "small"), kind(4, []int{1, 0}, "large")},
+	}
+	unknown := busy
+	unknown.Kinds = nil
+	for name, c := range map[string]struct {
+		change func(*heatherhub.Step)
+		want   heatherhub.ShardID
+		// wantUnlisted is the choice if the workers of the busy shard are not known.
+		wantUnlisted heatherhub.ShardID
+	}{
+		"any worker":           {func(*heatherhub.Step) {}, north, north},
+		"label":                {func(s *heatherhub.Step) { s.RequiredLabel = "large" }, south, south},
+		"rack":                 {func(s *heatherhub.Step) { s.RequiredLabel = "r4" }, south, south},
+		"accelerators":         {func(s *heatherhub.Step) { s.Need.Accelerators = 2 }, south, south},
+		"gang":                 {func(s *heatherhub.Step) { s.Gang, s.Tasks, s.MaxPerWorker = true, 5, 1 }, south, south},
+		"gang in a rack":       {func(s *heatherhub.Step) { s.Gang, s.Tasks, s.Need.CPU, s.RequiredLabel = true, 4, 10_000, "r4" }, south, south},
+		"gang that fits":       {func(s *heatherhub.Step) { s.Gang, s.Tasks, s.MaxPerWorker = true, 4, 1 }, north, north},
+		"gang of fillers":      {func(s *heatherhub.Step) { s.Gang, s.Filler, s.Tasks, s.Need.CPU = true, true, 8, 9000 }, north, north},
+		"no worker has enough": {func(s *heatherhub.Step) { s.Need.CPU = 20_000 }, north, south},
+	} {
+		t.Run(name, func(t *testing.T) {
+			step := heatherhub.Step{Tasks: 1, Need: heatherhub.Resources{CPU: 1000, Memory: 10}, Estimate: time.Second}
+			c.change(&step)
+			flow := &heatherhub.Workflow{ID: "j", Policy: heatherhub.QueuePolicy{Pool: "p"}, Steps: []heatherhub.Step{{Tasks: 1, Estimate: time.Second}, step}}
+			got, err := newTwoShardSelector(t, map[heatherhub.ShardID]record.Load{north: idle, south: busy}).Choose(flow)
+			if err != nil || got != c.want {
+				t.Errorf("got shard %s, error %v, want %s", got, err, c.want)
+			}
+			if got, _ := newTwoShardSelector(t, map[heatherhub.ShardID]record.Load{north: idle, south: unknown}).Choose(flow); got != c.wantUnlisted {
+				t.Errorf("got shard %s, want %s if the workers of %s are not known", got, c.wantUnlisted, south)
+			}
+		})
+	}
+}
+
 // TestBurstIsSpread guards against sending every job of a burst to the shard that was the
 // least loaded when the loads were last read.
 func TestBurstIsSpread(t *testing.T) {
--- a/request/intake/shards.go
+++ b/request/intake/shards.go
@@ -114,9 +114,10 @@
 // of its data, unless the job would wait there for longer than it loses elsewhere, otherwise
 // the least loaded one or, if all loads have forecasts, the one where the job is expected to
 // start first. Jobs with long-running tasks go to the shard with the lowest share of reserved
-// processors. Shards without an owner are chosen only if no shard has one, and those without a
-// usable worker, by their load or because their failure domain is evacuated, only if no shard
-// has one. Choose returns heatherhub.ErrUnavailable while no shard is known.
+// processors. Shards without an owner are chosen only if no shard has one, those that lack
+// workers for a step only if all do, and those without a usable worker, by their load or
+// because their failure domain is evacuated, only if no shard has one. Choose returns
+// heatherhub.ErrUnavailable while no shard is known.
 func (s *ShardSelector) Choose(flow *heatherhub.Workflow) (heatherhub.ShardID, error) {
 	v := s.view()
 	if len(v.Layout.Shards) == 0 {
@@ -138,10 +139,14 @@
 		if s.isUnusable(size.Shard) {
 			cost += unusableCost
 		}
+		cost += noWorkerCost * float64(s.countUnrunnable(size.Shard, flow))
 		if !isFound || cost < bestCost {
 			best, bestCost, isFound = size.Shard, cost, true
 		}
 	}
+	if n := s.countUnrunnable(best, flow); n > 0 {
+		s.log.Info("no shard has workers for all steps", zap.String("job", string(flow.ID)), zap.Stringer("shard", best), zap.Int("count", n))
+	}
 	s.addUnreported(best, flow)
 	return best, nil
 }
@@ -153,6 +158,9 @@
 	noOwnerCost = 1e6
 	// unusableCost is higher still: a shard without an owner has one within seconds.
 	unusableCost = 1e9
+	// noWorkerCost is added for each step for which a shard has no worker with its label or capacity. It is higher than
+	// noOwnerCost, as a shard soon has an owner again.
+	noWorkerCost = 1e7
 	// jitter is the largest random addition to a cost. It keeps hosts that have read
 	// the same loads from all choosing the same shard until the next read.
 	jitter = 0.06
@@ -184,6 +192,18 @@
 	return cost
 }
 
+// countUnrunnable returns the number of steps of a job for which a shard has no worker, as far as its load says.
+// The caller holds mu.
+func (s *ShardSelector) countUnrunnable(id heatherhub.ShardID, flow *heatherhub.Workflow) int {
+	l, n := s.loads[id], 0
+	for i := range flow.Steps {
+		if !l.CanRun(flow.Policy.Pool, &flow.Steps[i]) {
+			n++
+		}
+	}
+	return n
+}
+
 // hasForecasts reports whether the loads of all shards have forecasts. The caller holds mu.
 func (s *ShardSelector) hasForecasts(shards []record.ShardSize) bool {
 	return !slices.ContainsFunc(shards, func(size record.ShardSize) bool { return s.loads[size.Shard].Forecast == nil })
