Move work to shards that have workers for it, and only to these

What callers saw: on a site of several shards a job with a required label waits for good beside idle workers that have it (LOST): when it was accepted before the loads were known, when the last such worker of its shard has left, or since a move for want of room has taken it to a shard without such workers. Found by the jobs that TestDrawnJobsCompleteInShards draws.

Cause: a move asked whether the other shard had room for the resources of a task, not whether it had workers with the label or, for a gang, enough of them. And a shard without any such worker did not give the job up unless the other one was less loaded.

Change: a step that no worker of its shard could run, if it were empty, makes its job movable without a wait and without regard to load, also a scheduled job or one with several long-running steps as long as nothing of it has begun. Targets need workers for the step, and for all unfinished steps if the shard has them; if it lacks some, the target with the fewest missing is chosen, so a job can follow its steps through several shards. A scheduled job that has left is forgotten by the schedule too.

Open (docs/design/moves.md, "What does not move"): begun jobs with a gang, a schedule or a long-running step beside others, and gangs that no shard can hold.

--- a/process/dispatch/move.go
+++ b/process/dispatch/move.go
@@ -31,8 +31,12 @@
 	IsFiller bool
 	Image    string
 	Waited   time.Duration
-	// IsStranded means that no worker of this shard could start the work now.
-	IsStranded bool
+	// IsStranded means that no worker of this shard could start the work now, and LacksWorkers that none could ever
+	// start the step that waits, Step.
+	IsStranded, LacksWorkers bool
+	Step                     *heatherhub.Step
+	// Unfinished has the steps of a whole job that are not done.
+	Unfinished []*heatherhub.Step
 	// At is the wall-clock time at which the work was found to be movable.
 	At time.Time
 	// HasBegun means that runs of the job have ended, so that it moves with its progress.
@@ -74,13 +78,14 @@
 }
 
 // UrgentWork returns the work that moves without the wait of MoveAfter: that which no worker of the
-// shard could start now, and that which has arrived by a move and found no room.
+// shard could start now or ever, and that which has arrived by a move and found no room.
 func (e *Engine) UrgentWork(now Moment) []Move {
 	return e.movableWork(now, true)
 }
 
 func (e *Engine) movableWork(now Moment, isUrgentOnly bool) []Move {
 	isStranded := e.isStranded(now)
+	kinds := e.knownKinds(now.Steady)
 	var out []Move
 	seen := make(map[*job]struct{})
 	for _, s := range e.ready {
@@ -88,19 +93,21 @@
 		waited := now.Steady - s.readySince
 		hasWaited := waited >= e.cfg.MoveAfter && !isUrgentOnly
 		isWaiting := !isStranded && s.waitsByChoice(now.Steady)
-		if isWaiting || (!hasWaited && !isStranded && len(j.workflow.Relocations) == 0) || !e.isMovable(now, s, isStranded) {
+		lacksWorkers := !kinds.CanRun(j.policy.Pool, s.spec)
+		if isWaiting || (!hasWaited && !isStranded && !lacksWorkers && len(j.workflow.Relocations) == 0) || !e.isMovable(now, s, isStranded, lacksWorkers) {
 			continue
 		}
 		sh := shapeOf(now.Steady, s, false)
 		m := Move{
 			Job: j.workflow.ID, Need: sh.need, Reserved: s.need, Pool: sh.pool,
 			IsFiller: sh.isFiller, Image: sh.image, Waited: waited, IsStranded: isStranded, At: now.Wall,
+			LacksWorkers: lacksWorkers, Step: s.spec,
 		}
 		count := j.relocationCounter(now.Wall)
 		isDue := func(t *task) bool {
 			n := count(t)
 			hasSettled := now.Steady-max(s.readySince, t.arrivedAt) >= arrivalDelay
-			return n < maxRelocations && (isStranded || (hasSettled && (hasWaited || n > 0)))
+			return n < maxRelocations && (isStranded || lacksWorkers || (hasSettled && (hasWaited || n > 0)))
 		}
 		if j.workflow.CanSplit() {
 			for _, t := range s.pending {
@@ -117,6 +124,11 @@
 			}
 			seen[j] = struct{}{}
 			m.HasBegun = j.state != heatherhub.WorkflowQueued
+			for _, o := range s.occ.steps {
+				if o.undone > 0 {
+					m.Unfinished = append(m.Unfinished, o.spec)
+				}
+			}
 		}
 		out = append(out, m)
 	}
@@ -148,6 +160,18 @@
 	return slices.DeleteFunc(slices.Clone(all), func(r heatherhub.Relocation) bool { return now.Sub(r.At).Abs() > relocationWindow })
 }
 
+// knownKinds returns the kinds of workers of the shard, at most forecastInterval old, or none until each of them was
+// asked.
+func (e *Engine) knownKinds(now time.Duration) *WorkerKinds {
+	if !e.hasAskedWorkers {
+		return &WorkerKinds{}
+	}
+	if e.kindsAt == 0 || now-e.kindsAt >= forecastInterval {
+		e.kinds, e.kindsAt = e.WorkerKinds(), now
+	}
+	return &e.kinds
+}
+
 // MarkWorkersAsked records that each worker of the shard has answered this owner, or failed to.
 func (e *Engine) MarkWorkersAsked() {
 	e.hasAskedWorkers = true
@@ -164,7 +188,7 @@
 	return n.worker.Draining || n.isEvacuated || (n.isUnresponsive && now-n.silentSince >= strandedSilence)
 }
 
-func (e *Engine) isMovable(now Moment, s *stepRun, isStranded bool) bool {
+func (e *Engine) isMovable(now Moment, s *stepRun, isStranded, lacksWorkers bool) bool {
 	j := s.occ.job
 	if j.isOver() || j.isMoving || len(s.pending) == 0 || (j.isInherited && e.openUnresolved > 0) {
 		return false
@@ -175,7 +199,10 @@
 	if !isStranded && e.hasReservation(j) {
 		return false
 	}
-	if !e.canMoveWhole(j, isStranded) || j.workflow.Schedule != nil || j.workflow.IsLongRunning() {
+	if !e.canMoveWhole(j, isStranded) {
+		return false
+	}
+	if (j.workflow.Schedule != nil || j.workflow.IsLongRunning()) && (!lacksWorkers || !j.isUntouched()) {
 		return false
 	}
 	return !slices.ContainsFunc(j.tasksOf(nil), e.mayRunUnresolved) && e.isStartable(now.Steady, s.pending[0])
@@ -306,19 +333,20 @@
 }
 
 // tasksOf returns the tasks of the first occurrence with the given flat indexes; nil
-// means all.
+// means all tasks of all occurrences.
 func (j *job) tasksOf(flatIndexes []int) []*task {
 	if len(j.occurrences) == 0 {
 		return nil
 	}
-	o := j.occurrences[0]
 	var out []*task
 	for _, k := range flatIndexes {
-		out = append(out, o.taskAt(k))
+		out = append(out, j.occurrences[0].taskAt(k))
 	}
 	if flatIndexes == nil {
-		for _, s := range o.steps {
-			out = append(out, s.tasks...)
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				out = append(out, s.tasks...)
+			}
 		}
 	}
 	return out
@@ -421,4 +449,5 @@
 	isJob := func(d *job) bool { return d == j }
 	e.changedJobs = slices.DeleteFunc(e.changedJobs, isJob)
 	e.finished = slices.DeleteFunc(e.finished, isJob)
+	e.scheduled = slices.DeleteFunc(e.scheduled, isJob)
 }
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -90,7 +90,10 @@
 	hasLostUnresolved bool
 	// hasAskedWorkers means that each worker of the shard has answered this owner, or failed to.
 	hasAskedWorkers bool
-	heldBack        map[heatherhub.StepTask]struct{}
+	// kinds are the kinds of workers as of kindsAt.
+	kinds    WorkerKinds
+	kindsAt  time.Duration
+	heldBack map[heatherhub.StepTask]struct{}
 	// unknownJobs are jobs that workers reported and that the caller has to look up.
 	// absent has the jobs whose lookup showed that they are not in this shard, with the
 	// time of the lookup.
--- a/process/owner/move.go
+++ b/process/owner/move.go
@@ -192,8 +192,8 @@
 	return reserved
 }
 
-// chooseTarget returns the shard with the lowest pressure that has capacity for a move,
-// and the part of the move that fits there, for which it reserves capacity. It reports
+// chooseTarget returns the shard that lacks workers for the fewest steps, and of these the one with
+// the lowest pressure, that has capacity for a move, and the part of the move that fits there, for which it reserves capacity. It reports
 // false if no shard has capacity.
 func (m *movePlanner) chooseTarget(move dispatch.Move) (heatherhub.ShardID, dispatch.Move, bool) {
 	var best heatherhub.ShardID
@@ -202,7 +202,7 @@
 		if _, isOwned := m.owners[id]; id == m.own || !isOwned || !m.hasCapacityFor(move, l) {
 			continue
 		}
-		if p := l.Pressure(); p < bestPressure || (p == bestPressure && id.Compare(best) < 0) {
+		if p := l.Pressure() + lackPressure*float64(lacking(move, &l)); p < bestPressure || (p == bestPressure && id.Compare(best) < 0) {
 			best, bestPressure = id, p
 		}
 	}
@@ -216,21 +216,38 @@
 	return best, move, true
 }
 
+// lackPressure exceeds any difference in pressure.
+const lackPressure = 1e6
+
+// lacking returns the number of unfinished steps of a whole job for which a shard with load l has no worker.
+func lacking(move dispatch.Move, l *record.Load) int {
+	n := 0
+	for _, s := range move.Unfinished {
+		if !l.CanRun(move.Pool, s) {
+			n++
+		}
+	}
+	return n
+}
+
 // hasCapacityFor reports whether a shard with load l can start at least one task of a move.
-// A whole job moves only to a shard whose pressure is lower by minPressureGain, unless it cannot
-// start where it is.
+// A whole job moves only to a shard whose pressure is lower by minPressureGain and that has workers
+// for all of its steps, unless it cannot start where it is.
 func (m *movePlanner) hasCapacityFor(move dispatch.Move, l record.Load) bool {
 	if !canStart(move, l) || (move.HasBegun && l.OwnerRevision == 0) {
 		return false
 	}
 	own := m.loads[m.own]
-	return move.Tasks != nil || move.IsStranded || l.Pressure() < own.Pressure()-minPressureGain
+	return move.Tasks != nil || move.IsStranded || move.LacksWorkers || (l.Pressure() < own.Pressure()-minPressureGain && lacking(move, &l) == 0)
 }
 
 // canStart reports whether the owner of a shard with load l would start a task of a move, by
 // the criteria of its engine. A filler also needs spare processors and a worker on which it
 // does not interfere, unless it would start there as a starved one.
 func canStart(move dispatch.Move, l record.Load) bool {
+	if move.Step != nil && !l.CanRun(move.Pool, move.Step) {
+		return false
+	}
 	if !move.IsFiller || l.ReservedShare() <= dispatch.StarvationLoadLimit {
 		return record.Fits(l.LargestFree[move.Pool], move.Reserved)
 	}
--- a/process/owner/move_test.go
+++ b/process/owner/move_test.go
@@ -538,3 +538,59 @@
 		})
 	}
 }
+
+// TestJobLeavesAShardWithoutWorkersForIt guards against jobs that wait for good in a shard of which no worker has their
+// label, as the loads were not known when they came or the last such worker has left.
+func TestJobLeavesAShardWithoutWorkersForIt(t *testing.T) {
+	elsewhere := newStep(2, time.Second)
+	elsewhere.RequiredLabel = "d1-r0"
+	after := elsewhere
+	after.After = []int{0}
+	lasting := newLongRunningStep(2)
+	lasting.RequiredLabel = "d1-r0"
+	gang := elsewhere
+	gang.Gang = true
+	for name, steps := range map[string][]heatherhub.Step{
+		"job": {elsewhere}, "begun job": {newStep(2, time.Second), after}, "long-running tasks": {lasting}, "gang": {gang},
+		"scheduled job": {elsewhere, after}, "long-running steps": {lasting, lasting},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newJobDraw(t, 1, drawnWorkersPerDomain)
+				flow := &heatherhub.Workflow{ID: "j", Queue: testQueue, Steps: steps, Accepted: time.Now(), Shard: shardOf("d0")}
+				if name == "scheduled job" {
+					flow.Schedule = &heatherhub.Schedule{Times: 2, First: time.Now().Add(2 * time.Second), Every: time.Second}
+				}
+				d.site.submitFlow(flow)
+				if d.awaitEnd(flow) && !flow.IsLongRunning() && d.site.jobState("j") != heatherhub.WorkflowCompleted {
+					t.Errorf("got state %q, want %q", d.site.jobState("j"), heatherhub.WorkflowCompleted)
+				}
+				d.site.shutdown()
+				d.site.checkViolations()
+			})
+		})
+	}
+}
+
+// TestJobStaysInTheShardWithItsWorkers guards against moves of waiting jobs to idle shards of which no worker has their
+// label.
+func TestJobStaysInTheShardWithItsWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newJobDraw(t, 1, drawnWorkersPerDomain)
+		only := newStep(10, 2*time.Second)
+		only.RequiredLabel = "d0-r0"
+		var ids []heatherhub.JobID
+		for i := range 4 {
+			ids = append(ids, heatherhub.JobID(fmt.Sprintf("j%d", i)))
+			d.site.submitTo(shardOf("d0"), ids[i], only)
+		}
+		d.site.await("all jobs", 12*time.Second, func() bool { return d.site.isCompleted(ids...) })
+		for _, id := range ids {
+			if got := d.site.moveCount(id); got != 0 {
+				t.Errorf("got %d moves of %s, want none", got, id)
+			}
+		}
+		d.site.shutdown()
+		d.site.checkViolations()
+	})
+}
