Give tasks that stall again and again more time

What callers saw: a job is accepted and never completed: its tasks are stopped as stalled and started again for good, if they take over 250 s and their job states no estimate, or one that is far too short.

Cause: a run counts as stalled if its progress has not changed for 2.5 s or half of its expected run time. Progress comes in whole percents, so that of a task of 400 s changes each 4 s, on every worker.

Change: each stalled run of a task doubles the time that its next one may go without progress. The first stall is noticed as before, so workers on which tasks stand still cost what they did.

Evidence: TestLongTaskWithAShortEstimateCompletes, two tasks of 400 s with an estimate of 1 s: 344 starts in 8 minutes and not completed before, completed now with at most 6 starts. The count is not stored: a new owner begins anew.

--- a/process/dispatch/dispatch_test.go
+++ b/process/dispatch/dispatch_test.go
@@ -468,6 +468,21 @@
 	}
 }
 
+// TestLongTaskWithAShortEstimateCompletes guards against tasks that are stopped as stalled again and again, since their
+// progress changes less often than their estimate suggests.
+func TestLongTaskWithAShortEstimateCompletes(t *testing.T) {
+	b := newSimulation(t, dispatch.Policy{}, 4)
+	b.runTime = 400
+	b.add("j", tasks(2, 1000, time.Second))
+	b.advance(8 * time.Minute)
+	if got, _ := b.e.State("j"); got != heatherhub.WorkflowCompleted {
+		t.Errorf("got state %q after 8 minutes, want %q for tasks of 400 s", got, heatherhub.WorkflowCompleted)
+	}
+	if got := len(b.started); got > 6 {
+		t.Errorf("got %d starts of 2 tasks, want at most 6", got)
+	}
+}
+
 // TestEndsInAnyOrderCount guards against ends that are acknowledged without being counted: the worker lists the last
 // one first, and runs and ends twice.
 func TestEndsInAnyOrderCount(t *testing.T) {
--- a/process/dispatch/health.go
+++ b/process/dispatch/health.go
@@ -161,11 +161,13 @@
 				continue
 			}
 			reason := "no progress"
-			if !e.isStalled(now, a) {
-				if !e.isFasterElsewhere(now.Steady, a) {
-					continue
-				}
+			switch {
+			case e.isStalled(now, a):
+				a.task.stalls++
+			case e.isFasterElsewhere(now.Steady, a):
 				reason = "slow worker"
+			default:
+				continue
 			}
 			a.stop = stopPending
 			e.recordTaskEvent(EventRunStalled, a, reason)
@@ -175,13 +177,19 @@
 	}
 }
 
+// maxStallDoublings bounds the time without progress that a task with many stalled runs may have.
+const maxStallDoublings = 10
+
+// isStalled reports whether a run makes no progress. If runs of the task have stalled before, the task may be slower than
+// its estimate says, so each one gets twice the time of the one before.
 func (e *Engine) isStalled(now Moment, a *attempt) bool {
 	if a.speedLimit < fullSpeed || a.task.step.spec.Gang {
 		return false
 	}
 	sinceProgress := now.Steady - a.progressAt
+	stallAfter := e.cfg.StallAfter << min(a.task.stalls, maxStallDoublings)
 	if a.task.step.spec.LongRunning {
-		return a.progress < fullSpeed && sinceProgress > 2*e.cfg.StallAfter
+		return a.progress < fullSpeed && sinceProgress > 2*stallAfter
 	}
-	return sinceProgress > max(e.cfg.StallAfter, e.expectedDuration(a.task.step)/2)
+	return sinceProgress > max(stallAfter, e.expectedDuration(a.task.step)/2)
 }
--- a/process/dispatch/state.go
+++ b/process/dispatch/state.go
@@ -357,6 +357,8 @@
 	crashes []heatherhub.CrashedRun
 	// refusals counts the refusals of its starts in a row.
 	refusals int
+	// stalls counts the runs that were stopped since they made no progress.
+	stalls int
 	// preemptedAt is the time at which a run of the task was last stopped for others.
 	preemptedAt time.Duration
 	// notBefore is the earliest time of the next attempt after a failure.
