Draw estimates that are far too short

Cause: drawn jobs had estimates of zero, of half and twice the run time and of an hour, none that is far too short. Change: estimates of a hundredth of the run time are drawn too, and gangs that last need room in one shard.

--- a/process/owner/drawn_jobs_test.go
+++ b/process/owner/drawn_jobs_test.go
@@ -237,7 +237,7 @@
 			Memory:       oneOf[heatherhub.Megabytes](rng, 0, 1, 100, 1000, 5000, 10_000),
 			Accelerators: oneOf[heatherhub.Accelerators](rng, 0, 0, 0, 0, 0, 0, 1, 4),
 		},
-		Estimate:      oneOf(rng, 0, runTime, runTime, runTime*10/19, runTime*19/10, time.Hour),
+		Estimate:      oneOf(rng, 0, runTime, runTime, runTime*10/19, runTime*19/10, runTime/100, time.Hour),
 		Checkpoints:   rng.IntN(3) == 0,
 		Gang:          rng.IntN(5) == 0,
 		SameRack:      rng.IntN(4) == 0,
@@ -275,10 +275,10 @@
 		return !slices.ContainsFunc(flow.Steps, func(s heatherhub.Step) bool {
 			places, room := d.countPlaces(&s, domain)
 			switch {
+			case s.Gang && domain == "" && d.site.workersPerShard > 0 && !d.fitsInAShard(&s):
+				return true
 			case s.LongRunning:
 				return places < 2*s.Tasks || !all.Fits(room)
-			case s.Gang && domain == "" && d.site.workersPerShard > 0:
-				return !d.fitsInAShard(&s)
 			case s.Gang:
 				return places < s.Tasks
 			default:
