Look for shards with workers in full rounds only

Cause: a step that no worker of its shard could ever run counted as urgent work, so the loads were read for it every 0.1 to 0.7 s in addition to the full rounds, also for jobs that no shard can run, and urgent work of others waited for the next look. Change: such steps move in full rounds, each 0.7 s, without the wait of a second.

--- a/process/dispatch/move.go
+++ b/process/dispatch/move.go
@@ -71,14 +71,14 @@
 	strandedSilence = 300 * time.Millisecond
 )
 
-// MovableWork returns the work that has waited for at least MoveAfter and the UrgentWork, the
-// longest waiting first.
+// MovableWork returns the work that has waited for at least MoveAfter, that for which the shard has no workers and
+// the UrgentWork, the longest waiting first.
 func (e *Engine) MovableWork(now Moment) []Move {
 	return e.movableWork(now, false)
 }
 
 // UrgentWork returns the work that moves without the wait of MoveAfter: that which no worker of the
-// shard could start now or ever, and that which has arrived by a move and found no room.
+// shard could start now, and that which has arrived by a move and found no room.
 func (e *Engine) UrgentWork(now Moment) []Move {
 	return e.movableWork(now, true)
 }
@@ -93,7 +93,8 @@
 		waited := now.Steady - s.readySince
 		hasWaited := waited >= e.cfg.MoveAfter && !isUrgentOnly
 		isWaiting := !isStranded && s.waitsByChoice(now.Steady)
-		lacksWorkers := !kinds.CanRun(j.policy.Pool, s.spec)
+		// A job that no shard can run must not have the loads read each time.
+		lacksWorkers := !isUrgentOnly && !kinds.CanRun(j.policy.Pool, s.spec)
 		if isWaiting || (!hasWaited && !isStranded && !lacksWorkers && len(j.workflow.Relocations) == 0) || !e.isMovable(now, s, isStranded, lacksWorkers) {
 			continue
 		}
--- a/process/owner/move.go
+++ b/process/owner/move.go
@@ -192,9 +192,9 @@
 	return reserved
 }
 
-// chooseTarget returns the shard that lacks workers for the fewest steps, and of these the one with
-// the lowest pressure, that has capacity for a move, and the part of the move that fits there, for which it reserves capacity. It reports
-// false if no shard has capacity.
+// chooseTarget returns a shard that has capacity for a move, and the part of the move that fits there,
+// for which it reserves capacity: the shard that lacks workers for the fewest steps and, of these, the
+// one with the lowest pressure. It reports false if no shard has capacity.
 func (m *movePlanner) chooseTarget(move dispatch.Move) (heatherhub.ShardID, dispatch.Move, bool) {
 	var best heatherhub.ShardID
 	bestPressure := math.Inf(1)
