Have stalled clients stall before the one that is served

The port closes the connection that has been receiving for longest, counted from the first byte that it has read. The test did not wait until the port had read the 50 stalled connections, so on a busy machine some of them began after the live one, which then was the oldest. That is as documented; the test took it for granted that they had begun before. Change: the test waits until each of the 50 is receiving or was closed. All that it requires of the port is as before.

--- a/connection/inbound/inbound_test.go
+++ b/connection/inbound/inbound_test.go
@@ -196,7 +196,8 @@
 	p := &port{t: t, listener: l}
 	const size = 200_000
 	header := fmt.Sprintf("POST / HTTP/1.1\r\nHost: test\r\nContent-Length: %d\r\n", size)
-	for i := range 50 {
+	const stalled = 50
+	for i := range stalled {
 		client := p.dial()
 		if _, err := io.WriteString(client, header); err != nil {
 			t.Fatal(err)
@@ -206,6 +207,7 @@
 			_, _ = client.Write(append([]byte("\r\n"), make([]byte, size-1)...))
 		}
 	}
+	awaitStalled(t, registry, stalled)
 	client := p.dial()
 	answers := bufio.NewReader(client)
 	for range 30 {
@@ -281,6 +283,40 @@
 }
 
 // gaugeValue returns the value of a gauge.
+// awaitStalled waits until the port has read the first bytes of n connections, or has closed them. A connection that is read
+// later counts as one that has kept the port waiting for less time.
+func awaitStalled(t *testing.T, r *prometheus.Registry, n float64) {
+	t.Helper()
+	for deadline := time.Now().Add(testTimeout); ; time.Sleep(time.Millisecond) {
+		open, receiving, closed := gaugeValue(t, r, "heatherhub_inbound_connections"), gaugeValue(t, r, "heatherhub_inbound_receiving"), closedConnections(t, r)
+		if open+closed == n && receiving == open {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("got %v open, %v receiving and %v closed connections, want all of %v receiving or closed", open, receiving, closed, n)
+		}
+	}
+}
+
+// closedConnections returns the number of connections that were closed in favour of others.
+func closedConnections(t *testing.T, r *prometheus.Registry) float64 {
+	t.Helper()
+	families, err := r.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	sum := 0.0
+	for _, f := range families {
+		if f.GetName() != "heatherhub_inbound_closed_total" {
+			continue
+		}
+		for _, m := range f.GetMetric() {
+			sum += m.GetCounter().GetValue()
+		}
+	}
+	return sum
+}
+
 func gaugeValue(t *testing.T, r *prometheus.Registry, name string) float64 {
 	t.Helper()
 	families, err := r.Gather()
