--- a/process/owner/move_test.go
+++ b/process/owner/move_test.go
@@ -594,3 +594,47 @@
 		d.site.checkViolations()
 	})
 }
+
+// TestWorkThatCannotLeaveItsShardStarts guards against steps that wait for good beside room: gangs that fit on the site and
+// in no shard, and later steps of begun jobs with a gang whose shard lacks the workers.
+func TestWorkThatCannotLeaveItsShardStarts(t *testing.T) {
+	wide := newStep(6, time.Second)
+	wide.Gang, wide.Need.CPU = true, 10_000
+	gang := newStep(2, time.Second)
+	gang.Gang = true
+	elsewhere := newStep(2, time.Second, 0)
+	elsewhere.RequiredLabel = "d1-r0"
+	for name, steps := range map[string][]heatherhub.Step{"wide gang": {wide}, "begun job with a gang": {gang, elsewhere}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newJobDraw(t, 1, drawnWorkersPerDomain)
+				flow := &heatherhub.Workflow{ID: "j", Queue: testQueue, Steps: steps, Accepted: time.Now(), Shard: shardOf("d0")}
+				d.site.submitFlow(flow)
+				d.awaitEnd(flow)
+				d.site.shutdown()
+				d.site.checkViolations()
+			})
+		})
+	}
+}
+
+// TestLongTaskOutlivesItsOwners guards against tasks that are stopped as stalled by each new owner, since none knows
+// that they are slower than their estimate.
+func TestLongTaskOutlivesItsOwners(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newJobDraw(t, 1, 0)
+		flow := &heatherhub.Workflow{ID: "j", Queue: testQueue, Steps: []heatherhub.Step{newStep(1, time.Second)}, Accepted: time.Now(), Shard: d.site.jobShard}
+		d.site.runTimes[flow.ID] = []time.Duration{5 * time.Minute}
+		d.site.submitFlow(flow)
+		d.site.tasks.Go(func() {
+			for range 5 {
+				time.Sleep(2 * time.Minute)
+				d.site.store.removeKey(record.OwnerKey(d.site.jobShard))
+			}
+		})
+		took := d.site.await("a task of 5 minutes with a new owner every 2", 12*time.Minute, func() bool { return d.site.isCompleted(flow.ID) })
+		t.Logf("completed after %s and %d starts", took, d.site.startCount(heatherhub.StepTask{Job: "j"}))
+		d.site.shutdown()
+		d.site.checkViolations()
+	})
+}
