--- a/process/dispatch/move_test.go
+++ b/process/dispatch/move_test.go
@@ -441,3 +441,20 @@
 		t.Errorf("got moves %+v in a shard without workers, want one", got)
 	}
 }
+
+// TestWorkWithoutWorkersIsNotUrgent guards against reads of all loads each 0.1 s for a job that no shard can run, which also
+// put off the urgent work of others.
+func TestWorkWithoutWorkersIsNotUrgent(t *testing.T) {
+	b := newSimulation(t, dispatch.Policy{}, 2)
+	b.e.MarkWorkersAsked()
+	nowhere := tasks(1, 1000, time.Second)
+	nowhere.RequiredLabel = "none"
+	b.add("nowhere", nowhere)
+	b.step(100 * time.Millisecond)
+	if got := b.e.UrgentWork(b.now); len(got) > 0 {
+		t.Errorf("got urgent work %+v, want none", got)
+	}
+	if got := b.e.MovableWork(b.now); len(got) != 1 || !got[0].LacksWorkers {
+		t.Errorf("got movable work %+v, want the job in the next full round", got)
+	}
+}
