Settle open starts as soon as they can no longer be carried out

Callers see jobs that wait up to 2 s longer than the 12 s for which an unanswered start is open.

Cause: only a poll that is sent after these 12 s settles the start, and a worker holds polls for 1 s. A poll that was sent just before proves nothing, and the next one is answered up to 2 s after the moment. The test fails if that and a round of moves coincide. Ruled out by the trace: the move follows the end of the open start within 0.45 s.

Change: the poll of a worker with an open start ends when the start can no longer be carried out, so the next one settles it.

The new test TestTaskWaitsNoLongerThanItsStartMayBeCarriedOut fails without the change (13.6 to 14.4 s until the second start in ten phases of the polls) and passes with it (12.6 s in each).

--- a/process/dispatch/unanswered.go
+++ b/process/dispatch/unanswered.go
@@ -71,6 +71,17 @@
 	return now < o.sentBy+e.cfg.LateCallTime
 }
 
+// LastDelivery returns the earliest steady time from which on an open start to a worker can no longer be carried
+// out: a poll that is sent then settles it. It reports false if no start to the worker is open.
+func (e *Engine) LastDelivery(id heatherhub.WorkerID) (time.Duration, bool) {
+	open := e.open[id.Name()]
+	if len(open) == 0 {
+		return 0, false
+	}
+	first := slices.MinFunc(open, func(a, b *openStart) int { return cmp.Compare(a.sentBy, b.sentBy) })
+	return first.sentBy + e.cfg.LateCallTime, true
+}
+
 // mayBeOpen reports whether the start of an attempt that is not listed may be carried out later by
 // another incarnation of its worker.
 func mayBeOpen(a *attempt) bool {
--- a/process/owner/unanswered_test.go
+++ b/process/owner/unanswered_test.go
@@ -7,6 +7,7 @@
 
 	"heatherhub.example/heatherhub"
 	"heatherhub.example/heatherhub/connection/agent"
+	"heatherhub.example/heatherhub/process/dispatch"
 )
 
 // TestEntryThatNobodyAnswersDelaysNoTakeover guards against a new owner that starts nothing for seconds, since
@@ -34,3 +35,27 @@
 		site.await("the backlog", 20*time.Second, func() bool { return site.isCompleted("backlog") })
 	})
 }
+
+// TestTaskWaitsNoLongerThanItsStartMayBeCarriedOut guards against a task that waits for up to two polls more than
+// the 12 s for which its start without an answer may be carried out. The second start is the same whenever in the
+// rhythm of the polls the first one was sent.
+func TestTaskWaitsNoLongerThanItsStartMayBeCarriedOut(t *testing.T) {
+	const phases = 10
+	for i := range phases {
+		testOnSite(t, 1, func(site *simSite) {
+			time.Sleep(15*time.Second + time.Duration(i)*time.Second/phases)
+			o := string(site.currentOwner())
+			for _, w := range site.livingWorkers() {
+				site.setPartitioned(o, string(w.entry.ID.Name()), true)
+			}
+			site.submit("unanswered", newStep(1, time.Second))
+			time.Sleep(300 * time.Millisecond)
+			for _, w := range site.livingWorkers() {
+				site.setPartitioned(o, string(w.entry.ID.Name()), false)
+			}
+			// The call itself takes half a second to fail.
+			limit := dispatch.DefaultLateCallTime + time.Second - 300*time.Millisecond
+			site.await("the second start", limit, func() bool { return site.startCount(heatherhub.StepTask{Job: "unanswered"}) == 1 })
+		})
+	}
+}
--- a/process/owner/worker.go
+++ b/process/owner/worker.go
@@ -32,6 +32,8 @@
 	// proofPollWait replaces pollWait while the worker is held for a start until a report proves that its runs do
 	// no harm.
 	proofPollWait = 200 * time.Millisecond
+	// minSettlingPollWait bounds the cost of polls that are shortened to settle an open start.
+	minSettlingPollWait = 100 * time.Millisecond
 	// pollRetryDelay is the pause after a poll that failed or could not be sent.
 	pollRetryDelay = 150 * time.Millisecond
 	// maxCommitWait bounds the wait until reported ended runs are durable. Lease renewals
@@ -391,6 +393,7 @@
 	isUp := w.isUp
 	isTargetMissed := t.engine.MissesLatencyTarget(w.id)
 	awaitsProof := t.engine.AwaitsProof(sentAt, w.id)
+	lastDelivery, hasOpen := t.engine.LastDelivery(w.id)
 	p := agent.Poll{Token: w.token}
 	// After a failed poll another incarnation may answer, which numbers its ends from 1. It may also carry
 	// this poll out late, so an acknowledgement that the worker has is not repeated.
@@ -414,6 +417,10 @@
 	default:
 		p.Wait = pollWait
 	}
+	if hasOpen {
+		// Only a poll that is sent after the last delivery tells that the start was not carried out.
+		p.Wait = min(p.Wait, max(lastDelivery-sentAt, minSettlingPollWait))
+	}
 	ctx, cancel := w.pollContext(sentAt)
 	defer cancel()
 	r, err := w.client.Poll(ctx, p)
