Pass over progress of tasks that a job does not have

Cause: an owner that restores the failed, crashed or open runs of a job looked for an index beyond the job's tasks, but not for a negative one: a progress record with one ends each process that takes the shard over. No version of ours writes such a record; another writer or a damaged value may.

Change: one function finds the task of a stored run, and knows both bounds.

--- a/process/dispatch/crash.go
+++ b/process/dispatch/crash.go
@@ -451,10 +451,7 @@
 
 // taskOf returns the task of a crashed run, or nil.
 func (j *job) taskOf(c heatherhub.CrashedRun) *task {
-	if c.Occurrence >= len(j.occurrences) {
-		return nil
-	}
-	return j.occurrences[c.Occurrence].taskAt(c.Task)
+	return j.taskAt(c.Occurrence, c.Task)
 }
 
 // proveIfDue records that a listed run has shown that it does no harm, once it is old enough.
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -180,15 +180,20 @@
 
 func (e *Engine) restoreFailures(j *job) {
 	for _, f := range j.progress.Failed {
-		if f.Occurrence < 0 || f.Occurrence >= len(j.occurrences) {
-			continue
-		}
-		if t := j.occurrences[f.Occurrence].taskAt(f.Task); t != nil {
+		if t := j.taskAt(f.Occurrence, f.Task); t != nil {
 			t.recordFailedRun(f.Run)
 		}
 	}
 }
 
+// taskAt returns the task of an occurrence with a flat index, or nil if there is none.
+func (j *job) taskAt(occurrence, flatIndex int) *task {
+	if occurrence < 0 || occurrence >= len(j.occurrences) || flatIndex < 0 {
+		return nil
+	}
+	return j.occurrences[occurrence].taskAt(flatIndex)
+}
+
 func (o *occurrence) taskAt(flatIndex int) *task {
 	for _, s := range o.steps {
 		if flatIndex < len(s.tasks) {
--- a/process/dispatch/unanswered.go
+++ b/process/dispatch/unanswered.go
@@ -228,10 +228,7 @@
 	}
 	j.progress.Open = nil
 	for _, r := range recorded {
-		if r.Occurrence < 0 || r.Occurrence >= len(j.occurrences) {
-			continue
-		}
-		t := j.occurrences[r.Occurrence].taskAt(r.Task)
+		t := j.taskAt(r.Occurrence, r.Task)
 		if t == nil || t.isRemote || t.isDone {
 			continue
 		}
