Keep the count of stalled runs in the progress of the job

Callers saw a task that takes 5 minutes, with an estimate of 1 s, not complete in 12 minutes and 7 starts while its owner changed each 2 minutes.

Cause: each stalled run of a task doubles the time without progress that the next run may have, but the count was kept in memory only. A new owner took the slow task for a stalled one, and stopped its run.

Change: the progress of a job has the count of each task that is not done. It is written once for each stalled run, with the next commit, up to ten times for a task. Tasks of other shards' jobs and long-running tasks are left out: the first have no progress here, and the runs of the second say nothing of later ones.

TestStallsOfATaskAreStoredUntilItIsDone fails if the count of a done task is kept.

--- a/process/dispatch/health.go
+++ b/process/dispatch/health.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"heatherhub.example/heatherhub"
@@ -163,7 +164,7 @@
 			reason := "no progress"
 			switch {
 			case e.isStalled(now, a):
-				a.task.stalls++
+				e.recordStall(a.task)
 			case e.isFasterElsewhere(now.Steady, a):
 				reason = "slow worker"
 			default:
@@ -180,6 +181,35 @@
 // maxStallDoublings bounds the time without progress that a task with many stalled runs may have.
 const maxStallDoublings = 10
 
+// recordStall counts a stalled run of a task. The owner of its job stores the count, so that a next owner does not
+// stop a slow task again and again. Runs of a long-running task say nothing of later ones.
+func (e *Engine) recordStall(t *task) {
+	t.stalls++
+	j := t.step.occ.job
+	if j.isOwnedElsewhere || t.step.spec.LongRunning || t.stalls > maxStallDoublings {
+		return
+	}
+	if at := slices.IndexFunc(j.progress.Stalls, isStallOf(t)); at >= 0 {
+		j.progress.Stalls[at].Count = t.stalls
+	} else {
+		j.progress.Stalls = append(j.progress.Stalls, StallCount{Occurrence: t.step.occ.index, Task: t.flatIndex(), Count: t.stalls})
+	}
+	e.markChanged(j)
+}
+
+func isStallOf(t *task) func(StallCount) bool {
+	return func(s StallCount) bool { return s.Occurrence == t.step.occ.index && s.Task == t.flatIndex() }
+}
+
+// restoreStalls takes over the stalled runs that a previous owner has counted.
+func (j *job) restoreStalls() {
+	for _, s := range j.progress.Stalls {
+		if t := j.taskAt(s.Occurrence, s.Task); t != nil {
+			t.stalls = max(t.stalls, s.Count)
+		}
+	}
+}
+
 // isStalled reports whether a run makes no progress. If runs of the task have stalled before, the task may be slower than
 // its estimate says, so each one gets twice the time of the one before.
 func (e *Engine) isStalled(now Moment, a *attempt) bool {
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -108,7 +108,7 @@
 		e.adoptUnknown(now, workflow.ID)
 		return
 	}
-	if workflow.HasBegun || len(r.Progress.Done)+len(r.Progress.Failed)+len(r.Progress.Crashes) > 0 {
+	if workflow.HasBegun || len(r.Progress.Done)+len(r.Progress.Failed)+len(r.Progress.Crashes)+len(r.Progress.Stalls) > 0 {
 		j.begin()
 	}
 	for k := range workflow.Occurrences() {
@@ -117,6 +117,7 @@
 	}
 	e.addToShares(j)
 	e.restoreFailures(j)
+	j.restoreStalls()
 	e.restoreCrashes(now, j)
 	e.restoreOpen(now, j)
 	if workflow.Schedule != nil {
--- a/process/dispatch/progress.go
+++ b/process/dispatch/progress.go
@@ -23,6 +23,8 @@
 	Crashes []heatherhub.CrashedRun `msgpack:"c,omitempty" json:"crashes,omitempty"`
 	// Open lists the starts without an answer that may still be carried out.
 	Open []OpenStart `msgpack:"o,omitempty" json:"open,omitempty"`
+	// Stalls counts the stalled runs of slow tasks that are not done.
+	Stalls []StallCount `msgpack:"l,omitempty" json:"stalls,omitempty"`
 	// IsolatedOn is the worker on which isolated runs of the job may have been started last.
 	IsolatedOn heatherhub.WorkerID `msgpack:"i,omitempty" json:"isolatedOn,omitempty"`
 }
@@ -34,6 +36,13 @@
 	Run        heatherhub.RunID `msgpack:"r" json:"run"`
 }
 
+// StallCount says how often runs of a task were stopped since they made no progress.
+type StallCount struct {
+	Occurrence int `msgpack:"k" json:"occurrence"`
+	Task       int `msgpack:"t" json:"task"`
+	Count      int `msgpack:"n" json:"count"`
+}
+
 // OpenStart identifies a start without an answer, and the worker to which it was sent.
 type OpenStart struct {
 	Occurrence int                 `msgpack:"k" json:"occurrence"`
@@ -72,7 +81,7 @@
 
 // isBlank reports whether the record says nothing of the job.
 func (p *Progress) isBlank() bool {
-	return p.State == "" && len(p.Done)+len(p.Failed)+len(p.Crashes)+len(p.Open) == 0 && p.IsolatedOn == ""
+	return p.State == "" && len(p.Done)+len(p.Failed)+len(p.Crashes)+len(p.Open)+len(p.Stalls) == 0 && p.IsolatedOn == ""
 }
 
 func (p *Progress) isDone(occurrence, flatIndex int) bool {
@@ -93,7 +102,10 @@
 }
 
 func (p *Progress) clone() Progress {
-	c := Progress{State: p.State, Failed: slices.Clone(p.Failed), Crashes: slices.Clone(p.Crashes), Open: slices.Clone(p.Open), IsolatedOn: p.IsolatedOn}
+	c := Progress{
+		State: p.State, Failed: slices.Clone(p.Failed), Crashes: slices.Clone(p.Crashes), Open: slices.Clone(p.Open),
+		Stalls: slices.Clone(p.Stalls), IsolatedOn: p.IsolatedOn,
+	}
 	if p.Done != nil {
 		c.Done = make(map[int][]byte, len(p.Done))
 		for k, bits := range p.Done {
--- a/process/dispatch/report.go
+++ b/process/dispatch/report.go
@@ -365,6 +365,9 @@
 		s.undone--
 		j.undoneTasks--
 		j.progress.setDone(o.index, d.flatIndex())
+		if d.stalls > 0 {
+			j.progress.Stalls = slices.DeleteFunc(j.progress.Stalls, isStallOf(d))
+		}
 		s.removePending(d)
 		for _, other := range d.attempts {
 			if other.stop == noStop && !s.spec.Gang {
