Let begun jobs with gangs leave shards that cannot run them

Callers saw an accepted job of two steps wait for good beside idle workers: one of the steps is a gang, the first step was done, and no worker of the shard had the label of the second. The same job waits for as long as a failure domain is down.

Cause: no begun job with a gang moved, on the ground that the members of a gang are placed together. That says nothing of gangs that are done or that wait for other steps, nor of shards that could never start the gang.

Change: a begun job moves with its progress whether it has gangs or not, under the conditions of all begun jobs (nothing of it runs or may run, all progress is stored). Only a gang that could start where it is keeps its job, unless no worker of the shard is usable or none could run a step that waits.

--- a/process/dispatch/move.go
+++ b/process/dispatch/move.go
@@ -200,7 +200,7 @@
 	if !isStranded && e.hasReservation(j) {
 		return false
 	}
-	if !e.canMoveWhole(j, isStranded) {
+	if !e.canMoveWhole(j, isStranded, lacksWorkers) {
 		return false
 	}
 	if (j.workflow.Schedule != nil || j.workflow.IsLongRunning()) && (!lacksWorkers || !j.isUntouched()) {
@@ -210,8 +210,8 @@
 }
 
 // canMoveWhole reports whether the whole job may move, without or with progress.
-func (e *Engine) canMoveWhole(j *job, isStranded bool) bool {
-	return j.isUntouched() || e.isSettled(j, isStranded)
+func (e *Engine) canMoveWhole(j *job, isStranded, lacksWorkers bool) bool {
+	return j.isUntouched() || (e.isSettled(j, isStranded) && (isStranded || lacksWorkers || !j.hasReadyGang()))
 }
 
 // isSettled reports whether nothing of a begun job runs, all of its progress is stored, and no
@@ -219,7 +219,6 @@
 // return with such an end. That does not keep the job in a shard in which nothing can start: the
 // lease of that worker is over, so its runs have to be repeated in any case. Nor does a job leave
 // that is suspected of crashing its workers, as its next crash would lose runs of another shard.
-// Gangs do not move, as their workers are chosen together.
 func (e *Engine) isSettled(j *job, isStranded bool) bool {
 	if j.state != heatherhub.WorkflowRunning || j.isOwnedElsewhere || j.openAttempts > 0 || j.committed != j.changed {
 		return false
@@ -227,7 +226,7 @@
 	if !isStranded && (j.mayHaveBegun || j.mayBeReported || (j.isInherited && e.hasLostUnresolved) || slices.ContainsFunc(j.tasksOf(nil), (*task).needsIsolation)) {
 		return false
 	}
-	if slices.ContainsFunc(j.workflow.Steps, func(s heatherhub.Step) bool { return s.Gang }) || e.unknownJobs[j.workflow.ID] != nil {
+	if e.unknownJobs[j.workflow.ID] != nil {
 		return false
 	}
 	for _, n := range e.sortedNodes {
@@ -238,6 +237,17 @@
 	return true
 }
 
+// hasReadyGang reports whether a gang of the job could start. Its shard keeps it as long as workers there may come to have
+// room, since that of a gang takes long to find elsewhere.
+func (j *job) hasReadyGang() bool {
+	for _, o := range j.occurrences {
+		if slices.ContainsFunc(o.steps, func(s *stepRun) bool { return s.spec.Gang && s.undone > 0 && s.blockers == 0 }) {
+			return true
+		}
+	}
+	return false
+}
+
 // isUntouched reports whether no run of the job has begun or may still begin or be
 // reported, so that the whole job may move.
 func (j *job) isUntouched() bool {
@@ -257,7 +267,7 @@
 	if slices.ContainsFunc(tasks, func(t *task) bool { return len(t.open) > 0 || (!t.isPending && !t.isBlocked() && !t.isDone) }) {
 		return nil, 0, false
 	}
-	if m.Tasks == nil && (!e.canMoveWhole(j, m.IsStranded) || slices.ContainsFunc(tasks, e.mayRunUnresolved)) {
+	if m.Tasks == nil && (!e.canMoveWhole(j, m.IsStranded, m.LacksWorkers) || slices.ContainsFunc(tasks, e.mayRunUnresolved)) {
 		return nil, 0, false
 	}
 	workflow := *j.workflow
--- a/process/dispatch/move_test.go
+++ b/process/dispatch/move_test.go
@@ -442,6 +442,26 @@
 	}
 }
 
+// TestBegunJobWithAGangLeavesAShardWithoutWorkers guards against a gang that waits in a shard without workers, however
+// long, since its job has begun there.
+func TestBegunJobWithAGangLeavesAShardWithoutWorkers(t *testing.T) {
+	b := newSimulation(t, dispatch.Policy{}, 0)
+	gang := tasks(2, 1000, time.Second)
+	gang.Gang, gang.After = true, []int{0}
+	flow := &heatherhub.Workflow{ID: "begun", Queue: queue, Steps: []heatherhub.Step{tasks(1, 1000, time.Second), gang}, Accepted: b.now.Wall}
+	b.e.AddJob(b.now, dispatch.JobRecord{
+		Workflow: flow, RecordRevision: 1, ProgressRevision: 2,
+		Progress: dispatch.Progress{State: heatherhub.WorkflowRunning, Done: map[int][]byte{0: {1}}},
+	})
+	if got := chainMoves(b); len(got) != 0 {
+		t.Errorf("got moves %+v of a gang that may find room here, want none", got)
+	}
+	b.e.MarkWorkersAsked()
+	if got := chainMoves(b); len(got) != 1 || !got[0].HasBegun {
+		t.Errorf("got moves %+v in a shard without workers, want one", got)
+	}
+}
+
 // TestWorkWithoutWorkersIsNotUrgent guards against reads of all loads each 0.1 s for a job that no shard can run, which also
 // put off the urgent work of others.
 func TestWorkWithoutWorkersIsNotUrgent(t *testing.T) {
