Play the wide gang without a table of one case

TestWorkThatCannotLeaveItsShardStarts had two cases; the other one is green since and stands in TestJobLeavesAShardWithoutWorkersForIt.

--- a/process/owner/move_test.go
+++ b/process/owner/move_test.go
@@ -614,20 +614,16 @@
 
 // TestWorkThatCannotLeaveItsShardStarts guards against gangs that fit on the site and in no shard, and wait for good.
 func TestWorkThatCannotLeaveItsShardStarts(t *testing.T) {
-	wide := newStep(6, time.Second)
-	wide.Gang, wide.Need.CPU = true, 10_000
-	for name, steps := range map[string][]heatherhub.Step{"wide gang": {wide}} {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				d := newJobDraw(t, 1, drawnWorkersPerDomain)
-				flow := &heatherhub.Workflow{ID: "j", Queue: testQueue, Steps: steps, Accepted: time.Now(), Shard: shardOf("d0")}
-				d.site.submitFlow(flow)
-				d.awaitEnd(flow)
-				d.site.shutdown()
-				d.site.checkViolations()
-			})
-		})
-	}
+	synctest.Test(t, func(t *testing.T) {
+		d := newJobDraw(t, 1, drawnWorkersPerDomain)
+		wide := newStep(6, time.Second)
+		wide.Gang, wide.Need.CPU = true, 10_000
+		flow := &heatherhub.Workflow{ID: "j", Queue: testQueue, Steps: []heatherhub.Step{wide}, Accepted: time.Now(), Shard: shardOf("d0")}
+		d.site.submitFlow(flow)
+		d.awaitEnd(flow)
+		d.site.shutdown()
+		d.site.checkViolations()
+	})
 }
 
 // TestLongTaskOutlivesItsOwners guards against tasks that are stopped as stalled by each new owner, since none knows
